--- /dev/null
+++ b/src/azureramp/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' tool, one module for each command."""
--- /dev/null
+++ b/src/azureramp/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers: they read and write the blackboard and call the policies."""
--- /dev/null
+++ b/src/azureramp/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon `azurerampd`."""
--- /dev/null
+++ b/src/azureramp/errors.py
@@ -0,0 +1,149 @@
+"""The closed list of error kinds and the table from kind to answer.
+
+Every refusal or failure that leaves a process is one `Kind`. The table tells
+the HTTP status, whether the request ran, and whether and when asking again
+can help. Texts for people are in `texts`; the code is always shown.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+class Ran(enum.Enum):
+    """Whether the work of a failed request took place."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class Retry(enum.Enum):
+    """What the caller should do next."""
+
+    NEVER = "never"
+    SAME = "same"
+    OTHER_ADDRESS = "other_address"
+    READ_STATE = "read_state"
+
+
+class Kind(enum.Enum):
+    """Every way in which a request can fail; the value is the stable code."""
+
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    INVALID_RESOURCE = "invalid_resource"
+    CONFLICT = "conflict"
+    NOT_IN_FORCE = "not_in_force"
+    OVERLOADED = "overloaded"
+    DEADLINE_TOO_SHORT = "deadline_too_short"
+    DEADLINE_PASSED = "deadline_passed"
+    COVERAGE_TOO_LOW = "coverage_too_low"
+    NO_SNAPSHOT = "no_snapshot"
+    QUARANTINED = "quarantined"
+    SHED = "shed"
+    COLD = "cold"
+    NOT_OWNER = "not_owner"
+    ZONE_OUT = "zone_out"
+    LEAVING = "leaving"
+    STALE_CONFIGURATION = "stale_configuration"
+    STORE_UNAVAILABLE = "store_unavailable"
+    STORE_OUTCOME_UNKNOWN = "store_outcome_unknown"
+    KEY_REUSED = "key_reused"
+    IN_PROGRESS = "in_progress"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    CONNECTION_LOST = "connection_lost"
+    CROSSED_REPLY = "crossed_reply"
+    VERSION_GONE = "version_gone"
+    BACKEND_CRASHED = "backend_crashed"
+    BACKEND_FAILED = "backend_failed"
+    CANCELLED = "cancelled"
+    INTERNAL = "internal"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Answer:
+    """How one error kind is answered.
+
+    Attributes:
+        status: The HTTP status.
+        ran: Whether the request's work took place.
+        retry: What the caller should do next.
+        retry_after_ms: Default time until asking again can help, in
+            milliseconds; 0 where asking again at once is fine or useless.
+    """
+
+    status: int
+    ran: Ran
+    retry: Retry
+    retry_after_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Failure:
+    """One failure on its way to whoever asked.
+
+    Attributes:
+        kind: The error kind.
+        detail: Words for the log and the operator, never a caller's data.
+        retry_after_ms: Time until asking again can help, in milliseconds;
+            None takes the table's default.
+    """
+
+    kind: Kind
+    detail: str = ""
+    retry_after_ms: int | None = None
+
+    def get_retry_after_ms(self) -> int:
+        """Returns the time to come back in, in milliseconds."""
+        if self.retry_after_ms is not None:
+            return self.retry_after_ms
+        return ANSWERS[self.kind].retry_after_ms
+
+    def get_answer(self) -> Answer:
+        """Returns the table's answer to this failure's kind."""
+        return ANSWERS[self.kind]
+
+
+ANSWERS: dict[Kind, Answer] = {
+    Kind.BAD_REQUEST: Answer(400, Ran.NOT_RUN, Retry.NEVER),
+    Kind.TOO_LARGE: Answer(413, Ran.NOT_RUN, Retry.NEVER),
+    Kind.UNAUTHENTICATED: Answer(401, Ran.NOT_RUN, Retry.NEVER),
+    Kind.FORBIDDEN: Answer(403, Ran.NOT_RUN, Retry.NEVER),
+    Kind.NOT_FOUND: Answer(404, Ran.NOT_RUN, Retry.NEVER),
+    Kind.METHOD_NOT_ALLOWED: Answer(405, Ran.NOT_RUN, Retry.NEVER),
+    Kind.INVALID_RESOURCE: Answer(422, Ran.NOT_RUN, Retry.NEVER),
+    Kind.CONFLICT: Answer(409, Ran.NOT_RUN, Retry.READ_STATE),
+    Kind.NOT_IN_FORCE: Answer(503, Ran.UNKNOWN, Retry.READ_STATE, 1000),
+    Kind.OVERLOADED: Answer(503, Ran.NOT_RUN, Retry.SAME, 1000),
+    Kind.DEADLINE_TOO_SHORT: Answer(503, Ran.NOT_RUN, Retry.SAME, 1000),
+    Kind.DEADLINE_PASSED: Answer(504, Ran.UNKNOWN, Retry.SAME),
+    Kind.COVERAGE_TOO_LOW: Answer(503, Ran.RAN, Retry.SAME, 1000),
+    Kind.NO_SNAPSHOT: Answer(503, Ran.NOT_RUN, Retry.SAME, 1000),
+    Kind.QUARANTINED: Answer(503, Ran.NOT_RUN, Retry.SAME, 60000),
+    Kind.SHED: Answer(503, Ran.NOT_RUN, Retry.SAME, 500),
+    Kind.COLD: Answer(503, Ran.NOT_RUN, Retry.SAME, 1000),
+    Kind.NOT_OWNER: Answer(503, Ran.NOT_RUN, Retry.SAME, 200),
+    Kind.ZONE_OUT: Answer(503, Ran.NOT_RUN, Retry.OTHER_ADDRESS),
+    Kind.LEAVING: Answer(503, Ran.NOT_RUN, Retry.OTHER_ADDRESS),
+    Kind.STALE_CONFIGURATION: Answer(503, Ran.NOT_RUN, Retry.OTHER_ADDRESS),
+    Kind.STORE_UNAVAILABLE: Answer(503, Ran.NOT_RUN, Retry.SAME, 2000),
+    Kind.STORE_OUTCOME_UNKNOWN: Answer(
+        503, Ran.UNKNOWN, Retry.READ_STATE, 2000
+    ),
+    Kind.KEY_REUSED: Answer(422, Ran.NOT_RUN, Retry.NEVER),
+    Kind.IN_PROGRESS: Answer(409, Ran.UNKNOWN, Retry.SAME, 500),
+    Kind.OUTCOME_UNKNOWN: Answer(502, Ran.UNKNOWN, Retry.READ_STATE),
+    Kind.CONNECTION_LOST: Answer(502, Ran.UNKNOWN, Retry.SAME),
+    Kind.CROSSED_REPLY: Answer(502, Ran.UNKNOWN, Retry.SAME),
+    Kind.VERSION_GONE: Answer(503, Ran.NOT_RUN, Retry.SAME, 200),
+    Kind.BACKEND_CRASHED: Answer(502, Ran.UNKNOWN, Retry.SAME),
+    Kind.BACKEND_FAILED: Answer(502, Ran.UNKNOWN, Retry.SAME),
+    Kind.CANCELLED: Answer(499, Ran.UNKNOWN, Retry.SAME),
+    Kind.INTERNAL: Answer(500, Ran.UNKNOWN, Retry.SAME, 1000),
+}
--- /dev/null
+++ b/src/azureramp/events.py
@@ -0,0 +1,349 @@
+"""Typed events with a hybrid logical clock, bounded in memory.
+
+Every process records what it does. The clock (Kulkarni et al., 2014) keeps
+the order of cause across processes whose wall clocks differ: an event that a
+message caused is always later than the message's sending.
+"""
+
+from __future__ import annotations
+
+import collections
+import datetime
+import time
+from collections.abc import Callable
+
+import msgspec
+
+COUNTER_BITS = 16
+"""Low bits of a clock value that count events within one millisecond."""
+
+CAPACITY = 50_000
+"""Most events that a process keeps; older ones are dropped and counted."""
+
+
+class Event(msgspec.Struct, frozen=True, kw_only=True, tag_field="event"):
+    """What all events have: their type's tag."""
+
+
+class RequestAdmitted(Event, frozen=True, kw_only=True, tag="request.admitted"):
+    """A coordinator took a request and pinned its snapshot."""
+
+    request_id: str
+    caller: str
+    service: str
+    index: str
+    version: int
+    priority: int
+    fingerprint: int
+    idempotency_key: str = ""
+
+
+class RequestAnswered(Event, frozen=True, kw_only=True, tag="request.answered"):
+    """A coordinator answered a request.
+
+    Attributes:
+        code: `ok`, or the code of the error kind.
+        ran: `ran`, `not_run` or `unknown`.
+        version: The answer's index version; 0 for none.
+        coverage: The stated coverage.
+        missing: The stated missing ranges, as (low, high).
+        items: How many items the answer holds.
+    """
+
+    request_id: str
+    code: str
+    ran: str
+    version: int = 0
+    coverage: float = 0.0
+    missing: tuple[tuple[int, int], ...] = ()
+    items: int = 0
+    took_ms: float = 0.0
+    idempotency_key: str = ""
+
+
+class PartDispatched(Event, frozen=True, kw_only=True, tag="part.dispatched"):
+    """An owner is about to write a sub-request to a searcher.
+
+    Attributes:
+        in_use: Requests that run there now, this one included.
+        limit: The most that may run there now.
+        cold: True if the owner takes the searcher for cold.
+        lease_ms: Time left of the heartbeat lease.
+    """
+
+    request_id: str
+    part: int
+    searcher: str
+    server: str
+    zone: str
+    version: int
+    low: int
+    high: int
+    in_use: int
+    limit: int
+    cold: bool
+    lease_ms: float
+    repeatable: bool = True
+    fingerprint: int = 0
+
+
+class PartEnded(Event, frozen=True, kw_only=True, tag="part.ended"):
+    """A coordinator took, or refused, the result of a sub-request.
+
+    Attributes:
+        code: `ok`, or the code of the error kind.
+        merged: True if the result is part of the answer.
+    """
+
+    request_id: str
+    part: int
+    searcher: str
+    version: int
+    low: int
+    high: int
+    code: str
+    merged: bool
+
+
+class PartChosen(Event, frozen=True, kw_only=True, tag="part.chosen"):
+    """A coordinator chose a searcher for a shard.
+
+    Attributes:
+        reason: `first`, `hedge` or `retry`.
+    """
+
+    request_id: str
+    part: int
+    shard: str
+    searcher: str
+    owner: str
+    reason: str
+
+
+class IdempotencyChanged(
+    Event, frozen=True, kw_only=True, tag="idempotency.changed"
+):
+    """An idempotency record changed, as far as this VM knows.
+
+    Attributes:
+        state: `claimed`, `finished`, `unknown`, `released` or `replayed`.
+    """
+
+    key: str
+    request_id: str
+    state: str
+
+
+class ConfigurationApplied(
+    Event, frozen=True, kw_only=True, tag="configuration.applied"
+):
+    """A configuration revision came into force on this VM.
+
+    Attributes:
+        source: `store`, or the peer that it came from.
+        changed: The changed resources as `kind/name`, at most 32 of them.
+        zones_out: The availability zones out of service.
+        leaving: The backend servers that are leaving.
+    """
+
+    revision: int
+    source: str
+    changed: tuple[str, ...]
+    zones_out: tuple[str, ...]
+    leaving: tuple[str, ...] = ()
+
+
+class ConfigurationAccepted(
+    Event, frozen=True, kw_only=True, tag="configuration.accepted"
+):
+    """An operator's change was stored and accepted."""
+
+    resource_kind: str
+    name: str
+    revision: int
+
+
+class MemberChanged(Event, frozen=True, kw_only=True, tag="membership.member"):
+    """This VM's view of another VM changed."""
+
+    vm: str
+    incarnation: int
+    state: str
+
+
+class OwnerChanged(Event, frozen=True, kw_only=True, tag="membership.owner"):
+    """This VM began or ceased to own a searcher.
+
+    Attributes:
+        owned: True if this VM owns it now.
+        reason: `handoff`, `lease_end`, `first` or `released`.
+    """
+
+    searcher: str
+    owned: bool
+    reason: str
+
+
+class SearcherChanged(Event, frozen=True, kw_only=True, tag="searcher.changed"):
+    """An owner's view of a searcher changed.
+
+    Attributes:
+        state: `cold`, `warm`, `lost` or `crashed`.
+        reason: Why, in a word.
+    """
+
+    searcher: str
+    incarnation: int
+    state: str
+    reason: str
+    limit: int
+
+
+class FingerprintBlamed(Event, frozen=True, kw_only=True, tag="poison.blamed"):
+    """A crash was blamed on a request."""
+
+    server: str
+    crash_id: str
+    fingerprint: int
+    crashes: int
+    quarantined: bool
+
+
+class StopChanged(Event, frozen=True, kw_only=True, tag="stop.changed"):
+    """This VM's shutdown went a step on.
+
+    Attributes:
+        step: `unadvertised`, `handing_off`, `draining`, `stopped` or `cut`.
+        running: Requests that still run.
+    """
+
+    step: str
+    running: int
+
+
+class ProcessStarted(Event, frozen=True, kw_only=True, tag="process.started"):
+    """This process began."""
+
+    incarnation: int
+    zone: str
+
+
+AnyEvent = (
+    RequestAdmitted
+    | RequestAnswered
+    | PartDispatched
+    | PartEnded
+    | PartChosen
+    | IdempotencyChanged
+    | ConfigurationApplied
+    | ConfigurationAccepted
+    | MemberChanged
+    | OwnerChanged
+    | SearcherChanged
+    | FingerprintBlamed
+    | StopChanged
+    | ProcessStarted
+)
+
+
+class Record(msgspec.Struct, frozen=True, kw_only=True):
+    """One event in a process's timeline.
+
+    Attributes:
+        clock: The hybrid logical clock's value.
+        vm: The VM's name.
+        at_s: The VM's wall clock, in seconds since 1970, UTC.
+        monotonic_s: The process's monotonic clock, in seconds.
+        event: The event.
+    """
+
+    clock: int
+    vm: str
+    at_s: float
+    monotonic_s: float
+    event: AnyEvent
+
+
+def format_utc(at_s: float) -> str:
+    """Formats a wall-clock time.
+
+    Args:
+        at_s: Seconds since 1970, UTC.
+
+    Returns:
+        ISO 8601 with milliseconds and the suffix `Z`.
+    """
+    moment = datetime.datetime.fromtimestamp(at_s, datetime.UTC)
+    return moment.strftime("%Y-%m-%dT%H:%M:%S.") + f"{moment:%f}"[:3] + "Z"
+
+
+class Timeline:
+    """The bounded record of one process's events.
+
+    Attributes:
+        vm: The VM's name.
+        dropped: How many events were dropped for want of room.
+    """
+
+    __slots__ = ("_clock", "_records", "_wall", "dropped", "vm")
+
+    def __init__(
+        self,
+        vm: str,
+        wall: Callable[[], float] = time.time,
+        capacity: int = CAPACITY,
+    ) -> None:
+        """Makes an empty timeline.
+
+        Args:
+            vm: The VM's name.
+            wall: Reads the wall clock, in seconds since 1970.
+            capacity: Most events to keep.
+        """
+        self.vm = vm
+        self.dropped = 0
+        self._wall = wall
+        self._clock = 0
+        self._records: collections.deque[Record] = collections.deque(
+            maxlen=capacity
+        )
+
+    def read_clock(self) -> int:
+        """Advances the clock for a local event or a sending."""
+        physical = int(self._wall() * 1000) << COUNTER_BITS
+        self._clock = max(self._clock + 1, physical)
+        return self._clock
+
+    def observe_clock(self, received: int) -> None:
+        """Moves the clock past one that came with a message."""
+        self._clock = max(self._clock, received) + 1
+
+    def record(self, event: AnyEvent, monotonic_s: float) -> None:
+        """Records an event.
+
+        Args:
+            event: The event.
+            monotonic_s: The process's monotonic clock, in seconds.
+        """
+        if len(self._records) == self._records.maxlen:
+            self.dropped += 1
+        self._records.append(
+            Record(
+                clock=self.read_clock(),
+                vm=self.vm,
+                at_s=self._wall(),
+                monotonic_s=monotonic_s,
+                event=event,
+            )
+        )
+
+    def get_records(self, after: int = 0) -> list[Record]:
+        """Returns the records later than a clock value, in order."""
+        return [record for record in self._records if record.clock > after]
+
+
+def merge(timelines: list[list[Record]]) -> list[Record]:
+    """Merges the timelines of several processes into one causal order."""
+    joined = [record for timeline in timelines for record in timeline]
+    joined.sort(key=lambda record: (record.clock, record.vm))
+    return joined
--- /dev/null
+++ b/src/azureramp/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: pure functions and small state machines, without I/O."""
--- /dev/null
+++ b/src/azureramp/ports/searchers/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to searchers."""
--- /dev/null
+++ b/src/azureramp/ports/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value service."""
--- /dev/null
+++ b/src/azureramp/ports/vmlist/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's list of live and leaving VMs."""
--- /dev/null
+++ b/src/azureramp/ports/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP on both sides, by h11."""
--- /dev/null
+++ b/src/azureramp_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the searchers, for demo and tests."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of azureramp."""
