--- a/src/azureramp/blackboard.py
+++ b/src/azureramp/blackboard.py
@@ -83,6 +83,9 @@
             membership controller.
         owners: The owner VM of each searcher, by names. By the membership
             controller.
+        may_start_s: For each searcher that this VM owns: from when on it may
+            send there without a handoff, since the old owner's lease must
+            have run out by then. By the membership controller.
         owned: The states of the searchers that this VM owns, by name. By the
             owner controller.
         blame: Which requests crashed backend servers. By the owner and the
@@ -96,6 +99,7 @@
         "confirmed_s",
         "incarnation",
         "lease_until_s",
+        "may_start_s",
         "members",
         "metrics",
         "owned",
@@ -124,6 +128,7 @@
         self.members: dict[str, Member] = {}
         self.lease_until_s = -math.inf
         self.owners: dict[str, str] = {}
+        self.may_start_s: dict[str, float] = {}
         self.owned: dict[str, messages.SearcherState] = {}
         self.blame = poison.Blame()
         self.running = 0
--- /dev/null
+++ b/src/azureramp/controllers/answers.py
@@ -0,0 +1,68 @@
+"""From failures and results to HTTP responses."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgspec
+
+from azureramp import errors, messages, resources, texts
+from azureramp.ports.web import api as web_api
+
+RETRY_AFTER_MS_HEADER = "Azureramp-Retry-After-Ms"
+"""Retry-After has whole seconds only; this one has milliseconds."""
+
+
+def make_ok(value: Any, status: int = 200) -> web_api.Response:
+    """Makes a response with a JSON body.
+
+    Args:
+        value: Anything that msgspec encodes.
+        status: The HTTP status.
+    """
+    return web_api.Response(status=status, body=msgspec.json.encode(value))
+
+
+def make_error(
+    failure: errors.Failure,
+    *,
+    request_id: str = "",
+    addresses: tuple[str, ...] = (),
+    present: resources.Versioned | None = None,
+) -> web_api.Response:
+    """Makes the response to a failure, from the table of kinds.
+
+    Args:
+        failure: The failure.
+        request_id: The request, if one was admitted.
+        addresses: Other entry VMs to use, `IP:port`.
+        present: The state that a stale change ran into.
+    """
+    answer = failure.get_answer()
+    text = texts.KINDS[failure.kind]
+    retry_after_ms = failure.get_retry_after_ms()
+    body = messages.ErrorAnswer(
+        code=failure.kind.value,
+        ran=answer.ran.value,
+        retry=answer.retry.value,
+        retry_after_ms=retry_after_ms,
+        text_en=text.en,
+        text_hu=text.hu,
+        detail=failure.detail,
+        request_id=request_id,
+        addresses=addresses,
+        present=present,
+    )
+    headers: tuple[tuple[str, str], ...] = ()
+    if retry_after_ms > 0:
+        headers = (
+            ("Retry-After", str(math.ceil(retry_after_ms / 1000))),
+            (RETRY_AFTER_MS_HEADER, str(retry_after_ms)),
+        )
+    return web_api.Response(
+        status=answer.status,
+        body=msgspec.json.encode(body),
+        headers=headers,
+        closes=answer.retry is errors.Retry.OTHER_ADDRESS,
+    )
--- /dev/null
+++ b/src/azureramp/texts.py
@@ -0,0 +1,143 @@
+"""The texts of every code, in English and in Hungarian.
+
+The code is always shown beside the text, so that two operators without a
+common language can compare what they see.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from azureramp import errors
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Text:
+    """One meaning in both languages.
+
+    Attributes:
+        en: English.
+        hu: Hungarian.
+    """
+
+    en: str
+    hu: str
+
+
+KINDS: dict[errors.Kind, Text] = {
+    errors.Kind.BAD_REQUEST: Text(
+        "The request can't be read.", "A kérés nem értelmezhető."
+    ),
+    errors.Kind.TOO_LARGE: Text(
+        "The request is too large.", "A kérés túl nagy."
+    ),
+    errors.Kind.UNAUTHENTICATED: Text(
+        "The token is missing or not known.",
+        "A token hiányzik vagy ismeretlen.",
+    ),
+    errors.Kind.FORBIDDEN: Text(
+        "The caller may not do this.", "A hívónak ehhez nincs joga."
+    ),
+    errors.Kind.NOT_FOUND: Text("There is no such thing.", "Nincs ilyen."),
+    errors.Kind.METHOD_NOT_ALLOWED: Text(
+        "The method is not allowed here.", "Ez a metódus itt nem használható."
+    ),
+    errors.Kind.INVALID_RESOURCE: Text(
+        "The resource is not valid.", "Az erőforrás érvénytelen."
+    ),
+    errors.Kind.CONFLICT: Text(
+        "The resource was changed meanwhile.",
+        "Az erőforrás időközben megváltozott.",
+    ),
+    errors.Kind.NOT_IN_FORCE: Text(
+        "The change is not in force yet.", "A változás még nem lépett életbe."
+    ),
+    errors.Kind.OVERLOADED: Text(
+        "There is too much work now.", "Jelenleg túl sok a munka."
+    ),
+    errors.Kind.DEADLINE_TOO_SHORT: Text(
+        "The answer could not be ready by the deadline.",
+        "A válasz nem készülne el a határidőre.",
+    ),
+    errors.Kind.DEADLINE_PASSED: Text(
+        "The deadline has passed.", "A határidő lejárt."
+    ),
+    errors.Kind.COVERAGE_TOO_LOW: Text(
+        "Less data could be searched than asked for.",
+        "A kértnél kevesebb adatban lehetett keresni.",
+    ),
+    errors.Kind.NO_SNAPSHOT: Text(
+        "No index version is served by enough searchers.",
+        "Egyik indexverziót sem szolgálja ki elég kereső.",
+    ),
+    errors.Kind.QUARANTINED: Text(
+        "This request crashed backend servers and is refused for a while.",
+        "Ez a kérés háttérkiszolgálókat döntött le, egy ideig elutasítjuk.",
+    ),
+    errors.Kind.SHED: Text(
+        "The backend server refused the work.",
+        "A háttérkiszolgáló elutasította a munkát.",
+    ),
+    errors.Kind.COLD: Text(
+        "The backend server is in cold start.",
+        "A háttérkiszolgáló hidegindításban van.",
+    ),
+    errors.Kind.NOT_OWNER: Text(
+        "This VM does not own the searcher.", "Ez a VM nem gazdája a keresőnek."
+    ),
+    errors.Kind.ZONE_OUT: Text(
+        "The availability zone is out of service.",
+        "A rendelkezésre állási zóna nem üzemel.",
+    ),
+    errors.Kind.LEAVING: Text(
+        "This VM is leaving; use another address.",
+        "Ez a VM leáll; használjon másik címet.",
+    ),
+    errors.Kind.STALE_CONFIGURATION: Text(
+        "This VM can't tell whether its configuration is the newest.",
+        "Ez a VM nem tudja, hogy a beállításai a legfrissebbek-e.",
+    ),
+    errors.Kind.STORE_UNAVAILABLE: Text(
+        "The platform's key-value service is not available; nothing ran.",
+        "A platform kulcs-érték tára nem érhető el; semmi sem futott le.",
+    ),
+    errors.Kind.STORE_OUTCOME_UNKNOWN: Text(
+        "It is not known whether the write took effect.",
+        "Nem tudható, hogy az írás megtörtént-e.",
+    ),
+    errors.Kind.KEY_REUSED: Text(
+        "The idempotency key was used for another request.",
+        "Az idempotenciakulcsot már más kéréshez használták.",
+    ),
+    errors.Kind.IN_PROGRESS: Text(
+        "The first request with this key still runs.",
+        "Az ezzel a kulccsal küldött első kérés még fut.",
+    ),
+    errors.Kind.OUTCOME_UNKNOWN: Text(
+        "The request may have run; check before sending another.",
+        "A kérés lefuthatott; ellenőrizze, mielőtt újat küld.",
+    ),
+    errors.Kind.CONNECTION_LOST: Text(
+        "The connection was lost.", "A kapcsolat megszakadt."
+    ),
+    errors.Kind.CROSSED_REPLY: Text(
+        "A reply belonged to another request.",
+        "Egy válasz másik kéréshez tartozott.",
+    ),
+    errors.Kind.VERSION_GONE: Text(
+        "The index version is gone.", "Az indexverzió már nincs meg."
+    ),
+    errors.Kind.BACKEND_CRASHED: Text(
+        "The backend server crashed.", "A háttérkiszolgáló összeomlott."
+    ),
+    errors.Kind.BACKEND_FAILED: Text(
+        "The backend server failed.", "A háttérkiszolgáló hibázott."
+    ),
+    errors.Kind.CANCELLED: Text(
+        "The caller went away.", "A hívó megszakította a kérést."
+    ),
+    errors.Kind.INTERNAL: Text(
+        "The system failed; please report it.",
+        "A rendszer hibázott; kérjük, jelentse.",
+    ),
+}
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from azureramp import errors, events
+from azureramp import errors, events, texts
 
 
 @pytest.mark.parametrize("kind", errors.Kind)
@@ -28,3 +28,11 @@
     behind.observe_clock(sent)
 
     assert behind.read_clock() > sent
+
+
+@pytest.mark.parametrize("kind", errors.Kind)
+def test_each_kind_has_a_text_in_both_languages(kind: errors.Kind) -> None:
+    text = texts.KINDS[kind]
+
+    assert text.en
+    assert text.hu
