--- a/src/azureramp/settings.py
+++ b/src/azureramp/settings.py
@@ -3,6 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import ipaddress
+import re
+import unicodedata
+from collections.abc import Mapping
+
+import expression
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -50,3 +56,225 @@
     drain_ms: int = 30000
     list_lag_ms: int = 5000
     watchers: int = 2
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Word:
+    """A setting that is a word, possibly with some characters barred.
+
+    Attributes:
+        may_be_empty: True if the empty word is allowed.
+    """
+
+    may_be_empty: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Address:
+    """A setting that is `IP:port`.
+
+    Attributes:
+        may_be_empty: True if the empty word is allowed.
+    """
+
+    may_be_empty: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Sha256:
+    """A setting that is a SHA-256 in hexadecimal."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Integer:
+    """A setting that is a whole number.
+
+    Attributes:
+        low: The least value allowed.
+        high: The greatest value allowed.
+    """
+
+    low: int
+    high: int
+
+
+Form = Word | Address | Sha256 | Integer
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Option:
+    """One setting as a flag and an environment variable.
+
+    Attributes:
+        field: The field of `Settings`.
+        form: What its value may be.
+        help: What it does.
+        default: The value if it is not given; None if it must be.
+    """
+
+    field: str
+    form: Form
+    help: str
+    default: str | None = None
+
+    @property
+    def flag(self) -> str:
+        """The flag, such as `--http-address`."""
+        return "--" + self.field.replace("_", "-")
+
+    @property
+    def variable(self) -> str:
+        """The environment variable, such as `AZURERAMP_HTTP_ADDRESS`."""
+        return "AZURERAMP_" + self.field.upper()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Problem:
+    """A setting that is not allowed.
+
+    Attributes:
+        option: The option.
+        value: The value given; None if none was.
+        allowed: What is allowed.
+    """
+
+    option: Option
+    value: str | None
+    allowed: str
+
+    def __str__(self) -> str:
+        """Returns one line that names flag, variable, value and rule."""
+        given = "no value" if self.value is None else f"{self.value!r}"
+        return (
+            f"{self.option.flag} ({self.option.variable}): {given}; "
+            f"allowed: {self.allowed}"
+        )
+
+
+def _make_ms(
+    field: str, low: int, high: int, default: int, words: str
+) -> Option:
+    """Makes an option for a duration in milliseconds."""
+    return Option(field, Integer(low, high), words, str(default))
+
+
+OPTIONS: tuple[Option, ...] = (
+    Option("vm", Word(), "This VM's name."),
+    Option("zone", Word(), "The name of its availability zone."),
+    Option("http_address", Address(), "IP:port for callers and operators."),
+    Option("peer_address", Address(), "IP:port for the other daemons."),
+    Option("store_address", Address(), "IP:port of the key-value service."),
+    Option("vmlist_address", Address(), "IP:port of the VM list."),
+    Option(
+        "statsd_address",
+        Address(may_be_empty=True),
+        "IP:port of the statsd server; empty for none.",
+        "",
+    ),
+    Option("peer_key", Word(), "Key of the peer messages' MAC."),
+    Option(
+        "operator_token_sha256",
+        Sha256(),
+        "SHA-256 of the operators' token, in hexadecimal.",
+    ),
+    _make_ms("heartbeat_ms", 10, 10_000, 250, "Time between heartbeats."),
+    _make_ms("lease_ms", 100, 60_000, 1500, "Length of the heartbeat lease."),
+    _make_ms(
+        "suspect_ms",
+        50,
+        60_000,
+        1000,
+        "Silence after which a VM is no longer taken for live.",
+    ),
+    _make_ms("probe_ms", 50, 60_000, 500, "Time between health reads."),
+    _make_ms(
+        "address_lifetime_ms",
+        100,
+        600_000,
+        5000,
+        "How long an address answer may be kept.",
+    ),
+    _make_ms(
+        "confirm_ms",
+        100,
+        60_000,
+        2000,
+        "Longest age of a fresh confirmation of the configuration.",
+    ),
+    _make_ms(
+        "drain_ms", 0, 3_600_000, 30_000, "Hard limit of a graceful shutdown."
+    ),
+    _make_ms("list_lag_ms", 0, 600_000, 5000, "How long the VM list may lag."),
+    Option(
+        "watchers",
+        Integer(1, 16),
+        "How many VMs of a cell hold the configuration watch.",
+        "2",
+    ),
+)
+
+
+def parse(
+    values: Mapping[str, str | None],
+) -> expression.Result[Settings, Problem]:
+    """Checks the values of all settings.
+
+    Args:
+        values: The given values by field; None or missing takes the default.
+
+    Returns:
+        The settings, or the first problem.
+    """
+    checked: dict[str, str | int] = {}
+    for option in OPTIONS:
+        value = values.get(option.field)
+        if value is None:
+            value = option.default
+        result = _check(option, value)
+        if isinstance(result, Problem):
+            return expression.Error(result)
+        checked[option.field] = result
+    built = Settings(**checked)  # type: ignore[arg-type]
+    if built.lease_ms <= 2 * built.heartbeat_ms:
+        option = next(o for o in OPTIONS if o.field == "lease_ms")
+        words = f"more than twice --heartbeat-ms ({built.heartbeat_ms})"
+        return expression.Error(Problem(option, str(built.lease_ms), words))
+    return expression.Ok(built)
+
+
+def _check(option: Option, value: str | None) -> str | int | Problem:
+    """Checks one value against its option's form."""
+    match option.form:
+        case Word(may_be_empty):
+            if value is not None and (value or may_be_empty):
+                return unicodedata.normalize("NFC", value)
+            return Problem(option, value, "a word that is not empty")
+        case Address(may_be_empty):
+            if value == "" and may_be_empty:
+                return value
+            if value is not None and is_address(value):
+                return value
+            return Problem(option, value, "IP:port, such as 127.0.0.1:8700")
+        case Sha256():
+            if value is not None and re.fullmatch(r"[0-9a-f]{64}", value):
+                return value
+            return Problem(option, value, "64 lower-case hexadecimal digits")
+        case Integer(low, high):
+            if value is not None and re.fullmatch(r"[0-9]{1,9}", value):
+                number = int(value)
+                if low <= number <= high:
+                    return number
+            words = f"a whole number from {low} to {high}"
+            return Problem(option, value, words)
+
+
+def is_address(value: str) -> bool:
+    """Tells whether a text is `IP:port`, an IPv6 address in brackets."""
+    host, _, port = value.rpartition(":")
+    if host.startswith("[") != host.endswith("]"):
+        return False
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return bool(re.fullmatch(r"[0-9]{1,5}", port)) and 0 < int(port) < 65536
