--- /dev/null
+++ b/src/azureramp/ports/store/counting.py
@@ -0,0 +1,90 @@
+"""Counts the calls of any store, since the platform counts them too."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import expression
+
+from azureramp import errors, metrics
+from azureramp.ports.store import api
+
+_T = TypeVar("_T")
+
+
+class CountingStore:
+    """Passes every call on, and counts it by kind; see `api.Store`."""
+
+    __slots__ = ("_metrics", "_store")
+
+    def __init__(self, store: api.Store, counters: metrics.Metrics) -> None:
+        """Wraps a store.
+
+        Args:
+            store: The store that does the work.
+            counters: Where `store.reads`, `store.writes`, `store.watches`
+                and `store.failures` are counted.
+        """
+        self._store = store
+        self._metrics = counters
+
+    async def read(
+        self, key: str
+    ) -> expression.Result[api.Entry | None, errors.Failure]:
+        """Reads one key; see `api.Store`."""
+        self._metrics.count("store.reads")
+        return self._check(await self._store.read(key))
+
+    async def read_prefix(
+        self, prefix: str
+    ) -> expression.Result[api.Listing, errors.Failure]:
+        """Reads a prefix; see `api.Store`."""
+        self._metrics.count("store.reads")
+        return self._check(await self._store.read_prefix(prefix))
+
+    async def write(
+        self, key: str, value: bytes, expected: int, lease: str = ""
+    ) -> expression.Result[api.Write, errors.Failure]:
+        """Writes by compare-and-swap; see `api.Store`."""
+        self._metrics.count("store.writes")
+        return self._check(await self._store.write(key, value, expected, lease))
+
+    async def delete(
+        self, key: str, expected: int
+    ) -> expression.Result[api.Write, errors.Failure]:
+        """Deletes by compare-and-swap; see `api.Store`."""
+        self._metrics.count("store.writes")
+        return self._check(await self._store.delete(key, expected))
+
+    async def watch(
+        self, prefix: str, after: int, wait_s: float
+    ) -> expression.Result[api.Listing, errors.Failure]:
+        """Waits for changes; see `api.Store`."""
+        self._metrics.count("store.watches")
+        return self._check(await self._store.watch(prefix, after, wait_s))
+
+    async def grant_lease(
+        self, ttl_s: float
+    ) -> expression.Result[str, errors.Failure]:
+        """Makes a lease; see `api.Store`."""
+        self._metrics.count("store.writes")
+        return self._check(await self._store.grant_lease(ttl_s))
+
+    async def keep_lease(
+        self, lease: str
+    ) -> expression.Result[bool, errors.Failure]:
+        """Keeps a lease alive; see `api.Store`."""
+        self._metrics.count("store.writes")
+        return self._check(await self._store.keep_lease(lease))
+
+    async def close(self) -> None:
+        """Closes the store."""
+        await self._store.close()
+
+    def _check(
+        self, result: expression.Result[_T, errors.Failure]
+    ) -> expression.Result[_T, errors.Failure]:
+        """Counts a failed call."""
+        if result.is_error():
+            self._metrics.count("store.failures")
+        return result
--- /dev/null
+++ b/src/azureramp_standins/platform.py
@@ -0,0 +1,329 @@
+"""A stand-in for the platform: key-value service and VM list, with faults.
+
+Start it with `python -m azureramp_standins.platform --address IP:port`. The
+protocol is in docs/reference/platform.md. It keeps everything in memory.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+
+import click
+import msgspec
+
+from azureramp.ports.store import api, protocol
+from azureramp.ports.store import state as store_state
+from azureramp.ports.vmlist import api as vmlist_api
+from azureramp.ports.web import api as web_api
+from azureramp.ports.web import server as web_server
+
+MAX_WAIT_S = 60.0
+"""Longest wait of a watch, in seconds."""
+
+
+class Faults(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """What goes wrong; the body of `POST /faults`, which sets all of it.
+
+    Attributes:
+        down: Every call of the key-value service is answered by 503.
+        slow_ms: Time that each of its calls takes, in milliseconds.
+        lost_replies: So many next writes take effect and are not answered.
+        lost_requests: So many next writes have no effect and no answer.
+        late_ms: While positive, a write is not answered and takes effect so
+            much later, in milliseconds.
+        past: Reads answer from so many revisions ago.
+        list_down: The VM list answers by 503.
+        list_lag_ms: The VM list answers from so long ago, in milliseconds.
+    """
+
+    down: bool = False
+    slow_ms: int = 0
+    lost_replies: int = 0
+    lost_requests: int = 0
+    late_ms: int = 0
+    past: int = 0
+    list_down: bool = False
+    list_lag_ms: int = 0
+
+
+class Stats(msgspec.Struct, kw_only=True):
+    """The answer to `GET /stats`.
+
+    Attributes:
+        totals: Calls since the start, by kind: `reads`, `writes`, `watches`,
+            `leases` and `list`.
+        last_second: Calls in the last whole second, by kind.
+        peak_second: The most calls in any whole second, by kind.
+        waiting: Watches that wait now.
+    """
+
+    totals: dict[str, int]
+    last_second: dict[str, int]
+    peak_second: dict[str, int]
+    waiting: int
+
+
+class Meter:
+    """Counts calls by kind and second."""
+
+    __slots__ = ("_now", "_second", "_totals", "last", "peak", "waiting")
+
+    def __init__(self) -> None:
+        """Makes a meter at zero."""
+        self._totals: collections.Counter[str] = collections.Counter()
+        self._now: collections.Counter[str] = collections.Counter()
+        self._second = -1
+        self.last: dict[str, int] = {}
+        self.peak: dict[str, int] = {}
+        self.waiting = 0
+
+    def count(self, kind: str) -> None:
+        """Counts one call."""
+        self._advance()
+        self._totals[kind] += 1
+        self._now[kind] += 1
+
+    def get_stats(self) -> Stats:
+        """Returns the counts."""
+        self._advance()
+        return Stats(
+            totals=dict(self._totals),
+            last_second=self.last,
+            peak_second=self.peak,
+            waiting=self.waiting,
+        )
+
+    def _advance(self) -> None:
+        """Closes the second that has ended, if one has."""
+        second = int(asyncio.get_running_loop().time())
+        if second == self._second:
+            return
+        ended = dict(self._now)
+        for kind, calls in ended.items():
+            self.peak[kind] = max(self.peak.get(kind, 0), calls)
+        self.last = ended if second == self._second + 1 else {}
+        self._now.clear()
+        self._second = second
+
+
+class Platform:
+    """The stand-in's state and its HTTP interface.
+
+    Attributes:
+        faults: What goes wrong.
+        meter: Counts the calls.
+        server: The HTTP server.
+        state: The key-value service.
+    """
+
+    __slots__ = ("_lists", "_vms", "faults", "meter", "server", "state")
+
+    def __init__(self, address: str) -> None:
+        """Makes a platform without keys and VMs; see `make`."""
+        self.faults = Faults()
+        self.meter = Meter()
+        self.state = store_state.State()
+        self.server = web_server.Server(address, self.handle)
+        self._vms: dict[str, vmlist_api.Vm] = {}
+        self._lists: list[tuple[float, tuple[vmlist_api.Vm, ...]]] = []
+
+    async def handle(self, request: web_api.Request) -> web_api.Response:
+        """Answers one request."""
+        try:
+            if request.path.startswith("/v1/"):
+                return await self._handle_store(request)
+            if request.path.startswith("/vms"):
+                return self._handle_list(request)
+            return self._handle_control(request)
+        except (KeyError, ValueError, msgspec.DecodeError) as error:
+            return _answer(400, {"detail": f"{type(error).__name__}: {error}"})
+
+    def _handle_control(self, request: web_api.Request) -> web_api.Response:
+        """Serves the stand-in's own interface."""
+        match request.method, request.path:
+            case "GET", "/stats":
+                return _answer(200, self.meter.get_stats())
+            case "GET", "/faults":
+                return _answer(200, self.faults)
+            case "POST", "/faults":
+                self.faults = msgspec.json.decode(request.body, type=Faults)
+                return _answer(200, self.faults)
+        return _answer(404, {"detail": "no such path"})
+
+    def _handle_list(self, request: web_api.Request) -> web_api.Response:
+        """Serves the VM list; changes are never affected by the faults."""
+        name = request.path.removeprefix("/vms").lstrip("/")
+        match request.method:
+            case "GET" if not name:
+                self.meter.count("list")
+                if self.faults.list_down:
+                    return _answer(503, {"detail": "the list is down"})
+                return _answer(200, self._get_list())
+            case "PUT" if name:
+                vm = msgspec.json.decode(request.body, type=vmlist_api.Vm)
+                self._vms[name] = msgspec.structs.replace(vm, name=name)
+            case "DELETE" if name:
+                self._vms.pop(name, None)
+            case _:
+                return _answer(405, {"detail": "method not allowed"})
+        vms = tuple(self._vms[each] for each in sorted(self._vms))
+        self._lists.append((asyncio.get_running_loop().time(), vms))
+        return _answer(200, vms)
+
+    def _get_list(self) -> tuple[vmlist_api.Vm, ...]:
+        """Returns the list as it was one lag ago."""
+        now_s = asyncio.get_running_loop().time()
+        at_s = now_s - self.faults.list_lag_ms / 1000
+        for changed_s, vms in reversed(self._lists):
+            if changed_s <= at_s:
+                return vms
+        return ()
+
+    async def _handle_store(self, request: web_api.Request) -> web_api.Response:
+        """Serves the key-value service, under the faults."""
+        self.meter.count(_get_kind(request))
+        self.state.expire_leases(asyncio.get_running_loop().time())
+        await asyncio.sleep(self.faults.slow_ms / 1000)
+        if self.faults.down:
+            return _answer(503, {"detail": "the store is down"})
+        query = request.query
+        match request.method, request.path:
+            case "GET", protocol.KEYS if "key" in query:
+                entry = self.state.read(query["key"], self._get_at())
+                if entry is None:
+                    return _answer(404, {"revision": self.state.revision})
+                return _answer(200, entry)
+            case "GET", protocol.KEYS:
+                listing = self.state.list(query["prefix"], self._get_at())
+                return _answer(200, listing)
+            case (("PUT" | "DELETE"), protocol.KEYS):
+                return await self._write(request)
+            case "GET", protocol.WATCH:
+                return await self._watch(request)
+            case (("POST" | "PUT"), protocol.LEASES):
+                return self._handle_lease(request)
+        return _answer(404, {"detail": "no such path"})
+
+    def _get_at(self) -> int | None:
+        """Returns the past revision that reads answer from, if any."""
+        if not self.faults.past:
+            return None
+        return max(self.state.revision - self.faults.past, 0)
+
+    async def _write(self, request: web_api.Request) -> web_api.Response:
+        """Writes or deletes a key, under the faults that writes have."""
+        query = request.query
+        key = query["key"]
+        expected = int(query["expected"])
+        value = request.body if request.method == "PUT" else None
+        lease = query.get("lease", "")
+        if value is not None and len(value) > api.MAX_VALUE_BYTES:
+            return _answer(413, {"detail": "the value is too large"})
+        faults = self.faults
+        if faults.late_ms > 0:
+            asyncio.get_running_loop().call_later(
+                faults.late_ms / 1000,
+                self.state.write,
+                key,
+                value,
+                expected,
+                lease,
+            )
+            await _stay_silent()
+        if faults.lost_requests > 0:
+            faults.lost_requests -= 1
+            await _stay_silent()
+        outcome = self.state.write(key, value, expected, lease)
+        if faults.lost_replies > 0:
+            faults.lost_replies -= 1
+            await _stay_silent()
+        match outcome:
+            case api.Written():
+                return _answer(200, outcome)
+            case api.Conflicted():
+                return _answer(409, outcome)
+        return _answer(404, {"detail": "no such lease"})
+
+    async def _watch(self, request: web_api.Request) -> web_api.Response:
+        """Waits for changes."""
+        loop = asyncio.get_running_loop()
+        prefix = request.query["prefix"]
+        after = int(request.query["after"])
+        wait_s = int(request.query["wait_ms"]) / 1000
+        until_s = loop.time() + min(wait_s, MAX_WAIT_S)
+        self.meter.waiting += 1
+        try:
+            while True:
+                self.state.expire_leases(loop.time())
+                listing = self.state.list_changes(prefix, after)
+                left_s = until_s - loop.time()
+                if self.faults.down:
+                    return _answer(503, {"detail": "the store is down"})
+                if listing.entries or left_s <= 0:
+                    return _answer(200, listing)
+                expiry_s = self.state.get_next_expiry_s()
+                if expiry_s is not None:
+                    left_s = min(left_s, expiry_s - loop.time())
+                await self.state.wait_for_change(left_s)
+        finally:
+            self.meter.waiting -= 1
+
+    def _handle_lease(self, request: web_api.Request) -> web_api.Response:
+        """Makes a lease, or keeps one alive."""
+        now_s = asyncio.get_running_loop().time()
+        if request.method == "POST":
+            ttl_s = int(request.query["ttl_ms"]) / 1000
+            lease = self.state.grant_lease(ttl_s, now_s)
+            return _answer(200, {"lease": lease})
+        lease = request.query["lease"]
+        kept = self.state.keep_lease(lease, now_s)
+        return _answer(200 if kept else 404, {"lease": lease})
+
+
+def make(address: str) -> Platform:
+    """Makes a stand-in that does not listen yet.
+
+    Args:
+        address: `IP:port` to listen on.
+    """
+    return Platform(address)
+
+
+def _get_kind(request: web_api.Request) -> str:
+    """Returns the kind that a call is counted as."""
+    if request.path == protocol.WATCH:
+        return "watches"
+    if request.path == protocol.LEASES:
+        return "leases"
+    return "reads" if request.method == "GET" else "writes"
+
+
+async def _stay_silent() -> None:
+    """Never answers: the server cancels it when the client gives up."""
+    await asyncio.get_running_loop().create_future()
+
+
+def _answer(status: int, body: object) -> web_api.Response:
+    """Makes a JSON response; values become base64."""
+    return web_api.Response(status, msgspec.json.encode(body))
+
+
+async def _run(address: str) -> None:
+    """Serves until the process is ended."""
+    platform = make(address)
+    await platform.server.start()
+    await asyncio.get_running_loop().create_future()
+
+
+@click.command()
+@click.option("--address", required=True, help="IP:port to listen on.")
+def main(address: str) -> None:
+    """Runs the platform stand-in."""
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(_run(address))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/ports/store/__init__.py
@@ -0,0 +1,1 @@
+"""Tests mirror the source tree."""
