Add a thin owner, the searchers port and the searcher stand-in

An owner queues sub-requests by priority and deadline, sends them within the searcher's slots, and gives the results back batched by request. The searchers port has pooled connections over HTTP and in memory behind one set of rules. The stand-in process serves documents with accents and can be made to fail. Handoffs, crash notices and half-open connections are only sketched yet.

--- /dev/null
+++ b/src/azureramp/controllers/replies.py
@@ -0,0 +1,57 @@
+"""Results on their way back to the coordinators, batched by request."""
+
+from __future__ import annotations
+
+import asyncio
+
+from azureramp import errors, messages
+from azureramp.controllers import outbox as outbox_module
+
+
+class Replies:
+    """Sends the results of one turn of the loop together."""
+
+    __slots__ = ("_outbox", "_pending")
+
+    def __init__(self, outbox: outbox_module.Outbox) -> None:
+        """Makes it with nothing to send."""
+        self._outbox = outbox
+        self._pending: dict[tuple[str, str], list[messages.PartResult]] = {}
+
+    def send(
+        self, coordinator: str, request_id: str, result: messages.PartResult
+    ) -> None:
+        """Sends a result, at the end of this turn of the loop.
+
+        Args:
+            coordinator: The VM that asked.
+            request_id: The request.
+            result: The result of one of its sub-requests.
+        """
+        if not self._pending:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._pending.setdefault((coordinator, request_id), []).append(result)
+
+    def _flush(self) -> None:
+        """Hands one message for each request to the outbox."""
+        pending, self._pending = self._pending, {}
+        for (coordinator, request_id), results in pending.items():
+            self._outbox.send(
+                coordinator,
+                messages.PartResults(
+                    request_id=request_id, results=tuple(results)
+                ),
+            )
+
+
+def make_failed(
+    part: int, failure: errors.Failure, sent: bool
+) -> messages.PartFailed:
+    """Makes the result of a sub-request that failed."""
+    return messages.PartFailed(
+        part,
+        failure.kind.value,
+        sent,
+        failure.get_retry_after_ms(),
+        failure.detail,
+    )
--- /dev/null
+++ b/tests/ports/searchers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the searchers port."""
