--- /dev/null
+++ b/src/azureramp/controllers/caller_api.py
@@ -0,0 +1,341 @@
+"""The callers' HTTP interface: identity, checks of the input, answers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unicodedata
+from typing import Annotated
+
+import expression
+import msgspec
+
+from azureramp import blackboard, errors, messages, resources
+from azureramp.controllers import answers
+from azureramp.controllers import coordinator as coordinator_controller
+from azureramp.policy import identity
+from azureramp.ports.web import api as web_api
+
+MAX_BODY_BYTES = 262_144
+"""Largest body of a request, in bytes."""
+
+MAX_KEY_CHARACTERS = 200
+"""Longest idempotency key."""
+
+MAX_DEADLINE_MS = 600_000
+
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+_DeadlineMs = Annotated[int, msgspec.Meta(ge=1, le=MAX_DEADLINE_MS)]
+_Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+_Key = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+
+
+class QueryBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The body of POST /v1/query.
+
+    An unknown field is refused: a misspelt `minimum_coverage` must not turn
+    into none.
+
+    Attributes:
+        service: The service's name.
+        index: The index.
+        query: The query, any JSON.
+        deadline_ms: How long the caller waits, in milliseconds.
+        minimum_coverage: The least coverage that it takes.
+    """
+
+    service: _Name
+    index: _Name
+    query: msgspec.Raw
+    deadline_ms: _DeadlineMs
+    minimum_coverage: _Share = 0.0
+
+
+class ExecuteBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The body of POST /v1/execute.
+
+    Attributes:
+        service: The service's name.
+        index: The index.
+        key: A key of the key space; its shard runs the operation.
+        operation: The operation, any JSON.
+        deadline_ms: How long the caller waits, in milliseconds.
+    """
+
+    service: _Name
+    index: _Name
+    key: _Key
+    operation: msgspec.Raw
+    deadline_ms: _DeadlineMs
+
+
+class CallerApi:
+    """Handles the callers' requests."""
+
+    __slots__ = (
+        "_board",
+        "_coordinator",
+        "_execute_decoder",
+        "_next",
+        "_prefix",
+        "_query_decoder",
+        "_random",
+    )
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        coordinator: coordinator_controller.Coordinator,
+        rng: random.Random,
+    ) -> None:
+        """Makes the interface; see `make`."""
+        self._board = board
+        self._coordinator = coordinator
+        self._random = rng
+        self._query_decoder = msgspec.json.Decoder(QueryBody)
+        self._execute_decoder = msgspec.json.Decoder(ExecuteBody)
+        self._prefix = f"{board.settings.vm}-{board.incarnation}"
+        self._next = 0
+
+    async def handle(self, request: web_api.Request) -> web_api.Response:
+        """Answers one request.
+
+        Args:
+            request: The request.
+
+        Returns:
+            The response; its body always has a stable code if it is an error.
+        """
+        self._board.running += 1
+        self._board.metrics.set_gauge("request.running", self._board.running)
+        try:
+            return await self._route(request)
+        finally:
+            self._board.running -= 1
+
+    async def _route(self, request: web_api.Request) -> web_api.Response:
+        """Finds what was asked for."""
+        match request.method, request.path:
+            case "BAD", path:
+                return answers.make_error(_read_bad_request(path))
+            case "POST", "/v1/query":
+                return await self._query(request)
+            case "POST", "/v1/execute":
+                return await self._execute(request)
+            case "GET", "/v1/addresses":
+                return self._answer_addresses(request)
+            case _, "/v1/query" | "/v1/execute" | "/v1/addresses":
+                kind = errors.Kind.METHOD_NOT_ALLOWED
+                return answers.make_error(errors.Failure(kind))
+            case _:
+                kind = errors.Kind.NOT_FOUND
+                return answers.make_error(errors.Failure(kind))
+
+    async def _query(self, request: web_api.Request) -> web_api.Response:
+        """Answers POST /v1/query."""
+        started_s = asyncio.get_running_loop().time()
+        identified = self._identify(request)
+        if identified.is_error():
+            return self._make_error(identified.error, None)
+        caller = identified.ok
+        refusal = self._check_serving() or _check_size(request)
+        if refusal is not None:
+            return self._make_error(refusal, caller)
+        try:
+            body = self._query_decoder.decode(request.body)
+        except (msgspec.MsgspecError, RecursionError, ValueError) as error:
+            return self._make_error(_describe(error), caller)
+        query = coordinator_controller.Query(
+            request_id=self._make_request_id(),
+            caller=caller,
+            service=unicodedata.normalize("NFC", body.service),
+            index=unicodedata.normalize("NFC", body.index),
+            body=bytes(body.query),
+            deadline_s=started_s + body.deadline_ms / 1000,
+            minimum_coverage=body.minimum_coverage,
+        )
+        result = await self._coordinator.query(query)
+        return self._make_response(result, query.request_id, caller)
+
+    async def _execute(self, request: web_api.Request) -> web_api.Response:
+        """Answers POST /v1/execute."""
+        started_s = asyncio.get_running_loop().time()
+        identified = self._identify(request)
+        if identified.is_error():
+            return self._make_error(identified.error, None)
+        caller = identified.ok
+        key = request.headers.get("idempotency-key", "")
+        refusal = (
+            self._check_serving() or _check_size(request) or _check_key(key)
+        )
+        if refusal is not None:
+            return self._make_error(refusal, caller)
+        try:
+            body = self._execute_decoder.decode(request.body)
+        except (msgspec.MsgspecError, RecursionError, ValueError) as error:
+            return self._make_error(_describe(error), caller)
+        execute = coordinator_controller.Execute(
+            request_id=self._make_request_id(),
+            caller=caller,
+            service=unicodedata.normalize("NFC", body.service),
+            index=unicodedata.normalize("NFC", body.index),
+            key=body.key,
+            idempotency_key=key,
+            body=bytes(body.operation),
+            deadline_s=started_s + body.deadline_ms / 1000,
+        )
+        result = await self._coordinator.execute(execute)
+        return self._make_response(result, execute.request_id, caller)
+
+    def _answer_addresses(self, request: web_api.Request) -> web_api.Response:
+        """Answers GET /v1/addresses, also while this VM takes no work."""
+        identified = self._identify(request)
+        if identified.is_error():
+            return self._make_error(identified.error, None)
+        return answers.make_ok(
+            messages.AddressAnswer(
+                addresses=self._order_addresses(identified.ok),
+                lifetime_ms=self._board.settings.address_lifetime_ms,
+            )
+        )
+
+    def _identify(
+        self, request: web_api.Request
+    ) -> expression.Result[resources.Caller, errors.Failure]:
+        """Finds the caller.
+
+        A VM whose configuration may be old must not tell a new caller that
+        its token is unknown, which says never to ask again: it sends it to
+        the others instead.
+        """
+        authorization = request.headers.get("authorization", "")
+        table = self._coordinator.get_topology()
+        identified = identity.find_caller(table.callers, authorization)
+        if identified.is_error() and self._is_stale():
+            return expression.Error(
+                errors.Failure(errors.Kind.STALE_CONFIGURATION)
+            )
+        return identified
+
+    def _is_stale(self) -> bool:
+        """Tells whether the configuration may lack a new caller."""
+        return self._board.serving in (
+            blackboard.Serving.STARTING,
+            blackboard.Serving.STALE,
+        )
+
+    def _check_serving(self) -> errors.Failure | None:
+        """Refuses while this VM takes no new work."""
+        match self._board.serving:
+            case blackboard.Serving.READY:
+                return None
+            case blackboard.Serving.ZONE_OUT:
+                return errors.Failure(errors.Kind.ZONE_OUT)
+            case blackboard.Serving.LEAVING:
+                return errors.Failure(errors.Kind.LEAVING)
+            case _:
+                return errors.Failure(errors.Kind.STALE_CONFIGURATION)
+
+    def _make_request_id(self) -> str:
+        """Makes an id that no other VM or process makes."""
+        self._next += 1
+        return f"{self._prefix}-{self._next}"
+
+    def _order_addresses(self, caller: resources.Caller) -> tuple[str, ...]:
+        """Orders the VMs that this caller should use."""
+        zones_out = self._coordinator.get_topology().zones_out
+        addresses = [
+            member.vm.http_address
+            for member in self._board.members.values()
+            if member.state is blackboard.MemberState.LIVE
+            and member.ready
+            and not member.vm.leaving
+            and member.vm.zone not in zones_out
+        ]
+        self._random.shuffle(addresses)
+        return tuple(addresses)
+
+    def _make_response(
+        self,
+        result: expression.Result[
+            messages.QueryAnswer | messages.ExecuteAnswer, errors.Failure
+        ],
+        request_id: str,
+        caller: resources.Caller,
+    ) -> web_api.Response:
+        """Makes the response to a request that was tried."""
+        match result:
+            case expression.Result(tag="ok", ok=answer):
+                return answers.make_ok(answer)
+            case expression.Result(error=failure):
+                return self._make_error(failure, caller, request_id)
+
+    def _make_error(
+        self,
+        failure: errors.Failure,
+        caller: resources.Caller | None,
+        request_id: str = "",
+    ) -> web_api.Response:
+        """Makes an error's response; only a known caller gets addresses."""
+        addresses: tuple[str, ...] = ()
+        wanted = failure.get_answer().retry is errors.Retry.OTHER_ADDRESS
+        if caller is not None and wanted:
+            addresses = self._order_addresses(caller)
+        return answers.make_error(
+            failure, request_id=request_id, addresses=addresses
+        )
+
+
+def make(
+    board: blackboard.Blackboard,
+    coordinator: coordinator_controller.Coordinator,
+    rng: random.Random,
+) -> CallerApi:
+    """Makes the callers' interface.
+
+    Args:
+        board: The process's state.
+        coordinator: Runs the requests.
+        rng: Spreads the callers over the addresses.
+    """
+    return CallerApi(board, coordinator, rng)
+
+
+def _read_bad_request(path: str) -> errors.Failure:
+    """Reads what the HTTP server refused: its status is the path."""
+    if path in ("/413", "/431"):
+        return errors.Failure(errors.Kind.TOO_LARGE)
+    return errors.Failure(errors.Kind.BAD_REQUEST, "not valid HTTP")
+
+
+def _check_size(request: web_api.Request) -> errors.Failure | None:
+    """Refuses a body that is too large."""
+    if len(request.body) > MAX_BODY_BYTES:
+        return errors.Failure(
+            errors.Kind.TOO_LARGE, f"most is {MAX_BODY_BYTES} bytes"
+        )
+    return None
+
+
+def _check_key(key: str) -> errors.Failure | None:
+    """Refuses an idempotency key that is missing or not plain."""
+    if not 0 < len(key) <= MAX_KEY_CHARACTERS:
+        return errors.Failure(
+            errors.Kind.BAD_REQUEST,
+            f"Idempotency-Key: 1 to {MAX_KEY_CHARACTERS} characters",
+        )
+    if not (key.isascii() and key.isprintable()):
+        return errors.Failure(
+            errors.Kind.BAD_REQUEST, "Idempotency-Key: printable ASCII only"
+        )
+    return None
+
+
+def _describe(error: Exception) -> errors.Failure:
+    """Makes a refusal of a body that can't be read."""
+    match error:
+        case msgspec.MsgspecError() | UnicodeError():
+            detail = str(error)[:200]
+        case _:
+            detail = "the body is nested too deeply"
+    return errors.Failure(errors.Kind.BAD_REQUEST, detail)
--- /dev/null
+++ b/tests/controllers/query_cell.py
@@ -0,0 +1,513 @@
+"""A coordinator among fake owners, in one virtual-time loop.
+
+The owners are stand-ins behind the peer messages: each searcher has slots
+and a queue by priority, and a behaviour that a test may replace.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import heapq
+import itertools
+import random
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, TypeVar
+
+import async_solipsism
+import expression
+
+from azureramp import (
+    blackboard,
+    errors,
+    events,
+    messages,
+    metrics,
+    resources,
+    settings,
+)
+from azureramp.controllers import coordinator, inbox, outbox
+from azureramp.policy import identity
+from azureramp.ports.peers import memory
+from azureramp.ports.vmlist import api as vmlist_api
+
+_T = TypeVar("_T")
+
+Behaviour = Callable[
+    [messages.QueryBatch, messages.PartRequest],
+    Awaitable[messages.PartResult | None],
+]
+"""What a searcher does with a sub-request; None is silence for good."""
+
+TOKEN = "let-me-in"
+OWN_VM = "vm-0"
+
+
+def run(main: Coroutine[Any, Any, _T]) -> _T:
+    """Runs a coroutine in a virtual-time loop of its own."""
+    loop = async_solipsism.EventLoop()
+    try:
+        result: _T = loop.run_until_complete(main)
+        return result
+    finally:
+        loop.close()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Shape:
+    """The size of a cell.
+
+    Attributes:
+        vms: Entry VMs, the coordinator's included.
+        shards: Shards of the index.
+        replicas: Searchers of each shard, each on a server of its own.
+        zones: Availability zones.
+        slots: Slots of each searcher.
+    """
+
+    vms: int = 4
+    shards: int = 6
+    replicas: int = 2
+    zones: int = 2
+    slots: int = 2
+
+
+class Records:
+    """Idempotency records in memory, with the platform's faults.
+
+    Attributes:
+        calls: What was called, in order.
+        refusal: The failure of every claim, if any.
+        states: The state of each key.
+    """
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+        self.refusal: errors.Failure | None = None
+        self.states: dict[tuple[str, str], tuple[str, bytes, str]] = {}
+        self.write_s = 0.002
+
+    async def claim(
+        self, caller: str, key: str, request_hash: int, request_id: str
+    ) -> expression.Result[object, errors.Failure]:
+        await asyncio.sleep(self.write_s)
+        self.calls.append("claim")
+        if self.refusal is not None:
+            return expression.Error(self.refusal)
+        match self.states.get((caller, key)):
+            case ("finished", result, ran_id):
+                return expression.Ok(RecordedOutcome(ran_id, result))
+            case ("unknown", _, _):
+                kind = errors.Kind.OUTCOME_UNKNOWN
+                return expression.Error(errors.Failure(kind))
+            case ("claimed", _, _):
+                kind = errors.Kind.IN_PROGRESS
+                return expression.Error(errors.Failure(kind))
+        self.states[caller, key] = ("claimed", b"", request_id)
+        return expression.Ok((caller, key, request_id))
+
+    async def finish(self, claimed: object, result: bytes) -> None:
+        await asyncio.sleep(self.write_s)
+        self._set(claimed, "finished", result)
+
+    async def mark_unknown(self, claimed: object) -> None:
+        await asyncio.sleep(self.write_s)
+        self._set(claimed, "unknown", b"")
+
+    def release(self, claimed: object) -> None:
+        self.calls.append("released")
+        assert isinstance(claimed, tuple)
+        del self.states[claimed[0], claimed[1]]
+
+    def _set(self, claimed: object, state: str, result: bytes) -> None:
+        assert isinstance(claimed, tuple)
+        self.calls.append(state)
+        caller, key, request_id = claimed
+        self.states[caller, key] = (state, result, request_id)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RecordedOutcome:
+    """The outcome of an earlier run."""
+
+    request_id: str
+    result: bytes
+
+
+class FakeSearcher:
+    """A searcher behind its owner: slots, and a queue by priority."""
+
+    def __init__(self, name: str, slots: int, behaviour: Behaviour) -> None:
+        self.name = name
+        self.slots = slots
+        self.behaviour = behaviour
+        self.calls = 0
+        self.running: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self.cancelled: list[tuple[str, int]] = []
+        self.queue: list[
+            tuple[int, int, messages.QueryBatch, messages.PartRequest]
+        ] = []
+        self._order = itertools.count()
+
+    def put(
+        self,
+        batch: messages.QueryBatch,
+        part: messages.PartRequest,
+        reply: Callable[[str, messages.PartResult], None],
+    ) -> None:
+        entry = (int(batch.priority), next(self._order), batch, part)
+        heapq.heappush(self.queue, entry)
+        self.start_next(reply)
+
+    def start_next(
+        self, reply: Callable[[str, messages.PartResult], None]
+    ) -> None:
+        while self.queue and len(self.running) < self.slots:
+            _, _, batch, part = heapq.heappop(self.queue)
+            self.calls += 1
+            key = (batch.request_id, part.part)
+            self.running[key] = asyncio.ensure_future(
+                self._serve(batch, part, reply)
+            )
+
+    def cancel(self, key: tuple[str, int]) -> None:
+        self.queue = [
+            entry
+            for entry in self.queue
+            if (entry[2].request_id, entry[3].part) != key
+        ]
+        heapq.heapify(self.queue)
+        task = self.running.get(key)
+        if task is not None:
+            self.cancelled.append(key)
+            task.cancel()
+
+    async def _serve(
+        self,
+        batch: messages.QueryBatch,
+        part: messages.PartRequest,
+        reply: Callable[[str, messages.PartResult], None],
+    ) -> None:
+        try:
+            result = await self.behaviour(batch, part)
+        finally:
+            self.running.pop((batch.request_id, part.part), None)
+            self.start_next(reply)
+        if result is not None:
+            reply(batch.request_id, result)
+
+
+class Cell:
+    """One coordinator, its blackboard and the fake owners of all searchers.
+
+    Attributes:
+        board: The coordinator's blackboard.
+        records: Its idempotency records.
+        searchers: The fake searchers by name.
+        delay_s: The searchers' service time.
+    """
+
+    def __init__(self, shape: Shape | None = None, seed: int = 1) -> None:
+        self.shape = shape or Shape()
+        self.random = random.Random(seed)
+        self.delay_s = 0.010
+        self.network = memory.Network(seed)
+        self.records = Records()
+        self.searchers: dict[str, FakeSearcher] = {}
+        self.board = blackboard.Blackboard(
+            make_settings(OWN_VM), 1, events.Timeline(OWN_VM), metrics.Metrics()
+        )
+        self.board.serving = blackboard.Serving.READY
+        self._links: dict[str, memory.MemoryPeers] = {}
+        self._declare()
+        port = self._make_link(OWN_VM)
+        self.outbox = outbox.Outbox(self.board, port)
+        self.coordinator = coordinator.make(
+            self.board, self.outbox, self.records, self.random
+        )
+        self.inbox = inbox.Inbox(
+            self.board,
+            inbox.Receivers(
+                {messages.PartResults: self.coordinator.receive_results},
+                lambda sender, incarnation: None,
+            ),
+        )
+        self.outbox.local = lambda sender, message: self._deliver(
+            OWN_VM, sender, message
+        )
+        self.network.attach(address_of(OWN_VM), self.inbox.receive)
+
+    def _declare(self) -> None:
+        """Declares zones, servers, the index, and who owns what."""
+        shape = self.shape
+        for number in range(shape.vms):
+            name = f"vm-{number}"
+            zone = f"zone-{number % shape.zones}"
+            vm = vmlist_api.Vm(name, zone, f"http-{name}", address_of(name))
+            self.board.members[name] = blackboard.Member(
+                vm, blackboard.MemberState.LIVE, 1, 0.0, True
+            )
+        for number in range(shape.zones):
+            self.put(resources.Zone(name=f"zone-{number}"))
+        for shard in range(shape.shards):
+            for replica in range(shape.replicas):
+                self._declare_server(shard, replica)
+        self.put(
+            resources.Service(name="claims", indexes=("cover",)),
+            resources.Caller(
+                name="clerk",
+                token_sha256=identity.hash_token(TOKEN),
+                services=("claims",),
+                priority=resources.Priority.URGENT,
+            ),
+        )
+        self.put_version(1)
+        for number in range(1, shape.vms):
+            vm_name = f"vm-{number}"
+            self._make_link(vm_name)
+            self.network.attach(
+                address_of(vm_name), self._make_handler(vm_name)
+            )
+        self.advertise()
+
+    def _declare_server(self, shard: int, replica: int) -> None:
+        """Declares one backend server with one searcher."""
+        name = f"s{shard}-{replica}"
+        searcher = resources.Searcher(
+            name=name, address=f"10.0.0.1:{shard}", slots=self.shape.slots
+        )
+        self.put(
+            resources.BackendServer(
+                name=f"server-{name}",
+                service="claims",
+                zone=f"zone-{replica % self.shape.zones}",
+                searchers=(searcher,),
+            )
+        )
+        number = shard * self.shape.replicas + replica
+        self.board.owners[name] = f"vm-{number % self.shape.vms}"
+        self.searchers[name] = FakeSearcher(
+            name, self.shape.slots, self.answer_whole
+        )
+
+    def put(self, *declared: resources.AnyResource) -> None:
+        """Puts resources into the configuration in force."""
+        configuration = self.board.configuration
+        kinds = {kind: name for name, kind in resources.KINDS.items()}
+        for resource in declared:
+            configuration.revision += 1
+            kind = kinds[type(resource)]
+            configuration.entries[kind, resource.name] = resources.Versioned(
+                resource, kind, resource.name, configuration.revision
+            )
+
+    def put_version(
+        self, version: int, bounds: tuple[int, ...] | None = None
+    ) -> None:
+        """Declares a version of the index, cut evenly or at bounds."""
+        count = self.shape.shards
+        edges = bounds or tuple(range(0, count * 100 + 1, 100))
+        shards = tuple(
+            resources.Shard(
+                name=f"v{version}-{number}" if bounds else f"{number}",
+                low=low,
+                high=high,
+                size=high - low,
+                searchers=self.replicas_of(number % count),
+            )
+            for number, (low, high) in enumerate(itertools.pairwise(edges))
+        )
+        self.put(
+            resources.ShardMap(
+                name=f"cover.{version}",
+                index="cover",
+                version=version,
+                shards=shards,
+            )
+        )
+
+    def replicas_of(self, shard: int) -> tuple[str, ...]:
+        """Returns the names of a shard's searchers."""
+        return tuple(f"s{shard}-{n}" for n in range(self.shape.replicas))
+
+    def advertise(
+        self, versions: tuple[str, ...] = ("cover.1",), usable: bool = True
+    ) -> None:
+        """Lets the owners tell of their searchers what a test wants."""
+        for name in self.searchers:
+            self.advertise_one(name, versions, usable)
+
+    def advertise_one(
+        self,
+        name: str,
+        versions: tuple[str, ...] = ("cover.1",),
+        usable: bool = True,
+        queued: int = 0,
+        service_ms: float = 10.0,
+    ) -> None:
+        """Lets an owner tell of one of its searchers."""
+        state = messages.SearcherState(
+            name, 1, usable, self.shape.slots, queued, service_ms, versions
+        )
+        owner = self.board.owners[name]
+        if owner == OWN_VM:
+            self.board.owned[name] = state
+            return
+        member = self.board.members[owner]
+        others = tuple(s for s in member.searchers if s.searcher != name)
+        member.searchers = (*others, state)
+
+    async def answer_whole(
+        self, batch: messages.QueryBatch, part: messages.PartRequest
+    ) -> messages.PartResult | None:
+        """The behaviour of a healthy searcher."""
+        await asyncio.sleep(self.delay_s)
+        return make_done(batch, part, self.delay_s * 1000)
+
+    def make_query(
+        self,
+        number: int = 1,
+        deadline_ms: float = 1000.0,
+        minimum_coverage: float = 0.0,
+        priority: resources.Priority = resources.Priority.URGENT,
+        body: bytes = b'{"member":1}',
+    ) -> coordinator.Query:
+        """Makes a query that begins now."""
+        caller = self.board.configuration.get_callers()["clerk"]
+        caller = resources.Caller(
+            name=caller.name,
+            token_sha256=caller.token_sha256,
+            services=caller.services,
+            priority=priority,
+        )
+        now_s = asyncio.get_running_loop().time()
+        return coordinator.Query(
+            request_id=f"request-{number}",
+            caller=caller,
+            service="claims",
+            index="cover",
+            body=body,
+            deadline_s=now_s + deadline_ms / 1000,
+            minimum_coverage=minimum_coverage,
+        )
+
+    def make_execute(
+        self, number: int = 1, key: str = "grant-1", deadline_ms: float = 1000
+    ) -> coordinator.Execute:
+        """Makes a request that may not be repeated, and begins now."""
+        now_s = asyncio.get_running_loop().time()
+        return coordinator.Execute(
+            request_id=f"execute-{number}",
+            caller=self.board.configuration.get_callers()["clerk"],
+            service="claims",
+            index="cover",
+            key=150,
+            idempotency_key=key,
+            body=b'{"grant":1}',
+            deadline_s=now_s + deadline_ms / 1000,
+        )
+
+    def count_calls(self) -> int:
+        """Returns how many calls all searchers have had."""
+        return sum(searcher.calls for searcher in self.searchers.values())
+
+    def get_events(self, wanted: type[_T]) -> list[_T]:
+        """Returns the coordinator's events of one type."""
+        records = self.board.timeline.get_records()
+        return [r.event for r in records if isinstance(r.event, wanted)]
+
+    def _make_link(self, vm: str) -> memory.MemoryPeers:
+        """Makes a VM's sending end."""
+        link = memory.MemoryPeers(
+            self.network, vm, address_of(vm), 1, self.board.timeline
+        )
+        self._links[vm] = link
+        return link
+
+    def _make_handler(self, vm: str) -> Callable[[messages.Envelope], None]:
+        """Makes a fake owner's receiving end."""
+
+        def handle(envelope: messages.Envelope) -> None:
+            for message in envelope.messages:
+                self._deliver(vm, envelope.sender, message)
+
+        return handle
+
+    def _deliver(
+        self, vm: str, sender: str, message: messages.PeerMessage
+    ) -> None:
+        """Takes a message as a VM's owner, or as the coordinator."""
+
+        def reply(request_id: str, result: messages.PartResult) -> None:
+            results = messages.PartResults(
+                request_id=request_id, results=(result,)
+            )
+            if vm == OWN_VM:
+                self.coordinator.receive_results(vm, results)
+            else:
+                self._links[vm].send(address_of(OWN_VM), results)
+
+        match message:
+            case messages.QueryBatch():
+                for part in message.parts:
+                    self.searchers[part.searcher].put(message, part, reply)
+            case messages.Cancel():
+                for number in message.parts:
+                    for searcher in self.searchers.values():
+                        if self.board.owners[searcher.name] == vm:
+                            searcher.cancel((message.request_id, number))
+            case messages.PartResults():
+                self.coordinator.receive_results(sender, message)
+
+
+def make_done(
+    batch: messages.QueryBatch,
+    part: messages.PartRequest,
+    service_ms: float = 10.0,
+) -> messages.PartDone:
+    """Makes the whole result of a sub-request: its range as one item."""
+    items = b"[[%d,%d]]" % (part.low, part.high)
+    return messages.PartDone(
+        part.part, batch.version, part.low, part.high, items, service_ms
+    )
+
+
+def make_settings(vm: str) -> settings.Settings:
+    """Makes the settings of a VM."""
+    return settings.Settings(
+        vm=vm,
+        zone="zone-0",
+        http_address=f"http-{vm}",
+        peer_address=address_of(vm),
+        store_address="store",
+        vmlist_address="vmlist",
+    )
+
+
+def address_of(vm: str) -> str:
+    """Returns the address of a VM's peer link."""
+    return f"peer-{vm}"
+
+
+def fail(kind: errors.Kind, sent: bool, delay_s: float = 0.001) -> Behaviour:
+    """Makes a behaviour: every sub-request fails."""
+
+    async def behave(
+        batch: messages.QueryBatch, part: messages.PartRequest
+    ) -> messages.PartResult | None:
+        await asyncio.sleep(delay_s)
+        return messages.PartFailed(part.part, kind.value, sent)
+
+    return behave
+
+
+def stay_silent() -> Behaviour:
+    """Makes a behaviour: no reply ever comes."""
+
+    async def behave(
+        batch: messages.QueryBatch, part: messages.PartRequest
+    ) -> messages.PartResult | None:
+        await asyncio.sleep(3600.0)
+        return None
+
+    return behave
