--- /dev/null
+++ b/src/azureramp/cli/drain_zone.py
@@ -0,0 +1,22 @@
+"""The command `drain-zone`."""
+
+from __future__ import annotations
+
+import asyncio
+
+import click
+
+from azureramp import resources
+from azureramp.cli import options, waiting, zones
+
+
+@click.command("drain-zone")
+@click.argument("zone")
+@waiting.add_waiting
+@options.add_common
+def command(
+    common: options.Common, zone: str, waits: bool, wait_ms: int
+) -> int:
+    """Takes an availability zone out of service."""
+    state = resources.ZoneState.OUT
+    return asyncio.run(zones.change(common, zone, state, waits, wait_ms))
--- a/src/azureramp/cli/main.py
+++ b/src/azureramp/cli/main.py
@@ -2,9 +2,98 @@
 
 from __future__ import annotations
 
+import sys
+from collections.abc import Sequence
+
 import click
 
+from azureramp.cli import (
+    apply,
+    delete,
+    drain_zone,
+    exits,
+    get,
+    options,
+    restore_zone,
+    status,
+    timeline,
+    watch,
+)
+
+
+@click.group(
+    context_settings={"auto_envvar_prefix": options.ENVIRONMENT_PREFIX}
+)
+def group() -> None:
+    """Declares the resources of the query tier and shows its state.
+
+    Every flag can be given as an environment variable too.
+    """
+
+
+for _module in (
+    apply,
+    get,
+    delete,
+    watch,
+    drain_zone,
+    restore_zone,
+    status,
+    timeline,
+):
+    group.add_command(_module.command)
+
+
+def run(arguments: Sequence[str] | None = None) -> int:
+    """Runs the tool.
+
+    Args:
+        arguments: The command line; None takes the process's own.
+
+    Returns:
+        The exit code.
+    """
+    try:
+        code = group.main(
+            args=arguments, prog_name="azureramp", standalone_mode=False
+        )
+    except click.exceptions.NoArgsIsHelpError as error:
+        error.show()
+        return exits.Exit.USAGE
+    except click.ClickException as error:
+        click.echo(f"azureramp: {describe(error)}", err=True)
+        return exits.Exit.USAGE
+    except click.Abort:
+        return 130
+    return code if isinstance(code, int) else exits.Exit.OK
+
+
+def describe(error: click.ClickException) -> str:
+    """Says in one line which flag and variable is wrong, and why."""
+    text = " ".join(error.message.split())
+    if not isinstance(error, click.BadParameter) or error.param is None:
+        return " ".join(error.format_message().split())
+    param = error.param
+    if isinstance(error, click.MissingParameter):
+        text = "is missing"
+    if not isinstance(param, click.Option):
+        return (
+            f"{param.make_metavar(error.ctx or click.Context(group))}: {text}"
+        )
+    flag = max(param.opts, key=len)
+    return f"{flag} ({get_variable(param, error.ctx)}): {text}"
+
+
+def get_variable(param: click.Option, ctx: click.Context | None) -> str:
+    """Returns the environment variable of a flag."""
+    if isinstance(param.envvar, str):
+        return param.envvar
+    prefix = options.ENVIRONMENT_PREFIX
+    if ctx is not None and ctx.auto_envvar_prefix:
+        prefix = ctx.auto_envvar_prefix
+    return f"{prefix}_{str(param.name).upper()}"
+
 
-@click.command()
 def main() -> None:
-    """Talks to the query tier."""
+    """Runs the tool as a program."""
+    sys.exit(run())
--- /dev/null
+++ b/src/azureramp/cli/waiting.py
@@ -0,0 +1,34 @@
+"""The flags of commands that wait until a change is in force."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import click
+
+from azureramp.cli import options
+
+_OPTIONS = (
+    click.option(
+        "--wait/--no-wait",
+        "waits",
+        default=True,
+        show_default=True,
+        help="Wait until the change is in force, or end once it is stored.",
+    ),
+    click.option(
+        "--wait-ms",
+        type=options.Number(1, 600_000),
+        default=10_000,
+        show_default=True,
+        help="Longest wait until it is in force, in milliseconds.",
+    ),
+)
+
+
+def add_waiting(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Adds `--wait/--no-wait` and `--wait-ms`."""
+    for option in reversed(_OPTIONS):
+        command = option(command)
+    return command
--- /dev/null
+++ b/tests/cli/test_main.py
@@ -0,0 +1,46 @@
+"""The command line of the tool."""
+
+from __future__ import annotations
+
+import pytest
+
+from azureramp.cli import exits, main
+
+CONNECTED = ["--address", "127.0.0.1:1", "--token", "t"]
+
+
+@pytest.mark.parametrize(
+    ("arguments", "words"),
+    [
+        (
+            ["status", "--token", "t", "--address", "here:x"],
+            ["--address", "AZURERAMP_ADDRESS", "'here:x'", "1 to 65535"],
+        ),
+        (
+            ["status", *CONNECTED, "--timeout-ms", "soon"],
+            ["--timeout-ms", "AZURERAMP_TIMEOUT_MS", "'soon'", "1 to 600000"],
+        ),
+        (
+            ["status", *CONNECTED, "--language", "de"],
+            ["--language", "AZURERAMP_LANGUAGE", "'de'", "en, hu"],
+        ),
+        (
+            ["drain-zone", "b", *CONNECTED, "--wait-ms", "0"],
+            ["--wait-ms", "AZURERAMP_DRAIN_ZONE_WAIT_MS", "'0'", "1 to"],
+        ),
+        (["status"], ["--address", "AZURERAMP_ADDRESS", "is missing"]),
+        (["get", "zone", *CONNECTED], ["KIND", "'zone'", "one of service"]),
+        (["apply", *CONNECTED, "-f", "/no/file"], ["--file", "/no/file"]),
+        (["status", "--speed", "1"], ["--speed"]),
+    ],
+)
+def test_a_wrong_argument_is_one_line_and_exit_2(
+    arguments: list[str], words: list[str], capsys: pytest.CaptureFixture[str]
+) -> None:
+    code = main.run(arguments)
+
+    lines = capsys.readouterr().err.splitlines()
+    assert code == exits.Exit.USAGE
+    assert len(lines) == 1
+    for word in words:
+        assert word in lines[0]
