--- a/src/azureramp/controllers/execution.py
+++ b/src/azureramp/controllers/execution.py
@@ -82,15 +82,15 @@
         """Claims a key: `Claimed`, the `Recorded` outcome, or a failure."""
         ...
 
-    async def finish(self, claimed: object, result: bytes) -> None:
+    async def finish(self, claimed: Any, result: bytes) -> None:
         """Records the result."""
         ...
 
-    async def mark_unknown(self, claimed: object) -> None:
+    async def mark_unknown(self, claimed: Any) -> None:
         """Records that the request may have run."""
         ...
 
-    def release(self, claimed: object) -> None:
+    def release(self, claimed: Any) -> None:
         """Gives the claim back; only when nothing ran."""
         ...
 
--- a/src/azureramp/invariants/history.py
+++ b/src/azureramp/invariants/history.py
@@ -56,6 +56,8 @@
         item_keys: The keys of the items.
         wanted: What the request asked for, as `item_tag` of each item.
         item_tags: The tag of each item, which names query and version.
+        connected: False if not even a connection could be opened, so that
+            nothing was cut.
     """
 
     sent_s: float
@@ -73,6 +75,7 @@
     item_keys: tuple[int, ...] = ()
     wanted: str = ""
     item_tags: tuple[str, ...] = ()
+    connected: bool = True
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/azureramp/ports/searchers/memory.py
+++ b/src/azureramp/ports/searchers/memory.py
@@ -68,6 +68,7 @@
         versions: The `index.version` names that it serves.
         faults: What goes wrong.
         search: Makes a reply's items.
+        on_arrival: Told of each call that reaches it.
         incarnation: Its start number.
         warm_after: How many calls make it warm.
         cold_factor: How much longer a call takes in cold start.
@@ -100,6 +101,7 @@
         "last_call_s",
         "links",
         "most_cold",
+        "on_arrival",
         "running",
         "search",
         "served",
@@ -130,6 +132,7 @@
         self.versions = versions
         self.faults = Faults()
         self.search: Search = search_nothing
+        self.on_arrival: Callable[[api.Call], None] | None = None
         self.incarnation = 1
         self.warm_after = 0
         self.cold_factor = 5.0
@@ -195,6 +198,8 @@
         self.running += 1
         if self.is_cold():
             self.most_cold = max(self.most_cold, self.running)
+        if self.on_arrival is not None:
+            self.on_arrival(call)
         try:
             async with self._slots:
                 return await self._run(call)
--- /dev/null
+++ b/tests/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole VMs in memory."""
--- /dev/null
+++ b/tests/cluster/test_thin_path.py
@@ -0,0 +1,57 @@
+"""A request's whole path, over several VMs in memory."""
+
+from __future__ import annotations
+
+import pytest
+
+from azureramp import resources
+from azureramp.invariants import checker, history
+from azureramp_standins import cluster, virtual
+
+
+def test_a_query_through_any_vm_is_whole() -> None:
+    async def run() -> tuple[list[history.Received], history.History]:
+        deployment = cluster.make()
+        await deployment.start()
+        got = [await deployment.query(vm, "MacAoidh") for vm in deployment.vms]
+        return got, await deployment.close()
+
+    got, past = virtual.run(run())
+
+    assert [answer.coverage for answer in got] == [1.0, 1.0, 1.0]
+    assert checker.check(past) == []
+
+
+def test_a_grant_sent_twice_through_two_vms_runs_once() -> None:
+    async def run() -> tuple[list[history.Received], history.History]:
+        deployment = cluster.make()
+        await deployment.start()
+        got = [
+            await deployment.execute(vm, "grant-1", key=42)
+            for vm in ("vm-0", "vm-1")
+        ]
+        return got, await deployment.close()
+
+    got, past = virtual.run(run())
+
+    assert [answer.code for answer in got] == ["ok", "ok"]
+    assert len([a for a in past.arrivals if a.idempotency_key]) == 1
+    assert checker.check(past) == []
+
+
+@pytest.mark.parametrize("vm", ["vm-0", "vm-2"])
+def test_a_zone_taken_out_gets_no_work_and_queries_go_on(vm: str) -> None:
+    async def run() -> tuple[list[history.Received], history.History]:
+        deployment = cluster.make()
+        await deployment.start()
+        zone = resources.Zone(name="b", state=resources.ZoneState.OUT)
+        response = await deployment.change(vm, zone)
+        assert response.status in (200, 202), response.body
+        got = [await deployment.query(vm, "Dundee") for _ in range(400)]
+        return got, await deployment.close()
+
+    got, past = virtual.run(run())
+
+    assert {answer.code for answer in got} == {"ok"}
+    assert got[-1].got_s - got[0].sent_s > past.bounds.zone_out_s
+    assert checker.check(past) == []
