--- /dev/null
+++ b/src/azureramp_standins/deployment.py
@@ -0,0 +1,237 @@
+"""A deployment of real processes on loopback, for the demo and the tests."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import hashlib
+import pathlib
+import subprocess
+import sys
+
+import msgspec
+
+from azureramp import resources
+from azureramp.ports.vmlist import api as vmlist_api
+from azureramp_standins import client, processes
+
+ZONES = ("edinburgh-a", "edinburgh-b", "glasgow-a")
+SERVICE = "front-desk-claims"
+INDEX = "arrears"
+KEYS = 12_000
+"""The key space of the demo's documents."""
+
+CALLER_TOKEN = "demo-desk-token"
+OPERATOR_TOKEN = "demo-operator-token"
+PEER_KEY = "demo-peer-key"
+
+ADDRESS_LIFETIME_MS = 1000
+LIST_LAG_MS = 1000
+
+
+@dataclasses.dataclass(slots=True)
+class Deployment:
+    """Started processes.
+
+    Attributes:
+        folder: Where logs and resource files lie.
+        platform: The platform's stand-in.
+        searchers: The searchers, by name.
+        daemons: The daemons, by VM name.
+        servers: The declared backend servers.
+        vms: The VMs' entries in the VM list.
+    """
+
+    folder: pathlib.Path
+    platform: processes.Process
+    searchers: dict[str, processes.Process]
+    daemons: dict[str, processes.Process]
+    servers: list[resources.BackendServer]
+    vms: list[vmlist_api.Vm]
+
+    def run_tool(self, *arguments: str) -> str:
+        """Runs the operators' tool.
+
+        Args:
+            *arguments: Its arguments, without address and token.
+
+        Returns:
+            What it printed.
+
+        Raises:
+            subprocess.CalledProcessError: It failed.
+        """
+        program = pathlib.Path(sys.executable).parent / "azureramp"
+        command, *rest = arguments
+        done = subprocess.run(
+            [str(program), command, *self._make_flags(), *rest],
+            check=True,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        return done.stdout
+
+    def _make_flags(self) -> list[str]:
+        """Returns the flags for the VMs that run, and the token."""
+        flags = ["--token", OPERATOR_TOKEN]
+        for process in self.daemons.values():
+            if process.popen.poll() is None:
+                flags += ["--address", process.address]
+        return flags
+
+    def start_daemon(self, vm: vmlist_api.Vm) -> None:
+        """Starts a VM's daemon."""
+        flags = {
+            "vm": vm.name,
+            "zone": vm.zone,
+            "http-address": vm.http_address,
+            "peer-address": vm.peer_address,
+            "store-address": self.platform.address,
+            "vmlist-address": self.platform.address,
+            "peer-key": PEER_KEY,
+            "operator-token-sha256": hash_token(OPERATOR_TOKEN),
+            "address-lifetime-ms": str(ADDRESS_LIFETIME_MS),
+            "list-lag-ms": str(LIST_LAG_MS),
+        }
+        arguments = ["azurerampd"]
+        for flag, value in flags.items():
+            arguments += [f"--{flag}", value]
+        self.daemons[vm.name] = processes.start(
+            vm.name, vm.http_address, arguments, self.folder
+        )
+
+    def write_resources(self) -> pathlib.Path:
+        """Writes the file of all resources, for `azureramp apply`."""
+        declared: list[resources.AnyResource] = [
+            *(resources.Zone(name=zone) for zone in ZONES),
+            resources.Service(name=SERVICE, indexes=(INDEX,)),
+            resources.Caller(
+                name="Lothian funeral directors",
+                token_sha256=hash_token(CALLER_TOKEN),
+                services=(SERVICE,),
+                priority=resources.Priority.URGENT,
+            ),
+            *self.servers,
+            make_shard_map(self.servers),
+        ]
+        path = self.folder / "resources.json"
+        path.write_bytes(msgspec.json.encode(declared))
+        return path
+
+    def stop(self) -> dict[str, int]:
+        """Stops everything gracefully, the daemons first.
+
+        Returns:
+            The exit codes of the daemons, by VM.
+        """
+        for daemon in self.daemons.values():
+            daemon.terminate()
+        codes = {name: daemon.wait() for name, daemon in self.daemons.items()}
+        rest = [*self.searchers.values(), self.platform]
+        for process in rest:
+            process.terminate()
+        for process in rest:
+            process.wait()
+        return codes
+
+
+def hash_token(token: str) -> str:
+    """Returns a token's SHA-256 in hexadecimal."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def make_shard_map(
+    servers: list[resources.BackendServer], shards: int = 3
+) -> resources.ShardMap:
+    """Makes a shard map whose replicas lie in two zones each."""
+    names = [searcher.name for s in servers for searcher in s.searchers]
+    return resources.ShardMap(
+        name=f"{INDEX}.1",
+        index=INDEX,
+        version=1,
+        shards=tuple(
+            resources.Shard(
+                name=f"{number:03}",
+                low=KEYS * number // shards,
+                high=KEYS * (number + 1) // shards,
+                size=KEYS // shards,
+                searchers=tuple(names[number * 2 : number * 2 + 2]),
+            )
+            for number in range(shards)
+        ),
+    )
+
+
+def make(folder: pathlib.Path) -> Deployment:
+    """Starts a platform, and lays out the rest of a deployment.
+
+    Args:
+        folder: For logs and files.
+    """
+    ports = iter(processes.find_ports(13))
+
+    def make_address() -> str:
+        return f"127.0.0.1:{next(ports)}"
+
+    address = make_address()
+    module = "azureramp_standins.platform"
+    platform = processes.start(
+        "platform", address, ["-m", module, "--address", address], folder
+    )
+    servers = [_make_server(number, make_address()) for number in range(6)]
+    vms = [
+        vmlist_api.Vm(f"entry-{n + 1}", zone, make_address(), make_address())
+        for n, zone in enumerate(ZONES)
+    ]
+    return Deployment(folder, platform, {}, {}, servers, vms)
+
+
+def start(deployment: Deployment) -> None:
+    """Starts six searchers in three zones and three daemons.
+
+    Raises:
+        processes.StartError: A process did not start.
+    """
+    for server in deployment.servers:
+        searcher = server.searchers[0]
+        deployment.searchers[searcher.name] = processes.start(
+            searcher.name,
+            searcher.address,
+            [
+                *("-m", "azureramp_standins.searcher"),
+                *("--address", searcher.address, "--name", searcher.name),
+            ],
+            deployment.folder,
+        )
+    processes.wait_until_listening(deployment.platform)
+    for vm in deployment.vms:
+        asyncio.run(list_vm(deployment.platform.address, vm))
+        deployment.start_daemon(vm)
+    for process in (
+        *deployment.searchers.values(),
+        *deployment.daemons.values(),
+    ):
+        processes.wait_until_listening(process)
+
+
+async def list_vm(platform: str, vm: vmlist_api.Vm) -> None:
+    """Puts a VM into the platform's VM list.
+
+    Args:
+        platform: `IP:port` of the platform's stand-in.
+        vm: The entry.
+    """
+    asking = client.Client("", (platform,))
+    await asking.ask("PUT", f"/vms/{vm.name}", vm)
+
+
+def _make_server(number: int, address: str) -> resources.BackendServer:
+    """Makes one backend server with one searcher."""
+    name = f"claims-{number + 1:02}"
+    searcher = resources.Searcher(name=f"{name}-a", address=address)
+    return resources.BackendServer(
+        name=name,
+        service=SERVICE,
+        zone=ZONES[number % len(ZONES)],
+        searchers=(searcher,),
+    )
