--- a/src/azureramp_standins/cluster.py
+++ b/src/azureramp_standins/cluster.py
@@ -10,7 +10,6 @@
 import dataclasses
 import functools
 import random
-from typing import Any
 
 import msgspec
 
@@ -26,7 +25,6 @@
 from azureramp.ports.vmlist import api as vmlist_api
 from azureramp.ports.vmlist import memory as vmlist_memory
 from azureramp.ports.web import api as web_api
-from azureramp.ports.web import connection as web_connection
 from azureramp.ports.web import server as web_server
 from azureramp_standins import layout as layouts
 
@@ -102,6 +100,7 @@
         """Makes a deployment that has not started; see `make`."""
         self.layout = layout
         self.network = peers_memory.Network(seed)
+        self.network.faults.delay_s = layout.hop_ms / 1000
         self.state = store_state.State()
         self.past = history.History()
         self.overrides = overrides
@@ -124,8 +123,8 @@
     ) -> list[searchers_memory.Searcher]:
         """Makes the searchers of all backend servers."""
         made: list[searchers_memory.Searcher] = []
-        for number in range(self.layout.servers):
-            server = layouts.make_server(self.layout, number)
+        for server in layouts.make_servers(self.layout):
+            service = self.layout.get_service(server.service)
             siblings: list[searchers_memory.Searcher] = []
             for declared in server.searchers:
                 searcher = searchers_memory.Searcher(
@@ -133,7 +132,8 @@
                     slots=declared.slots,
                     cold_limit=declared.cold_limit,
                     service_ms=service_ms,
-                    versions=(f"{layouts.INDEX}.1",),
+                    connect_ms=service.connect_ms,
+                    versions=(f"{service.name}.1",),
                     seed=seed,
                 )
                 searcher.search = search_every_hundredth
@@ -207,7 +207,7 @@
             return True
         states = daemon.board.get_searcher_states()
         usable = sum(state.usable for state in states.values())
-        total = self.layout.servers * self.layout.searchers
+        total = len(self._servers)
         return daemon.board.serving.value == "ready" and usable == total
 
     async def start_vm(self, name: str) -> None:
@@ -326,106 +326,6 @@
             return web_api.Response(status=0)
         return await daemon.handle(request)
 
-    async def query(
-        self,
-        vm: str,
-        text: str,
-        *,
-        caller: str = "desk",
-        deadline_ms: int = 1000,
-        minimum_coverage: float = 0.0,
-        over_http: bool = False,
-    ) -> history.Received:
-        """Sends a query and notes what came of it."""
-        body = {
-            "service": layouts.SERVICE,
-            "index": layouts.INDEX,
-            "query": {"text": text},
-            "deadline_ms": deadline_ms,
-            "minimum_coverage": minimum_coverage,
-        }
-        request = _make_request("/v1/query", caller, body)
-        return await self._send(vm, request, over_http, wanted=text)
-
-    async def execute(
-        self,
-        vm: str,
-        idempotency_key: str,
-        *,
-        key: int = 0,
-        caller: str = "desk",
-        deadline_ms: int = 1000,
-        over_http: bool = False,
-    ) -> history.Received:
-        """Sends a request that may not be repeated."""
-        body = {
-            "service": layouts.SERVICE,
-            "index": layouts.INDEX,
-            "key": key,
-            "operation": {EFFECT_KEY: idempotency_key},
-            "deadline_ms": deadline_ms,
-        }
-        request = _make_request(
-            "/v1/execute",
-            caller,
-            body,
-            {"idempotency-key": idempotency_key},
-        )
-        return await self._send(
-            vm, request, over_http, idempotency_key=idempotency_key
-        )
-
-    async def _send(
-        self,
-        vm: str,
-        request: web_api.Request,
-        over_http: bool,
-        wanted: str = "",
-        idempotency_key: str = "",
-    ) -> history.Received:
-        """Sends a request, and notes the answer or its absence."""
-        loop = asyncio.get_running_loop()
-        sent_s = loop.time()
-        if over_http:
-            response = await self._ask_over_http(vm, request)
-        else:
-            response = await self.ask(vm, request)
-        got = _read_answer(
-            response, vm, sent_s, loop.time(), wanted, idempotency_key
-        )
-        self.past.received.append(got)
-        if got.wanted and got.version:
-            self._note_expected(got)
-        return got
-
-    async def _ask_over_http(
-        self, vm: str, request: web_api.Request
-    ) -> web_api.Response:
-        """Asks a VM over a new connection."""
-        address = self.vms[vm].entry.http_address
-        opened = await web_connection.connect(address, 1.0)
-        if opened.is_error():
-            return web_api.Response(status=0, headers=(("refused", "1"),))
-        connection = opened.ok
-        try:
-            return await connection.exchange(
-                request.method,
-                request.path,
-                list(request.headers.items()),
-                request.body,
-            )
-        except (web_connection.BrokenError, web_connection.UnsentError):
-            return web_api.Response(status=0)
-        finally:
-            connection.abort()
-
-    def _note_expected(self, got: history.Received) -> None:
-        """Notes what a complete answer to this query would hold."""
-        span = self.layout.shards * layouts.KEYS_PER_SHARD
-        self.past.keys_by_tag[f"{got.wanted}@{got.version}"] = tuple(
-            range(0, span, KEYS_PER_ITEM)
-        )
-
 
 def search_every_hundredth(call: searchers_api.Call) -> bytes:
     """Finds an item at each hundredth key, tagged with query and version."""
@@ -450,63 +350,6 @@
     )
 
 
-def _make_request(
-    path: str,
-    caller: str,
-    body: dict[str, Any],
-    headers: dict[str, str] | None = None,
-) -> web_api.Request:
-    """Makes a caller's request."""
-    return web_api.Request(
-        "POST",
-        path,
-        {},
-        {"authorization": f"Bearer {caller}", **(headers or {})},
-        msgspec.json.encode(body),
-    )
-
-
-def _read_answer(
-    response: web_api.Response,
-    vm: str,
-    sent_s: float,
-    got_s: float,
-    wanted: str,
-    idempotency_key: str,
-) -> history.Received:
-    """Reads a response as what a caller received."""
-    if response.status == 0:
-        refused = bool(response.headers)
-        return history.Received(
-            sent_s,
-            got_s,
-            vm,
-            answered=False,
-            connected=not refused,
-            idempotency_key=idempotency_key,
-        )
-    body = msgspec.json.decode(response.body)
-    ok = response.status == 200
-    items = body.get("items", [])
-    return history.Received(
-        sent_s,
-        got_s,
-        vm,
-        answered=True,
-        code="ok" if ok else body["code"],
-        ran="ran" if ok else body["ran"],
-        request_id=body.get("request_id", ""),
-        idempotency_key=idempotency_key,
-        version=body.get("version", 0),
-        coverage=body.get("coverage", 0.0),
-        complete=body.get("complete", False),
-        missing=tuple((low, high) for low, high in body.get("missing", [])),
-        item_keys=tuple(item["key"] for item in items),
-        wanted=wanted if ok else "",
-        item_tags=tuple(item["tag"] for item in items),
-    )
-
-
 def make(
     layout: layouts.Layout | None = None,
     *,
--- /dev/null
+++ b/src/azureramp_standins/traffic.py
@@ -0,0 +1,182 @@
+"""Callers of a deployment in memory: requests, and what came of them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import msgspec
+
+from azureramp.invariants import history
+from azureramp.ports.web import api as web_api
+from azureramp.ports.web import connection as web_connection
+from azureramp_standins import cluster
+from azureramp_standins import layout as layouts
+
+
+async def query(
+    deployment: cluster.Cluster,
+    vm: str,
+    text: str,
+    *,
+    caller: str = "desk",
+    service: str = "",
+    deadline_ms: int = 1000,
+    minimum_coverage: float = 0.0,
+    over_http: bool = False,
+) -> history.Received:
+    """Sends a query and notes what came of it."""
+    sized = _get_service(deployment, service)
+    body = {
+        "service": sized.name,
+        "index": sized.name,
+        "query": {"text": text},
+        "deadline_ms": deadline_ms,
+        "minimum_coverage": minimum_coverage,
+    }
+    request = _make_request("/v1/query", caller, body)
+    got = await _send(deployment, vm, request, over_http, wanted=text)
+    if got.version:
+        tag = f"{text}@{got.version}"
+        keys = range(0, sized.count_keys(), cluster.KEYS_PER_ITEM)
+        deployment.past.keys_by_tag[tag] = tuple(keys)
+    return got
+
+
+async def execute(
+    deployment: cluster.Cluster,
+    vm: str,
+    idempotency_key: str,
+    *,
+    key: int = 0,
+    caller: str = "desk",
+    service: str = "",
+    deadline_ms: int = 1000,
+    over_http: bool = False,
+) -> history.Received:
+    """Sends a request that may not be repeated."""
+    sized = _get_service(deployment, service)
+    body = {
+        "service": sized.name,
+        "index": sized.name,
+        "key": key,
+        "operation": {cluster.EFFECT_KEY: idempotency_key},
+        "deadline_ms": deadline_ms,
+    }
+    request = _make_request(
+        "/v1/execute",
+        caller,
+        body,
+        {"idempotency-key": idempotency_key},
+    )
+    return await _send(
+        deployment, vm, request, over_http, idempotency_key=idempotency_key
+    )
+
+
+async def _send(
+    deployment: cluster.Cluster,
+    vm: str,
+    request: web_api.Request,
+    over_http: bool,
+    wanted: str = "",
+    idempotency_key: str = "",
+) -> history.Received:
+    """Sends a request, and notes the answer or its absence."""
+    loop = asyncio.get_running_loop()
+    sent_s = loop.time()
+    if over_http:
+        response = await _ask_over_http(deployment, vm, request)
+    else:
+        response = await deployment.ask(vm, request)
+    got = _read_answer(
+        response, vm, sent_s, loop.time(), wanted, idempotency_key
+    )
+    deployment.past.received.append(got)
+    return got
+
+
+def _get_service(deployment: cluster.Cluster, name: str) -> layouts.Service:
+    """Returns a service; the empty name means the first one."""
+    if not name:
+        return deployment.layout.services[0]
+    return deployment.layout.get_service(name)
+
+
+async def _ask_over_http(
+    deployment: cluster.Cluster, vm: str, request: web_api.Request
+) -> web_api.Response:
+    """Asks a VM over a new connection."""
+    address = deployment.vms[vm].entry.http_address
+    opened = await web_connection.connect(address, 1.0)
+    if opened.is_error():
+        return web_api.Response(status=0, headers=(("refused", "1"),))
+    connection = opened.ok
+    try:
+        return await connection.exchange(
+            request.method,
+            request.path,
+            list(request.headers.items()),
+            request.body,
+        )
+    except (web_connection.BrokenError, web_connection.UnsentError):
+        return web_api.Response(status=0)
+    finally:
+        connection.abort()
+
+
+def _make_request(
+    path: str,
+    caller: str,
+    body: dict[str, Any],
+    headers: dict[str, str] | None = None,
+) -> web_api.Request:
+    """Makes a caller's request."""
+    return web_api.Request(
+        "POST",
+        path,
+        {},
+        {"authorization": f"Bearer {caller}", **(headers or {})},
+        msgspec.json.encode(body),
+    )
+
+
+def _read_answer(
+    response: web_api.Response,
+    vm: str,
+    sent_s: float,
+    got_s: float,
+    wanted: str,
+    idempotency_key: str,
+) -> history.Received:
+    """Reads a response as what a caller received."""
+    if response.status == 0:
+        refused = bool(response.headers)
+        return history.Received(
+            sent_s,
+            got_s,
+            vm,
+            answered=False,
+            connected=not refused,
+            idempotency_key=idempotency_key,
+        )
+    body = msgspec.json.decode(response.body)
+    ok = response.status == 200
+    items = body.get("items", [])
+    return history.Received(
+        sent_s,
+        got_s,
+        vm,
+        answered=True,
+        code="ok" if ok else body["code"],
+        ran="ran" if ok else body["ran"],
+        request_id=body.get("request_id", ""),
+        idempotency_key=idempotency_key,
+        version=body.get("version", 0),
+        coverage=body.get("coverage", 0.0),
+        complete=body.get("complete", False),
+        missing=tuple((low, high) for low, high in body.get("missing", [])),
+        item_keys=tuple(item["key"] for item in items),
+        wanted=wanted if ok else "",
+        item_tags=tuple(item["tag"] for item in items),
+    )
--- a/tests/cluster/test_thin_path.py
+++ b/tests/cluster/test_thin_path.py
@@ -6,14 +6,17 @@
 
 from azureramp import resources
 from azureramp.invariants import checker, history
-from azureramp_standins import cluster, virtual
+from azureramp_standins import cluster, traffic, virtual
 
 
 def test_a_query_through_any_vm_is_whole() -> None:
     async def run() -> tuple[list[history.Received], history.History]:
         deployment = cluster.make()
         await deployment.start()
-        got = [await deployment.query(vm, "MacAoidh") for vm in deployment.vms]
+        got = [
+            await traffic.query(deployment, vm, "MacAoidh")
+            for vm in deployment.vms
+        ]
         return got, await deployment.close()
 
     got, past = virtual.run(run())
@@ -27,7 +30,7 @@
         deployment = cluster.make()
         await deployment.start()
         got = [
-            await deployment.execute(vm, "grant-1", key=42)
+            await traffic.execute(deployment, vm, "grant-1", key=42)
             for vm in ("vm-0", "vm-1")
         ]
         return got, await deployment.close()
@@ -47,7 +50,9 @@
         zone = resources.Zone(name="b", state=resources.ZoneState.OUT)
         response = await deployment.change(vm, zone)
         assert response.status in (200, 202), response.body
-        got = [await deployment.query(vm, "Dundee") for _ in range(400)]
+        got = [
+            await traffic.query(deployment, vm, "Dundee") for _ in range(400)
+        ]
         return got, await deployment.close()
 
     got, past = virtual.run(run())
