--- a/src/azureramp/daemon/wiring.py
+++ b/src/azureramp/daemon/wiring.py
@@ -72,9 +72,7 @@
         "_caller_api",
         "_configuration",
         "_inbox",
-        "_membership",
         "_outbox",
-        "_owner",
         "_ports",
         "_records",
         "_resource_api",
@@ -83,6 +81,8 @@
         "_tasks",
         "board",
         "coordinator",
+        "membership",
+        "owner",
     )
 
     def __init__(self, board: blackboard.Blackboard, ports: Ports) -> None:
@@ -94,11 +94,11 @@
         self._server: web_server.Server | None = None
         self._outbox = outbox.Outbox(board, ports.peers)
         self._records = idempotency.make(board, ports.store, rng)
-        self._owner = owner.make(board, self._outbox, ports.searchers, rng)
+        self.owner = owner.make(board, self._outbox, ports.searchers, rng)
         self.coordinator = coordinator.make(
             board, self._outbox, self._records, rng
         )
-        self._membership = membership.make(board, self._outbox, ports.vmlist)
+        self.membership = membership.make(board, self._outbox, ports.vmlist)
         self._configuration = configuration.make(
             board, self._outbox, ports.store
         )
@@ -107,21 +107,21 @@
         self._resource_api = resource_api.make(board, self._configuration)
         self._inbox = inbox.Inbox(board, self._make_receivers())
         self._outbox.local = self._inbox.receive_one
-        self._membership.on_owners = self._owner.update_ownership
+        self.membership.on_owners = self.owner.update_ownership
         self._configuration.on_change = self._follow_configuration
 
     def _make_receivers(self) -> inbox.Receivers:
         """Returns who takes which message."""
         return inbox.Receivers(
             by_type={
-                messages.QueryBatch: self._owner.receive_batch,
-                messages.Cancel: self._owner.receive_cancel,
+                messages.QueryBatch: self.owner.receive_batch,
+                messages.Cancel: self.owner.receive_cancel,
                 messages.PartResults: self.coordinator.receive_results,
-                messages.Handoff: self._owner.receive_handoff,
-                messages.HandoffDone: self._owner.receive_handoff_done,
-                messages.CrashNotice: self._owner.receive_crash_notice,
-                messages.Heartbeat: self._membership.receive_heartbeat,
-                messages.HeartbeatAck: self._membership.receive_heartbeat_ack,
+                messages.Handoff: self.owner.receive_handoff,
+                messages.HandoffDone: self.owner.receive_handoff_done,
+                messages.CrashNotice: self.owner.receive_crash_notice,
+                messages.Heartbeat: self.membership.receive_heartbeat,
+                messages.HeartbeatAck: self.membership.receive_heartbeat_ack,
                 messages.ConfigurationRequest: (
                     self._configuration.receive_request
                 ),
@@ -129,13 +129,13 @@
                     self._configuration.receive_update
                 ),
             },
-            envelope=self._membership.receive_envelope,
+            envelope=self.membership.receive_envelope,
         )
 
     def _follow_configuration(self) -> None:
         """Lets a new configuration come into force in every controller."""
-        self._membership.update()
-        self._owner.update_ownership()
+        self.membership.update()
+        self.owner.update_ownership()
         self._serving.update()
 
     async def start(self, server: web_server.Server) -> None:
@@ -156,9 +156,9 @@
         await self._ports.peers.start(self._inbox.receive)
         await server.start()
         for name, run in (
-            ("membership", self._membership.run),
+            ("membership", self.membership.run),
             ("configuration", self._configuration.run),
-            ("owner", self._owner.run),
+            ("owner", self.owner.run),
             ("records", self._records.run),
         ):
             self._tasks.append(asyncio.create_task(_keep_running(name, run)))
@@ -188,8 +188,8 @@
         assert self._server is not None
         stopping = shutdown.make(
             self.board,
-            self._membership,
-            self._owner,
+            self.membership,
+            self.owner,
             self._records,
             self._server,
         )
--- a/src/azureramp_standins/cluster.py
+++ b/src/azureramp_standins/cluster.py
@@ -74,6 +74,8 @@
         vms: The VMs by name.
         past: What happened, for the checker.
         overrides: Settings that differ from the defaults.
+        isolated: True if each VM's list shows only that VM itself, so that
+            each takes itself for the owner of every searcher.
     """
 
     __slots__ = (
@@ -81,6 +83,7 @@
         "_random",
         "_servers",
         "fleet",
+        "isolated",
         "layout",
         "network",
         "overrides",
@@ -104,6 +107,7 @@
         self.state = store_state.State()
         self.past = history.History()
         self.overrides = overrides
+        self.isolated = False
         self._random = random.Random(seed)
         self._ended: list[list[events.Record]] = []
         self._servers: dict[str, tuple[str, str, str]] = {}
@@ -224,7 +228,11 @@
         )
         ports = wiring.Ports(
             store=store_counting.CountingStore(vm.store, counters),
-            vmlist=self.vmlist,
+            vmlist=(
+                vmlist_memory.MemoryVmList(entry)
+                if self.isolated
+                else self.vmlist
+            ),
             peers=peers,
             searchers=searchers_memory.make(self.fleet),
         )
