--- a/src/azureramp/events.py
+++ b/src/azureramp/events.py
@@ -283,9 +283,10 @@
     Attributes:
         vm: The VM's name.
         dropped: How many events were dropped for want of room.
+        observer: Told of each record, for tests that act at a step.
     """
 
-    __slots__ = ("_clock", "_records", "_wall", "dropped", "vm")
+    __slots__ = ("_clock", "_records", "_wall", "dropped", "observer", "vm")
 
     def __init__(
         self,
@@ -302,6 +303,7 @@
         """
         self.vm = vm
         self.dropped = 0
+        self.observer: Callable[[Record], None] | None = None
         self._wall = wall
         self._clock = 0
         self._records: collections.deque[Record] = collections.deque(
@@ -327,15 +329,16 @@
         """
         if len(self._records) == self._records.maxlen:
             self.dropped += 1
-        self._records.append(
-            Record(
-                clock=self.read_clock(),
-                vm=self.vm,
-                at_s=self._wall(),
-                monotonic_s=monotonic_s,
-                event=event,
-            )
+        record = Record(
+            clock=self.read_clock(),
+            vm=self.vm,
+            at_s=self._wall(),
+            monotonic_s=monotonic_s,
+            event=event,
         )
+        self._records.append(record)
+        if self.observer is not None:
+            self.observer(record)
 
     def get_records(self, after: int = 0) -> list[Record]:
         """Returns the records later than a clock value, in order."""
--- a/src/azureramp_standins/cluster.py
+++ b/src/azureramp_standins/cluster.py
@@ -10,6 +10,7 @@
 import dataclasses
 import functools
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -53,6 +54,7 @@
         server: Its HTTP server, while it runs.
         store: Its client of the key-value service.
         starts: How often it was started.
+        stopping: True while it stops gracefully.
     """
 
     entry: vmlist_api.Vm
@@ -60,6 +62,7 @@
     server: web_server.Server | None = None
     store: store_memory.MemoryStore | None = None
     starts: int = 0
+    stopping: bool = False
 
 
 class Cluster:
@@ -74,6 +77,7 @@
         vms: The VMs by name.
         past: What happened, for the checker.
         overrides: Settings that differ from the defaults.
+        observer: Told of each event of any VM.
         isolated: True if each VM's list shows only that VM itself, so that
             each takes itself for the owner of every searcher.
     """
@@ -86,6 +90,7 @@
         "isolated",
         "layout",
         "network",
+        "observer",
         "overrides",
         "past",
         "state",
@@ -108,6 +113,7 @@
         self.past = history.History()
         self.overrides = overrides
         self.isolated = False
+        self.observer: Callable[[events.Record], None] | None = None
         self._random = random.Random(seed)
         self._ended: list[list[events.Record]] = []
         self._servers: dict[str, tuple[str, str, str]] = {}
@@ -221,6 +227,7 @@
         vm.store = store_memory.MemoryStore(self.state)
         loop = asyncio.get_running_loop()
         timeline = events.Timeline(name, wall=loop.time)
+        timeline.observer = self.observer
         counters = metrics.Metrics()
         entry = vm.entry
         peers = peers_memory.MemoryPeers(
@@ -266,11 +273,15 @@
         assert vm.daemon is not None
         loop = asyncio.get_running_loop()
         began_s = loop.time()
-        cut = await vm.daemon.stop(asyncio.Event())
+        vm.stopping = True
+        daemon = vm.daemon
+        cut = await daemon.stop(asyncio.Event())
+        vm.stopping = False
         self.past.stops.append(
             history.Stop(name, began_s, loop.time(), limit_reached=cut > 0)
         )
-        self._forget(vm)
+        if vm.daemon is daemon:
+            self._forget(vm)
         return cut
 
     async def kill_vm(self, name: str) -> None:
