--- a/src/azureramp/ports/store/state.py
+++ b/src/azureramp/ports/store/state.py
@@ -16,6 +16,9 @@
 PAST_ENTRIES = 32
 """How many earlier entries of a key can be read from the past."""
 
+LEAST_WAIT_S = 0.001
+"""Shortest wait for a change, in seconds, so that time surely goes on."""
+
 
 @dataclasses.dataclass(slots=True)
 class Lease:
@@ -126,7 +129,8 @@
         """Waits until any key changes, or for the timeout."""
         if self._changed is None or self._changed.done():
             self._changed = asyncio.get_running_loop().create_future()
-        await asyncio.wait({self._changed}, timeout=max(timeout_s, 0.0))
+        wait_s = max(timeout_s, LEAST_WAIT_S)
+        await asyncio.wait({self._changed}, timeout=wait_s)
 
     def _find(self, key: str, at: int | None) -> api.Entry | None:
         """Finds a key's entry at a revision; None if it had none yet."""
--- /dev/null
+++ b/tests/ports/store/test_contract.py
@@ -0,0 +1,329 @@
+"""What every key-value store port must do, in memory and over HTTP.
+
+Over HTTP the platform stand-in serves in the same process. Most of it runs
+under virtual time; the last test repeats the calls over real sockets.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import async_solipsism
+import pytest
+
+from azureramp import errors, metrics
+from azureramp.ports.store import api, counting, http, memory
+from azureramp.ports.store import state as store_state
+from azureramp_standins import platform
+
+ADDRESS = "127.0.0.1:7001"
+
+
+@dataclasses.dataclass(slots=True)
+class Bench:
+    """A store under test, and the ways to break it.
+
+    Attributes:
+        store: The store.
+        state: The service's state behind it.
+        break_it: Sets the faults: down, late_s, lost_replies, lost_requests,
+            past, slow_s.
+    """
+
+    store: api.Store
+    state: store_state.State
+    break_it: Callable[..., None]
+
+
+Check = Callable[[Bench], Awaitable[None]]
+
+
+async def run_in_memory(check: Check) -> None:
+    store = memory.MemoryStore(store_state.State())
+
+    def break_it(slow_s: float = 0.0, **faults: Any) -> None:
+        store.faults = memory.Faults(delay_s=slow_s, **faults)
+
+    await check(Bench(store, store.state, break_it))
+
+
+async def run_over_http(check: Check, address: str = ADDRESS) -> None:
+    standin = platform.make(address)
+    await standin.server.start()
+    store = http.HttpStore(address)
+
+    def break_it(
+        slow_s: float = 0.0, late_s: float = 0.0, **faults: Any
+    ) -> None:
+        standin.faults = platform.Faults(
+            slow_ms=int(slow_s * 1000), late_ms=int(late_s * 1000), **faults
+        )
+
+    try:
+        await check(Bench(store, standin.state, break_it))
+    finally:
+        await store.close()
+        await standin.server.stop(1.0)
+
+
+@pytest.fixture(params=[run_in_memory, run_over_http])
+def run(request: pytest.FixtureRequest) -> Callable[[Check], None]:
+    """Runs a check against one of the ports, under virtual time."""
+
+    def run_check(check: Check) -> None:
+        loop = async_solipsism.EventLoop()
+        try:
+            loop.run_until_complete(request.param(check))
+        finally:
+            loop.close()
+
+    return run_check
+
+
+Run = Callable[[Check], None]
+
+
+async def check_compare_and_swap(bench: Bench) -> None:
+    store = bench.store
+    created = (await store.write("/k/a", b"\x00one", api.CREATE)).ok
+    assert isinstance(created, api.Written)
+    entry = api.Entry("/k/a", b"\x00one", created.revision)
+
+    again = await store.write("/k/a", b"two", api.CREATE)
+    stale = await store.write("/k/a", b"two", created.revision + 7)
+    changed = (await store.write("/k/a", b"two", created.revision)).ok
+
+    assert again.ok == stale.ok == api.Conflicted(entry)
+    assert isinstance(changed, api.Written)
+    assert changed.revision > created.revision
+
+
+async def check_reads(bench: Bench) -> None:
+    store = bench.store
+    for name in ("/k/b", "/k/á é", "/other", "/k/a"):
+        await store.write(name, name.encode(), api.CREATE)
+
+    listing = (await store.read_prefix("/k/")).ok
+    entry = (await store.read("/k/á é")).ok
+
+    assert (await store.read("/k/none")).ok is None
+    assert [each.key for each in listing.entries] == ["/k/a", "/k/b", "/k/á é"]
+    assert listing.revision == bench.state.revision
+    assert entry is not None
+    assert entry.value == "/k/á é".encode()
+
+
+async def check_delete(bench: Bench) -> None:
+    store = bench.store
+    created = (await store.write("/k", b"1", api.CREATE)).ok
+    assert isinstance(created, api.Written)
+
+    stale = await store.delete("/k", created.revision + 1)
+    deleted = await store.delete("/k", created.revision)
+    again = await store.delete("/k", created.revision)
+    made = await store.write("/k", b"2", api.CREATE)
+
+    assert isinstance(stale.ok, api.Conflicted)
+    assert isinstance(deleted.ok, api.Written)
+    assert again.ok == api.Conflicted(None)
+    assert isinstance(made.ok, api.Written)
+
+
+async def check_large_values(bench: Bench) -> None:
+    largest = bytes(api.MAX_VALUE_BYTES)
+
+    taken = await bench.store.write("/k", largest, api.CREATE)
+    refused = await bench.store.write("/l", largest + b"x", api.CREATE)
+    entry = (await bench.store.read("/k")).ok
+
+    assert taken.is_ok()
+    assert refused.error.kind is errors.Kind.TOO_LARGE
+    assert entry is not None
+    assert entry.value == largest
+
+
+async def check_watch(bench: Bench) -> None:
+    store = bench.store
+    first = (await store.write("/k/a", b"1", api.CREATE)).ok
+    assert isinstance(first, api.Written)
+    waiting = asyncio.ensure_future(
+        store.watch("/k/", first.revision, wait_s=30.0)
+    )
+    await asyncio.sleep(0.05)
+    await store.write("/other", b"1", api.CREATE)
+    await asyncio.sleep(0.05)
+    assert not waiting.done()
+
+    await store.delete("/k/a", first.revision)
+    listing = (await waiting).ok
+    resumed = (await store.watch("/k/", first.revision, wait_s=30.0)).ok
+
+    assert [entry.value for entry in listing.entries] == [None]
+    assert listing.entries[0].revision == listing.revision
+    assert resumed.entries == listing.entries
+
+
+async def check_watch_end(bench: Bench) -> None:
+    listing = (await bench.store.watch("/k/", 0, wait_s=0.2)).ok
+
+    assert listing == api.Listing((), 0)
+
+
+async def check_lease(bench: Bench) -> None:
+    store = bench.store
+    lease = (await store.grant_lease(0.2)).ok
+    created = (await store.write("/k/a", b"1", api.CREATE, lease)).ok
+    kept = (await store.write("/k/b", b"1", api.CREATE, lease)).ok
+    assert isinstance(created, api.Written)
+    assert isinstance(kept, api.Written)
+    await store.write("/k/b", b"2", kept.revision)
+    alive = (await store.keep_lease(lease)).ok
+    watch = asyncio.ensure_future(
+        store.watch("/k/a", created.revision, wait_s=9.0)
+    )
+    listing = (await watch).ok
+    late = await store.write("/k/c", b"1", api.CREATE, lease)
+
+    assert alive
+    assert [entry.value for entry in listing.entries] == [None]
+    assert (await store.read("/k/a")).ok is None
+    assert (await store.read("/k/b")).ok is not None
+    assert not (await store.keep_lease(lease)).ok
+    assert late.error.kind is errors.Kind.NOT_FOUND
+
+
+CHECKS = [
+    check_compare_and_swap,
+    check_reads,
+    check_delete,
+    check_large_values,
+    check_watch,
+    check_watch_end,
+    check_lease,
+]
+
+
+@pytest.mark.parametrize("check", CHECKS)
+def test_a_store_keeps_its_promises(run: Run, check: Check) -> None:
+    run(check)
+
+
+WRITE_FAULTS = [
+    # (faults, failure of the write, value at once, value 10 s later)
+    ({"down": True}, errors.Kind.STORE_UNAVAILABLE, None, None),
+    ({"lost_replies": 1}, errors.Kind.STORE_OUTCOME_UNKNOWN, b"1", b"1"),
+    ({"lost_requests": 1}, errors.Kind.STORE_OUTCOME_UNKNOWN, None, None),
+    ({"late_s": 5.0}, errors.Kind.STORE_OUTCOME_UNKNOWN, None, b"1"),
+]
+
+
+@pytest.mark.parametrize(("faults", "kind", "soon", "late"), WRITE_FAULTS)
+def test_a_failed_write_says_what_it_may_have_done(
+    run: Run,
+    faults: dict[str, Any],
+    kind: errors.Kind,
+    soon: bytes | None,
+    late: bytes | None,
+) -> None:
+    """An operator's change fails, and he asks whether it took effect.
+
+    `STORE_UNAVAILABLE` promises that it did not and never will. After a
+    lost reply the answer must be `STORE_OUTCOME_UNKNOWN`, whatever became
+    of the write, and the write may even land later.
+    """
+
+    async def check(bench: Bench) -> None:
+        bench.break_it(**faults)
+        failed = await bench.store.write("/k", b"1", api.CREATE)
+        bench.break_it()
+
+        assert failed.error.kind is kind
+        for expected in (soon, late):
+            entry = bench.state.read("/k")
+            assert (entry.value if entry else None) == expected
+            await asyncio.sleep(10.0)
+        assert (await bench.store.write("/l", b"1", api.CREATE)).is_ok()
+
+    run(check)
+
+
+def test_every_read_of_a_store_that_is_down_fails(run: Run) -> None:
+    async def check(bench: Bench) -> None:
+        bench.break_it(down=True)
+        store = bench.store
+        results: list[Any] = [
+            await store.read("/k"),
+            await store.read_prefix("/k"),
+            await store.watch("/k", 0, wait_s=1.0),
+            await store.grant_lease(1.0),
+            await store.keep_lease("none"),
+        ]
+        for result in results:
+            assert result.error.kind is errors.Kind.STORE_UNAVAILABLE
+
+    run(check)
+
+
+def test_a_read_from_the_past_shows_what_was(run: Run) -> None:
+    """A read is answered from a replica that lags two writes behind."""
+
+    async def check(bench: Bench) -> None:
+        store = bench.store
+        first = (await store.write("/k", b"1", api.CREATE)).ok
+        assert isinstance(first, api.Written)
+        await store.write("/k", b"2", first.revision)
+        await store.write("/l", b"1", api.CREATE)
+
+        bench.break_it(past=2)
+        entry = (await store.read("/k")).ok
+        listing = (await store.read_prefix("/")).ok
+
+        assert entry == api.Entry("/k", b"1", first.revision)
+        assert listing == api.Listing((entry,), first.revision)
+
+    run(check)
+
+
+def test_a_server_that_is_gone_has_taken_no_write() -> None:
+    async def check() -> None:
+        store = http.HttpStore(ADDRESS)
+        failed = await store.write("/k", b"1", api.CREATE)
+        assert failed.error.kind is errors.Kind.STORE_UNAVAILABLE
+
+    loop = async_solipsism.EventLoop()
+    try:
+        loop.run_until_complete(check())
+    finally:
+        loop.close()
+
+
+def test_calls_are_counted_by_kind(run: Run) -> None:
+    async def check(bench: Bench) -> None:
+        counters = metrics.Metrics()
+        store = counting.CountingStore(bench.store, counters)
+        await store.write("/k", b"1", api.CREATE)
+        await store.delete("/k", 1)
+        await store.read("/k")
+        await store.watch("/k", 0, wait_s=0.1)
+        bench.break_it(down=True)
+        await store.read_prefix("/k")
+
+        assert counters.counts == {
+            "store.writes": 2,
+            "store.reads": 2,
+            "store.watches": 1,
+            "store.failures": 1,
+        }
+
+    run(check)
+
+
+@pytest.mark.parametrize("check", CHECKS)
+def test_a_store_keeps_its_promises_over_real_sockets(check: Check) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        port = free.getsockname()[1]
+    asyncio.run(run_over_http(check, f"127.0.0.1:{port}"))
