Settle every claim and last word by compare-and-swap under each fault

OUTCOME_UNKNOWN is told only after it has been recorded, so that it stays true for whoever acts on it.

The in-memory store and the stand-in now let a write take effect although its client has given up, as a request on its way does.

--- a/src/azureramp/policy/backoff.py
+++ b/src/azureramp/policy/backoff.py
@@ -1,15 +1,19 @@
 """When to call a service again that has failed: jittered backoff.
 
-While the service is down, callers are refused at once and only one call at a
-time probes it. The waits double and are drawn at random, so that the VMs,
-which all saw the same outage begin and end, don't come back together.
+Once a few calls in a row have failed, callers are refused at once and only
+one call at a time probes the service. The waits double and are drawn at
+random, so that the VMs, which all saw the same outage begin and end, don't
+come back together.
 """
 
 from __future__ import annotations
 
 import random
 
-FIRST_S = 0.1
+TOLERATED = 3
+"""So many failures in a row begin the backoff; fewer are single losses."""
+
+FIRST_S = 0.2
 """Upper end of the first wait, in seconds."""
 
 LONGEST_S = 3.0
@@ -32,26 +36,30 @@
         self.until_s = 0.0
         self._probing_until_s = 0.0
 
+    def is_open(self) -> bool:
+        """Tells whether the service is taken for working."""
+        return self.failures < TOLERATED
+
     def may_call(self, now_s: float, probe_s: float) -> bool:
         """Tells whether a call may be made now.
 
-        After a failure this says yes to one caller, which probes, and no to
+        During a backoff this says yes to one caller, which probes, and no to
         the others until the probe has ended or its time is over.
 
         Args:
             now_s: The time, in seconds.
             probe_s: Longest time that a probe takes, in seconds.
         """
-        if not self.failures:
+        if self.is_open():
             return True
-        if now_s < max(self.until_s, self._probing_until_s):
+        if self.get_wait_s(now_s) > 0:
             return False
         self._probing_until_s = now_s + probe_s
         return True
 
     def get_wait_s(self, now_s: float) -> float:
         """Returns the time until a call may be made, in seconds."""
-        if not self.failures:
+        if self.is_open():
             return 0.0
         return max(self.until_s - now_s, self._probing_until_s - now_s, 0.0)
 
@@ -64,13 +72,19 @@
     def record_failure(self, now_s: float, rng: random.Random) -> None:
         """Draws the next wait.
 
+        The calls that were under way when an outage began fail together and
+        count as one failure more, not as many doublings.
+
         Args:
             now_s: The time, in seconds.
             rng: Draws the wait between half of its upper end and all of it.
         """
-        if self.failures and now_s < self.until_s:
+        if not self.is_open() and now_s < self.until_s:
             return
-        ceiling_s = min(FIRST_S * 2 ** min(self.failures, 16), LONGEST_S)
         self.failures += 1
+        if self.is_open():
+            return
+        doublings = min(self.failures - TOLERATED, 16)
+        ceiling_s = min(FIRST_S * 2**doublings, LONGEST_S)
         self.until_s = now_s + ceiling_s * rng.uniform(0.5, 1.0)
         self._probing_until_s = 0.0
--- a/src/azureramp/policy/idempotency.py
+++ b/src/azureramp/policy/idempotency.py
@@ -17,6 +17,7 @@
 import dataclasses
 import enum
 import hashlib
+import math
 
 import msgspec
 
@@ -38,6 +39,22 @@
 MAX_RESULT_BYTES = 4096
 """Largest result that a record keeps."""
 
+RETENTION_S = 86_400.0
+"""How long a record is kept at least, in seconds."""
+
+WINDOW_S = 600.0
+"""How long one lease takes new records, in seconds.
+
+A lease lives for a retention and a window, so that a record written at the
+window's end is kept for a whole retention too.
+"""
+
+MAX_STORED_BYTES = 1_000_000_000
+"""The most that all records together may take in the store."""
+
+OVERHEAD_BYTES = 400
+"""What a record takes in the store besides its result, at most."""
+
 MAX_SIGHTINGS = 10_000
 """How many claims of other VMs one VM remembers having seen."""
 
@@ -154,6 +171,15 @@
             return Refuse(errors.Kind.OUTCOME_UNKNOWN)
 
 
+def change(
+    record: Record, state: State, result: bytes = b"", whole: bool = True
+) -> Record:
+    """Makes the record of a claim's next state."""
+    return msgspec.structs.replace(
+        record, state=state, result=result, whole=whole
+    )
+
+
 def may_replace(record: Record | None, wanted: Record) -> bool:
     """Tells whether a holder may put its record over the present one.
 
@@ -169,6 +195,56 @@
     return record.state is State.CLAIMED
 
 
+class Quota:
+    """The bytes of records that this VM may still write.
+
+    Each window has its share of what the store may hold, and what was
+    written in a window is deleted by the end of its lease. So a VM that
+    counts only its own writes, on its own clock, keeps the bound; a restart
+    forgets the present window's count and may use its share once more.
+    """
+
+    __slots__ = ("_used", "_window_from_s")
+
+    def __init__(self) -> None:
+        """Makes an unused quota."""
+        self._used = 0
+        self._window_from_s = -math.inf
+
+    def take(self, now_s: float, vms: int) -> float:
+        """Takes room for a record of the largest size.
+
+        Args:
+            now_s: The time, in seconds.
+            vms: How many VMs share the store.
+
+        Returns:
+            0 if there was room, else the time until there is, in seconds.
+        """
+        if now_s >= self._window_from_s + WINDOW_S:
+            self._window_from_s = now_s
+            self._used = 0
+        if self._used + MAX_RECORD_BYTES > get_share_bytes(vms):
+            return self._window_from_s + WINDOW_S - now_s
+        self._used += MAX_RECORD_BYTES
+        return 0.0
+
+    def give_back(self, result_bytes: int) -> None:
+        """Gives back what a finished record's result did not need."""
+        spare = MAX_RESULT_BYTES - min(result_bytes, MAX_RESULT_BYTES)
+        self._used = max(self._used - spare * 4 // 3, 0)
+
+
+MAX_RECORD_BYTES = OVERHEAD_BYTES + (MAX_RESULT_BYTES + 2) * 4 // 3
+"""The most that one record takes; JSON carries the result as base64."""
+
+
+def get_share_bytes(vms: int) -> int:
+    """Returns what one VM may write in one window, in bytes."""
+    windows = math.ceil(RETENTION_S / WINDOW_S) + 2
+    return max(MAX_STORED_BYTES // windows // max(vms, 1), MAX_RECORD_BYTES)
+
+
 class Sightings:
     """When this VM first saw each claim of others, bounded."""
 
--- a/src/azureramp/ports/store/memory.py
+++ b/src/azureramp/ports/store/memory.py
@@ -15,6 +15,9 @@
 from azureramp.ports.store import api
 from azureramp.ports.store import state as store_state
 
+Outcome = expression.Result[api.Write, errors.Failure]
+"""What a write says of itself."""
+
 
 @dataclasses.dataclass(slots=True)
 class Faults:
@@ -149,12 +152,37 @@
     async def _change(
         self, key: str, value: bytes | None, expected: int, lease: str
     ) -> expression.Result[api.Write, errors.Failure]:
-        """Makes a change, under the faults that writes have."""
-        if not await self._reach():
+        """Makes a change, under the faults that writes have.
+
+        It takes effect half-way, also if the caller has given up by then:
+        a request on its way can't be called back.
+        """
+        if self.faults.down:
+            await asyncio.sleep(self.faults.delay_s)
             return expression.Error(_fail_down())
+        half_s = self.faults.delay_s / 2
+        taking_effect: asyncio.Future[Outcome] = asyncio.ensure_future(
+            self._take_effect(half_s, key, value, expected, lease)
+        )
+        outcome = await asyncio.shield(taking_effect)
+        await asyncio.sleep(half_s)
+        return outcome
+
+    async def _take_effect(
+        self,
+        delay_s: float,
+        key: str,
+        value: bytes | None,
+        expected: int,
+        lease: str,
+    ) -> Outcome:
+        """Makes a change after a while."""
+        await asyncio.sleep(delay_s)
+        loop = asyncio.get_running_loop()
+        self.state.expire_leases(loop.time())
         faults = self.faults
         if faults.late_s > 0:
-            asyncio.get_running_loop().call_later(
+            loop.call_later(
                 faults.late_s, self.state.write, key, value, expected, lease
             )
             return expression.Error(_fail_unknown())
--- a/src/azureramp_standins/platform.py
+++ b/src/azureramp_standins/platform.py
@@ -185,10 +185,12 @@
         """Serves the key-value service, under the faults."""
         self.meter.count(_get_kind(request))
         self.state.expire_leases(asyncio.get_running_loop().time())
-        await asyncio.sleep(self.faults.slow_ms / 1000)
         if self.faults.down:
+            await self._be_slow()
             return _answer(503, {"detail": "the store is down"})
         query = request.query
+        if request.method == "GET":
+            await self._be_slow()
         match request.method, request.path:
             case "GET", protocol.KEYS if "key" in query:
                 entry = self.state.read(query["key"], self._get_at())
@@ -199,13 +201,21 @@
                 listing = self.state.list(query["prefix"], self._get_at())
                 return _answer(200, listing)
             case (("PUT" | "DELETE"), protocol.KEYS):
-                return await self._write(request)
+                # The write takes effect even if its client gives up while
+                # the answer is slow.
+                response = await self._write(request)
+                await self._be_slow()
+                return response
             case "GET", protocol.WATCH:
                 return await self._watch(request)
             case (("POST" | "PUT"), protocol.LEASES):
                 return self._handle_lease(request)
         return _answer(404, {"detail": "no such path"})
 
+    async def _be_slow(self) -> None:
+        """Takes the time that the faults say."""
+        await asyncio.sleep(self.faults.slow_ms / 1000)
+
     def _get_at(self) -> int | None:
         """Returns the past revision that reads answer from, if any."""
         if not self.faults.past:
--- a/tests/controllers/test_idempotency.py
+++ b/tests/controllers/test_idempotency.py
@@ -8,20 +8,21 @@
 from typing import Any
 
 import async_solipsism
+import pytest
 
 from azureramp import blackboard, errors, events, metrics, settings
 from azureramp.controllers import idempotency
+from azureramp.policy import idempotency as policy
 from azureramp.ports.store import memory
 from azureramp.ports.store import state as store_state
 
+Outcome = idempotency.Claimed | idempotency.Recorded | errors.Kind
+
 
 def run(coroutine: Coroutine[Any, Any, None]) -> None:
     """Runs a test under virtual time."""
-    loop = async_solipsism.EventLoop()
-    try:
-        loop.run_until_complete(coroutine)
-    finally:
-        loop.close()
+    with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner:
+        runner.run(coroutine)
 
 
 class Vm:
@@ -46,19 +47,36 @@
         )
         self.task = asyncio.ensure_future(self.records.run())
 
-    async def claim(
-        self, key: str, request_hash: int = 1
-    ) -> idempotency.Claimed | idempotency.Recorded | errors.Kind:
+    async def claim(self, key: str = "k", request_hash: int = 1) -> Outcome:
         """Claims a key."""
         result = await self.records.claim("office", key, request_hash, "r")
         return result.ok if result.is_ok() else result.error.kind
 
-    async def claim_right(self, key: str) -> idempotency.Claimed:
+    async def claim_right(self, key: str = "k") -> idempotency.Claimed:
         """Claims a key that must be free."""
         claimed = await self.claim(key)
         assert isinstance(claimed, idempotency.Claimed), claimed
         return claimed
 
+    async def claim_done(self, key: str = "k") -> bytes:
+        """Claims a key that has run, and returns the recorded result."""
+        recorded = await self.claim(key)
+        assert isinstance(recorded, idempotency.Recorded), recorded
+        return recorded.result
+
+    def get_states(self) -> list[str]:
+        """Returns the states that its timeline tells."""
+        return [
+            record.event.state
+            for record in self.board.timeline.get_records()
+            if isinstance(record.event, events.IdempotencyChanged)
+        ]
+
+
+def make_two() -> tuple[Vm, Vm]:
+    state = store_state.State()
+    return Vm("one", state), Vm("two", state)
+
 
 def test_a_second_request_with_the_key_gets_the_recorded_outcome() -> None:
     """A funeral director's grant is sent again through another VM.
@@ -68,52 +86,302 @@
     """
 
     async def go() -> None:
-        state = store_state.State()
-        first, second = Vm("one", state), Vm("two", state)
-
-        claimed = await first.claim_right("k")
-        assert await second.claim("k") is errors.Kind.IN_PROGRESS
+        first, second = make_two()
+        claimed = await first.claim_right()
+        assert await first.claim() is errors.Kind.IN_PROGRESS
+        assert await second.claim() is errors.Kind.IN_PROGRESS
         await first.records.finish(claimed, b'{"grant":7}')
 
         for vm in (first, second):
-            again = await vm.claim("k")
-            assert isinstance(again, idempotency.Recorded)
-            assert again.result == b'{"grant":7}'
+            assert await vm.claim_done() == b'{"grant":7}'
             assert await vm.claim("k", 2) is errors.Kind.KEY_REUSED
+        assert first.get_states() == ["claimed", "finished", "replayed"]
+        assert second.get_states() == ["replayed"]
 
     run(go())
 
 
-def test_a_released_key_may_be_claimed_through_another_vm() -> None:
+def test_a_result_that_is_too_large_is_known_to_have_run() -> None:
     async def go() -> None:
-        state = store_state.State()
-        first, second = Vm("one", state), Vm("two", state)
+        first, second = make_two()
+        claimed = await first.claim_right()
+        large = b'"' + b"x" * policy.MAX_RESULT_BYTES + b'"'
+        await first.records.finish(claimed, large)
 
-        first.records.release(await first.claim_right("k"))
-        await first.records.drain(1.0)
-
-        await second.claim_right("k")
+        recorded = await second.claim()
+        assert recorded == idempotency.Recorded("r", b"null", False)
 
     run(go())
 
 
-def test_a_late_claim_is_released_and_never_dispatched() -> None:
-    """The claim's reply is lost and the write lands a second later.
+# What goes wrong between the first VM and the store while it claims, and
+# what it may answer: None stands for the right to dispatch.
+CLAIM_FAULTS = [
+    ({"down": True}, errors.Kind.STORE_UNAVAILABLE),
+    ({"lost_replies": 1}, None),
+    ({"lost_replies": 2}, None),
+    ({"lost_replies": 9}, errors.Kind.STORE_UNAVAILABLE),
+    ({"lost_requests": 1}, None),
+    ({"lost_requests": 9}, errors.Kind.STORE_UNAVAILABLE),
+    ({"late_s": 2.0}, errors.Kind.STORE_UNAVAILABLE),
+    ({"late_s": 900.0}, errors.Kind.STORE_UNAVAILABLE),
+    ({"delay_s": 0.8}, None),
+    ({"delay_s": 1.9}, errors.Kind.STORE_UNAVAILABLE),
+    ({"past": 99}, None),
+]
+
+
+@pytest.mark.parametrize(("faults", "kind"), CLAIM_FAULTS)
+def test_a_claim_is_held_for_sure_or_not_at_all(
+    faults: dict[str, Any], kind: errors.Kind | None
+) -> None:
+    """The store fails while an order's key is being claimed.
 
-    The caller was told `not run`. Its retry must neither wait for ever for
-    a run that never was, nor find the key free while the write may land.
+    The claim's write may have landed, may never land, or may land minutes
+    later. Refused with `not run`, the order must not run; and its retry must
+    neither find the key blocked for good nor be told that it has run.
     """
 
     async def go() -> None:
-        state = store_state.State()
-        first, second = Vm("one", state), Vm("two", state)
+        first, second = make_two()
         await first.claim_right("other")
+        first.store.faults = memory.Faults(**faults)
+
+        claimed = await first.claim()
+        assert (claimed if isinstance(claimed, errors.Kind) else None) is kind
+        first.store.faults = memory.Faults()
+        await asyncio.sleep(10.0)
+
+        if kind is None:
+            assert await second.claim() is errors.Kind.IN_PROGRESS
+            return
+        taken = await second.claim_right()
+        await second.records.finish(taken, b"1")
+        await asyncio.sleep(1000.0)
+        assert await first.claim_done() == b"1"
+
+    run(go())
+
+
+SAVE_FAULTS: list[dict[str, Any]] = [
+    {},
+    {"down": True},
+    {"lost_replies": 1},
+    {"lost_requests": 2},
+    {"late_s": 30.0},
+    {"delay_s": 1.9},
+]
+
+
+@pytest.mark.parametrize("faults", SAVE_FAULTS)
+@pytest.mark.parametrize("last_word", ["finish", "mark_unknown", "release"])
+def test_a_holders_last_word_reaches_the_store_after_an_outage(
+    faults: dict[str, Any], last_word: str
+) -> None:
+    """The store fails just as a grant's run ends.
+
+    The caller gets its answer within its time all the same. Once the store
+    works again, a retry through any VM must hear the same.
+    """
+
+    async def go() -> None:
+        first, second = make_two()
+        claimed = await first.claim_right()
+        first.store.faults = memory.Faults(**faults)
+        began_s = asyncio.get_running_loop().time()
+
+        if last_word == "finish":
+            await first.records.finish(claimed, b"7")
+        elif last_word == "mark_unknown":
+            await first.records.mark_unknown(claimed)
+        else:
+            first.records.release(claimed)
+        took_s = asyncio.get_running_loop().time() - began_s
+        assert took_s <= idempotency.FINISH_S + 0.01
 
-        first.store.faults.late_s = 1.0
-        assert await first.claim("k") is errors.Kind.STORE_UNAVAILABLE
+        if last_word == "finish":
+            assert await first.claim_done() == b"7"
+        await asyncio.sleep(20.0)
         first.store.faults = memory.Faults()
+        await asyncio.sleep(20.0)
+        match last_word:
+            case "finish":
+                assert await second.claim_done() == b"7"
+            case "mark_unknown":
+                kind = await second.claim()
+                assert kind is errors.Kind.OUTCOME_UNKNOWN
+            case _:
+                await second.claim_right()
+
+    run(go())
+
+
+def test_a_claim_whose_holder_died_ends_as_unknown_and_never_runs() -> None:
+    """A VM dies with an order that it may or may not have sent.
+
+    Nobody can know, so nobody may run it again or say `not run`. A
+    dispatcher who is told that the outcome is unknown looks it up and orders
+    anew, so from then on the first order must never run: the holder, if it
+    was only paused, finds its time to dispatch over.
+    """
+
+    async def go() -> None:
+        first, second = make_two()
+        claimed = await first.claim_right()
+        loop = asyncio.get_running_loop()
+
+        assert await second.claim() is errors.Kind.IN_PROGRESS
+        await asyncio.sleep(policy.UNKNOWN_S)
+        assert loop.time() > claimed.may_dispatch_until_s
+        assert await second.claim() is errors.Kind.OUTCOME_UNKNOWN
+
+        first.records.release(claimed)
         await asyncio.sleep(5.0)
+        assert await second.claim() is errors.Kind.OUTCOME_UNKNOWN
+
+    run(go())
+
+
+def test_an_unknown_outcome_is_recorded_before_it_is_told() -> None:
+    """The holder comes back with its result while others give it up.
+
+    The store fails for the VM that would record the claim as unknown, so it
+    must not say so: the holder could still release the key.
+    """
+
+    async def go() -> None:
+        first, second = make_two()
+        claimed = await first.claim_right()
+        await second.claim()
+        await asyncio.sleep(policy.UNKNOWN_S)
+        second.store.faults.delay_s = 0.1
+        claiming = asyncio.ensure_future(second.claim())
+        await asyncio.sleep(0.12)
+        second.store.faults.lost_requests = 1
+        assert await claiming is errors.Kind.IN_PROGRESS
+
+        first.records.release(claimed)
+        await asyncio.sleep(1.0)
+        await second.claim_right()
+
+    run(go())
+
+
+def test_a_late_outcome_replaces_an_unknown_one() -> None:
+    async def go() -> None:
+        first, second = make_two()
+        claimed = await first.claim_right()
+        await first.records.mark_unknown(claimed)
+        assert await second.claim() is errors.Kind.OUTCOME_UNKNOWN
+
+        await first.records.finish(claimed, b"7")
+        assert await second.claim_done() == b"7"
+
+    run(go())
+
+
+def test_a_holder_that_was_paused_while_it_claimed_may_not_dispatch() -> None:
+    """A VM stops for a minute between its claim's write and the reply."""
+
+    async def go() -> None:
+        first, second = make_two()
+        await first.claim_right("other")
+        loop = asyncio.get_running_loop()
+        claiming = asyncio.ensure_future(first.claim())
+        await asyncio.sleep(0)
+        # The loop's clock jumps ahead with nothing run in between.
+        loop._selector.clock.advance(70.0)  # type: ignore[attr-defined]
+        assert await claiming is errors.Kind.STORE_UNAVAILABLE
+        await asyncio.sleep(1.0)
+        await second.claim_right()
+
+    run(go())
+
+
+def test_an_abandoned_claim_is_released() -> None:
+    """A hospital buyer closes the page while the claim is on its way."""
+
+    async def go() -> None:
+        first, second = make_two()
+        await first.claim_right("other")
+        first.store.faults.delay_s = 0.5
+        claiming = asyncio.ensure_future(first.claim())
+        await asyncio.sleep(0.3)
+        claiming.cancel()
+        await asyncio.sleep(5.0)
+
+        await second.claim_right()
+
+    run(go())
+
+
+def test_claims_are_refused_at_once_during_an_outage() -> None:
+    """The store is silent for minutes while orders keep coming in.
+
+    Each must be refused at once with a time to come back, not after the
+    store's timeout, and the store must not meet all of them as calls.
+    """
+
+    async def go() -> None:
+        first, _ = make_two()
+        await first.claim_right("other")
+        first.store.faults.delay_s = 60.0
+        loop = asyncio.get_running_loop()
+        for number in range(3):
+            await first.claim(f"early-{number}")
+        writes = 0
+        for number in range(200):
+            began_s = loop.time()
+            result = await first.records.claim("office", f"{number}", 1, "r")
+            assert result.error.kind is errors.Kind.STORE_UNAVAILABLE
+            assert result.error.get_retry_after_ms() >= 500
+            writes += loop.time() > began_s
+            await asyncio.sleep(0.01)
+        assert writes <= 3
+
+    run(go())
+
+
+def test_a_record_ends_with_its_retention() -> None:
+    async def go() -> None:
+        first, second = make_two()
+        await first.records.finish(await first.claim_right(), b"7")
+
+        await asyncio.sleep(policy.RETENTION_S - 1.0)
+        assert await second.claim_done() == b"7"
+        await asyncio.sleep(2 * policy.WINDOW_S)
+        await second.claim_right()
+
+    run(go())
+
+
+def test_a_lost_lease_costs_one_refusal() -> None:
+    async def go() -> None:
+        first, _ = make_two()
+        await first.claim_right("other")
+        first.store.state.expire_leases(1e9)
+
+        assert await first.claim() is errors.Kind.STORE_UNAVAILABLE
+        await first.claim_right()
+
+    run(go())
+
+
+def test_records_past_the_size_bound_are_refused_until_the_next_window() -> (
+    None
+):
+    async def go() -> None:
+        first, _ = make_two()
+        share = policy.get_share_bytes(0)
+        for number in range(share // policy.OVERHEAD_BYTES + 1):
+            result = await first.records.claim("office", f"{number}", 1, "r")
+            if result.is_error():
+                break
+            assert isinstance(result.ok, idempotency.Claimed)
+            await first.records.finish(result.ok, b"7")
+        assert result.error.kind is errors.Kind.OVERLOADED
 
-        await second.claim_right("k")
+        await asyncio.sleep(result.error.get_retry_after_ms() / 1000 + 0.01)
+        await first.claim_right("next")
 
     run(go())
