Bring about the pause between a claim's reply and its dispatch

The guard on the time to dispatch was not reached by the test: the attempt's own timeout noticed the pause first. The test now also pauses right after the reply; without the guard it fails.

--- a/tests/controllers/test_idempotency.py
+++ b/tests/controllers/test_idempotency.py
@@ -6,12 +6,14 @@
 import random
 from collections.abc import Coroutine
 from typing import Any
+from unittest import mock
 
 import async_solipsism
 import pytest
 
 from azureramp import blackboard, errors, events, metrics, settings
 from azureramp.controllers import idempotency
+from azureramp.policy import backoff
 from azureramp.policy import idempotency as policy
 from azureramp.ports.store import memory
 from azureramp.ports.store import state as store_state
@@ -280,18 +282,31 @@
     run(go())
 
 
-def test_a_holder_that_was_paused_while_it_claimed_may_not_dispatch() -> None:
-    """A VM stops for a minute between its claim's write and the reply."""
+@pytest.mark.parametrize("paused_at", ["write", "reply"])
+def test_a_holder_that_was_paused_while_it_claimed_may_not_dispatch(
+    paused_at: str,
+) -> None:
+    """A VM stops for a minute while it claims, before or after the reply.
+
+    Others may have given its claim up as unknown meanwhile, so it must not
+    go on as if no time had passed.
+    """
 
     async def go() -> None:
         first, second = make_two()
         await first.claim_right("other")
-        loop = asyncio.get_running_loop()
+        loop: Any = asyncio.get_running_loop()
+
+        def pause(_: backoff.Backoff | None = None) -> None:
+            # The clock jumps ahead with nothing run in between.
+            loop._selector.clock.advance(70.0)
+
         claiming = asyncio.ensure_future(first.claim())
-        await asyncio.sleep(0)
-        # The loop's clock jumps ahead with nothing run in between.
-        loop._selector.clock.advance(70.0)  # type: ignore[attr-defined]
-        assert await claiming is errors.Kind.STORE_UNAVAILABLE
+        with mock.patch.object(backoff.Backoff, "record_success", pause):
+            if paused_at == "write":
+                await asyncio.sleep(0)
+                pause()
+            assert await claiming is errors.Kind.STORE_UNAVAILABLE
         await asyncio.sleep(1.0)
         await second.claim_right()
 
@@ -367,19 +382,23 @@
     run(go())
 
 
+@mock.patch.object(policy, "MAX_STORED_BYTES", 20_000_000)
 def test_records_past_the_size_bound_are_refused_until_the_next_window() -> (
     None
 ):
     async def go() -> None:
         first, _ = make_two()
         share = policy.get_share_bytes(0)
-        for number in range(share // policy.OVERHEAD_BYTES + 1):
-            result = await first.records.claim("office", f"{number}", 1, "r")
+        taken = 0
+        while True:
+            result = await first.records.claim("office", f"{taken}", 1, "r")
             if result.is_error():
                 break
             assert isinstance(result.ok, idempotency.Claimed)
             await first.records.finish(result.ok, b"7")
+            taken += 1
         assert result.error.kind is errors.Kind.OVERLOADED
+        assert 0.9 * share < taken * (policy.OVERHEAD_BYTES + 4) < share
 
         await asyncio.sleep(result.error.get_retry_after_ms() / 1000 + 0.01)
         await first.claim_right("next")
