Tell in a handoff how long what still runs may take

The new owner leaves the old one's slots free until HandoffDone; if that is lost, until the running calls' deadlines, which this field carries.

--- a/src/azureramp/messages.py
+++ b/src/azureramp/messages.py
@@ -233,6 +233,8 @@
             many free until `HandoffDone`, or until the old lease ran out.
         limit: The cold ramp's limit.
         service_ms: The median service time, in milliseconds.
+        running_ms: The longest time that what still runs may take, in
+            milliseconds: each call ends at its deadline.
     """
 
     searcher: str
@@ -240,6 +242,7 @@
     in_use: int
     limit: int
     service_ms: float
+    running_ms: float = 0.0
 
 
 class HandoffDone(Message, frozen=True, kw_only=True, tag="handoff_done"):
