Give the owner its ramps, handoffs, crash blame and suspect connections

The owner is split by job: rules before each step (dispatch_rules), running (part_runner), looking (probing), crashes (poisoning), changes of owners (ownership_changes, handoffs). Health is read on a connection that stays open, so a restart shows by its end even where no call is under way; after any lost connection nothing is dispatched until the incarnation was read again.

--- a/src/azureramp/controllers/directory.py
+++ b/src/azureramp/controllers/directory.py
@@ -1,10 +1,10 @@
-"""Where each searcher is, kept from one configuration to the next."""
+"""Where each searcher is, and the policy, kept until they change."""
 
 from __future__ import annotations
 
 import dataclasses
 
-from azureramp import errors, resources
+from azureramp import blackboard, errors, resources
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -24,19 +24,30 @@
 
 
 class Directory:
-    """The places of all searchers, made anew when the revision changes."""
+    """What an owner needs of the configuration, made anew as it changes."""
 
-    __slots__ = ("_made_from", "_places")
+    __slots__ = ("_board", "_made_from", "_places", "_policy")
 
-    def __init__(self) -> None:
-        """Makes an empty directory."""
+    def __init__(self, board: blackboard.Blackboard) -> None:
+        """Makes the directory of a process."""
+        self._board = board
         self._made_from: tuple[int, int, int] | None = None
         self._places: dict[str, Place] = {}
+        self._policy = resources.Policy(name="default")
 
-    def get_places(
-        self, configuration: resources.Configuration
-    ) -> dict[str, Place]:
+    def get_places(self) -> dict[str, Place]:
         """Returns the places by the searchers' names."""
+        self._refresh()
+        return self._places
+
+    def get_policy(self) -> resources.Policy:
+        """Returns the policy in force."""
+        self._refresh()
+        return self._policy
+
+    def _refresh(self) -> None:
+        """Reads the configuration if it isn't the one read last."""
+        configuration = self._board.configuration
         made_from = (
             id(configuration),
             configuration.revision,
@@ -45,7 +56,7 @@
         if made_from != self._made_from:
             self._made_from = made_from
             self._places = _make_places(configuration)
-        return self._places
+            self._policy = configuration.get_policy()
 
 
 def _make_places(configuration: resources.Configuration) -> dict[str, Place]:
--- a/src/azureramp/controllers/owned_searcher.py
+++ b/src/azureramp/controllers/owned_searcher.py
@@ -1,39 +1,13 @@
-"""The state of one searcher that this VM owns."""
+"""The state of the searchers that this VM owns."""
 
 from __future__ import annotations
 
-import asyncio
-import dataclasses
-
-from azureramp import messages
-from azureramp.controllers import directory
+from azureramp import events, messages
+from azureramp.controllers import directory, parts
 from azureramp.policy import queues, ramps
 from azureramp.ports.searchers import api as searchers_api
 
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Part:
-    """One sub-request on its way through an owner.
-
-    Attributes:
-        coordinator: The VM that asked.
-        batch: The batch that it came in.
-        request: The sub-request.
-        deadline_s: The request's deadline, on this VM's clock.
-        sent: True once its first byte may have been written.
-        task: The task that runs it; None while it waits.
-    """
-
-    coordinator: str
-    batch: messages.QueryBatch
-    request: messages.PartRequest
-    deadline_s: float
-    sent: bool = False
-    task: asyncio.Task[None] | None = None
-
-    def get_key(self) -> tuple[str, int]:
-        """Returns what names it in the deployment."""
-        return (self.batch.request_id, self.request.part)
+Part = parts.Part
 
 
 class OwnedSearcher:
@@ -45,20 +19,33 @@
         queue: What waits for it.
         running: What runs on it, by key.
         health: Its last report; None before the first.
-        reachable: False while it is down.
+        reachable: False while it is down, or not yet looked at.
+        misses: Health reads in a row that brought nothing in time.
+        confirmed_lost: How many connections had been lost when it was last
+            seen to be the process that it was.
+        succeeded_s: When it last answered a call.
         held: Slots that the former owner still uses.
         held_until_s: Until when at most the former owner can use them.
+        former: The former owner that handed it off; empty if none did.
+        lingering_s: When each slot comes free whose call was given up.
+        noted: The state that was recorded last.
     """
 
     __slots__ = (
+        "confirmed_lost",
+        "former",
         "health",
         "held",
         "held_until_s",
+        "lingering_s",
+        "misses",
+        "noted",
         "place",
         "queue",
         "ramp",
         "reachable",
         "running",
+        "succeeded_s",
     )
 
     def __init__(self, place: directory.Place) -> None:
@@ -70,8 +57,22 @@
         self.running: dict[tuple[str, int], Part] = {}
         self.health: searchers_api.Health | None = None
         self.reachable = False
+        self.misses = 0
+        self.confirmed_lost = 0
+        self.succeeded_s = 0.0
         self.held = 0
         self.held_until_s = 0.0
+        self.former = ""
+        self.lingering_s: list[float] = []
+        self.noted: tuple[str, int] | None = None
+
+    def get_name(self) -> str:
+        """Returns the searcher's name."""
+        return self.place.searcher.name
+
+    def get_address(self) -> str:
+        """Returns the searcher's `IP:port`."""
+        return self.place.searcher.address
 
     def is_cold(self) -> bool:
         """Tells whether it is in cold start."""
@@ -80,25 +81,86 @@
     def count_in_use(self, now_s: float) -> int:
         """Returns how many slots are in use, the former owner's included."""
         held = self.held if now_s < self.held_until_s else 0
-        return len(self.running) + held
+        if self.lingering_s:
+            self.lingering_s = [
+                until_s for until_s in self.lingering_s if until_s > now_s
+            ]
+        return len(self.running) + held + len(self.lingering_s)
 
     def has_room(self, part: Part, now_s: float) -> bool:
         """Tells whether a sub-request may start now."""
-        if part.batch.isolated:
-            return self.count_in_use(now_s) == 0
-        if any(running.batch.isolated for running in self.running.values()):
+        in_use = self.count_in_use(now_s)
+        if part.alone:
+            return in_use == 0
+        if any(running.alone for running in self.running.values()):
             return False
-        return self.count_in_use(now_s) < self.ramp.limit
+        return in_use < self.ramp.limit
+
+    def make_dispatched(
+        self, part: Part, lease_until_s: float
+    ) -> events.PartDispatched:
+        """Makes the event of a sub-request that is about to be written.
+
+        Args:
+            part: The sub-request.
+            lease_until_s: Until when this VM's lease is valid.
+        """
+        place = self.place
+        return events.PartDispatched(
+            request_id=part.batch.request_id,
+            part=part.request.part,
+            searcher=place.searcher.name,
+            server=place.server.name,
+            zone=place.server.zone,
+            version=part.batch.version,
+            low=part.request.low,
+            high=part.request.high,
+            in_use=self.count_in_use(part.sent_s),
+            limit=self.ramp.limit,
+            cold=self.is_cold(),
+            lease_ms=(lease_until_s - part.sent_s) * 1000,
+            repeatable=part.batch.repeatable,
+            fingerprint=part.batch.fingerprint,
+        )
+
+    def make_state(self, usable: bool) -> messages.SearcherState:
+        """Makes what the other VMs are told of it.
 
-    def make_state(self) -> messages.SearcherState:
-        """Makes what the other VMs are told of it."""
+        Args:
+            usable: True if this VM would send work there.
+        """
         health = self.health
         return messages.SearcherState(
-            searcher=self.place.searcher.name,
+            searcher=self.get_name(),
             incarnation=health.incarnation if health else 0,
-            usable=self.reachable and self.place.refusal is None,
+            usable=usable,
             limit=self.ramp.limit,
             queued=len(self.queue),
             service_ms=self.ramp.get_usual_ms(),
             versions=health.versions if health else (),
         )
+
+
+class Holdings:
+    """Everything that this VM owns and runs.
+
+    Attributes:
+        owned: The owned searchers by name.
+        parts: The sub-requests that haven't ended, with their searchers, by
+            key; those that wait for a trial's end have none.
+    """
+
+    __slots__ = ("owned", "parts")
+
+    def __init__(self) -> None:
+        """Makes it empty."""
+        self.owned: dict[str, OwnedSearcher] = {}
+        self.parts: dict[tuple[str, int], tuple[OwnedSearcher, Part]] = {}
+
+    def get_sent(self, server: str) -> set[int]:
+        """Returns the fingerprints in flight on a backend server."""
+        return {
+            part.batch.fingerprint
+            for owned, part in self.parts.values()
+            if part.sent and owned.place.server.name == server
+        }
--- /dev/null
+++ b/src/azureramp/controllers/part_runner.py
@@ -0,0 +1,331 @@
+"""Running sub-requests: from the queue to a searcher and back."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import expression
+import logbook
+
+from azureramp import blackboard, errors, messages
+from azureramp.controllers import (
+    directory,
+    dispatch_rules,
+    owned_searcher,
+    poisoning,
+    probing,
+    replies,
+)
+from azureramp.policy import queues
+from azureramp.ports.searchers import api as searchers_api
+
+SETTLE_S = 0.05
+"""How long a cold searcher may still run a call that was given up, in
+seconds: the time until it learns of the end."""
+
+OwnedSearcher = owned_searcher.OwnedSearcher
+Part = owned_searcher.Part
+CallResult = expression.Result[searchers_api.Reply, searchers_api.CallFailure]
+
+_logger = logbook.Logger("azureramp.owner")
+
+
+class PartRunner:
+    """Queues sub-requests, starts them within the limits, and answers.
+
+    Attributes:
+        on_released: Called when a call has ended on a searcher that this VM
+            has given up meanwhile.
+    """
+
+    __slots__ = (
+        "_board",
+        "_directory",
+        "_holdings",
+        "_poisoning",
+        "_port",
+        "_prober",
+        "_replies",
+        "_rules",
+        "_trial_queue",
+        "on_released",
+    )
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        port: searchers_api.Searchers,
+        places: directory.Directory,
+        holdings: owned_searcher.Holdings,
+        suspects: poisoning.Poisoning,
+        prober: probing.Prober,
+        answers: replies.Replies,
+    ) -> None:
+        """Makes a runner with nothing to run."""
+        self._board = board
+        self._port = port
+        self._directory = places
+        self._holdings = holdings
+        self._poisoning = suspects
+        self._prober = prober
+        self._replies = answers
+        self._rules = dispatch_rules.DispatchRules(
+            board, holdings, suspects, prober
+        )
+        self._trial_queue: dict[int, list[Part]] = {}
+        self.on_released: Callable[[OwnedSearcher], None] = _ignore
+
+    def take(self, part: Part) -> None:
+        """Queues a sub-request, or refuses it at once."""
+        owned = self._holdings.owned.get(part.request.searcher)
+        if owned is None:
+            self.fail(part, errors.Failure(errors.Kind.NOT_OWNER))
+            return
+        refusal = self._rules.refuse_waiting(owned, part)
+        if refusal is not None:
+            self.fail(part, refusal)
+            return
+        self._holdings.parts[part.key] = (owned, part)
+        if not self._poisoning.needs_trial(part) or self._try_begin(part):
+            self._push(owned, part)
+            self.pump(owned)
+
+    def cancel(self, owned: OwnedSearcher, part: Part) -> None:
+        """Ends a sub-request that nobody waits for.
+
+        One that may not be repeated goes on once it was sent: its outcome
+        is recorded, and cutting it would leave that unknown.
+        """
+        if part.sent and not part.batch.repeatable:
+            return
+        part.unwanted = True
+        if part.task is not None:
+            part.task.cancel()
+            return
+        waiting = self._trial_queue.get(part.batch.fingerprint, [])
+        if part in waiting:
+            waiting.remove(part)
+        owned.queue.remove(part)
+        self.fail(part, errors.Failure(errors.Kind.CANCELLED))
+
+    def pump(self, owned: OwnedSearcher) -> None:
+        """Starts as many sub-requests as there is room for."""
+        now_s = _now_s()
+        for expired in owned.queue.expire(now_s):
+            self.fail(expired.content, self._rules.make_overloaded(owned))
+        if not len(owned.queue) or not self._rules.may_start(owned):
+            return
+        while (waiting := owned.queue.peek()) is not None:
+            part = waiting.content
+            if not owned.has_room(part, now_s):
+                return
+            owned.queue.pop()
+            if self._rules.is_useless(owned, part):
+                late = errors.Failure(errors.Kind.DEADLINE_TOO_SHORT)
+                self.fail(part, late)
+                continue
+            owned.running[part.key] = part
+            part.task = asyncio.ensure_future(self._run(owned, part))
+
+    def fail_waiting(
+        self, owned: OwnedSearcher, failure: errors.Failure
+    ) -> None:
+        """Gives back all that waits for a searcher, unsent."""
+        for waiting in owned.queue.clear():
+            self.fail(waiting.content, failure)
+        for parts in self._trial_queue.values():
+            for part in tuple(parts):
+                if part.request.searcher == owned.get_name():
+                    parts.remove(part)
+                    self.fail(part, failure)
+
+    def fail(self, part: Part, failure: errors.Failure) -> None:
+        """Ends a sub-request that has no result."""
+        if part.unwanted and part.batch.repeatable:
+            self._forget(part)
+            return
+        self._reply(
+            part, replies.make_failed(part.request.part, failure, part.sent)
+        )
+
+    def _try_begin(self, part: Part) -> bool:
+        """Begins a sub-request's trial, or lets it wait for another's end."""
+        part.alone = part.batch.isolated or self._poisoning.is_suspect(part)
+        fingerprint = part.batch.fingerprint
+        if self._poisoning.trials.try_begin(fingerprint, part.key):
+            return True
+        self._trial_queue.setdefault(fingerprint, []).append(part)
+        return False
+
+    def _push(self, owned: OwnedSearcher, part: Part) -> None:
+        """Adds a sub-request to its searcher's queue."""
+        policy = self._directory.get_policy()
+        end_s = min(part.deadline_s, _now_s() + policy.queue_ms / 1000)
+        waiting = queues.Waiting(
+            part.batch.priority, part.deadline_s, end_s, part
+        )
+        dropped = owned.queue.push(waiting, policy.queue_limit)
+        if dropped is not None:
+            self.fail(dropped.content, self._rules.make_overloaded(owned))
+
+    async def _run(self, owned: OwnedSearcher, part: Part) -> None:
+        """Runs one sub-request on its searcher, to its result."""
+        failure = errors.Failure(errors.Kind.CANCELLED)
+        ended = False
+        part.again = False
+        try:
+            result = await self._port.call(
+                self._make_call(owned, part),
+                lambda: self._may_write(owned, part),
+            )
+            if not part.again:
+                await self._end(owned, part, result)
+                ended = True
+        except asyncio.CancelledError:
+            part.again = False
+            self._take_unanswered(owned, part)
+        except Exception:
+            # A fault of this program must not hold a slot for good.
+            _logger.exception("a sub-request failed by a fault")
+            failure = errors.Failure(errors.Kind.INTERNAL)
+        finally:
+            owned.running.pop(part.key, None)
+            part.task = None
+            if part.again:
+                self.take(part)
+            elif not ended:
+                self.fail(part, failure)
+            self._free(owned)
+
+    def _make_call(
+        self, owned: OwnedSearcher, part: Part
+    ) -> searchers_api.Call:
+        """Makes the port's call of a sub-request."""
+        left_s = part.deadline_s - _now_s()
+        if owned.is_cold():
+            # After the lease another VM may own the searcher, and count on
+            # nothing of ours still running in it.
+            left_s = min(left_s, self._rules.get_lease_s())
+        usual_ms = owned.ramp.get_usual_ms()
+        return part.make_call(owned.get_address(), left_s, usual_ms)
+
+    def _may_write(self, owned: OwnedSearcher, part: Part) -> bool:
+        """Decides right before the first byte, and records the dispatch."""
+        match self._rules.decide_writing(owned, part):
+            case dispatch_rules.Allowed():
+                part.sent = True
+                part.sent_s = _now_s()
+                part.epoch = owned.ramp.epoch
+                self._board.metrics.count("searcher.calls")
+                self._board.timeline.record(
+                    owned.make_dispatched(part, self._board.lease_until_s),
+                    part.sent_s,
+                )
+                return True
+            case dispatch_rules.Postponed():
+                part.again = True
+            case dispatch_rules.Refused(failure):
+                part.refusal = failure
+        return False
+
+    async def _end(
+        self, owned: OwnedSearcher, part: Part, result: CallResult
+    ) -> None:
+        """Tells the coordinator the result, and the ramp what it means."""
+        match result:
+            case expression.Result(tag="ok", ok=reply):
+                self._take_reply(owned, part, reply)
+            case expression.Result(error=failed) if not failed.sent:
+                if failed.failure.kind is errors.Kind.CONNECTION_LOST:
+                    self._prober.lose(owned, "refused")
+                    self.fail_waiting(owned, failed.failure)
+                self.fail(part, part.refusal or failed.failure)
+            case expression.Result(error=failed):
+                await self._take_failure(owned, part, failed.failure)
+
+    def _take_reply(
+        self, owned: OwnedSearcher, part: Part, reply: searchers_api.Reply
+    ) -> None:
+        """Takes a whole reply."""
+        owned.succeeded_s = _now_s()
+        took_ms = (owned.succeeded_s - part.sent_s) * 1000
+        owned.ramp.succeed(took_ms, part.epoch)
+        self._poisoning.succeed(part)
+        self._board.metrics.record_ms("searcher.took_ms", took_ms)
+        done = messages.PartDone(
+            part.request.part,
+            reply.version,
+            reply.low,
+            reply.high,
+            bytes(reply.items),
+            took_ms,
+        )
+        self._reply(part, done)
+
+    async def _take_failure(
+        self, owned: OwnedSearcher, part: Part, failure: errors.Failure
+    ) -> None:
+        """Takes the failure of a call whose bytes may have arrived."""
+        match failure.kind:
+            case errors.Kind.CONNECTION_LOST:
+                owned.ramp.fail(part.epoch)
+                if await self._poisoning.judge(owned, part):
+                    self._prober.lose(owned, "crashed")
+                    self.fail_waiting(owned, failure)
+                    failure = errors.Failure(errors.Kind.BACKEND_CRASHED)
+            case errors.Kind.DEADLINE_PASSED:
+                self._take_unanswered(owned, part)
+            case errors.Kind.VERSION_GONE:
+                self._prober.probe(owned)
+            case _:
+                owned.ramp.fail(part.epoch)
+        self.fail(part, failure)
+
+    def _take_unanswered(self, owned: OwnedSearcher, part: Part) -> None:
+        """Takes a call that was given up before its reply."""
+        if not part.sent:
+            return
+        now_s = _now_s()
+        owned.ramp.end_unanswered((now_s - part.sent_s) * 1000, part.epoch)
+        self._poisoning.give_up(owned, part)
+        if owned.is_cold():
+            owned.lingering_s.append(now_s + SETTLE_S)
+            asyncio.get_running_loop().call_later(SETTLE_S, self._free, owned)
+
+    def _free(self, owned: OwnedSearcher) -> None:
+        """Uses the room that a sub-request has left."""
+        if self._holdings.owned.get(owned.get_name()) is owned:
+            self._prober.note(owned)
+            self.pump(owned)
+        elif not owned.running:
+            self.on_released(owned)
+
+    def _reply(self, part: Part, result: messages.PartResult) -> None:
+        """Sends a result and forgets the sub-request."""
+        self._replies.send(part.coordinator, part.batch.request_id, result)
+        self._forget(part)
+
+    def _forget(self, part: Part) -> None:
+        """Forgets a sub-request that has ended."""
+        self._holdings.parts.pop(part.key, None)
+        fingerprint = part.batch.fingerprint
+        if self._poisoning.trials.end(fingerprint, part.key):
+            asyncio.get_running_loop().call_soon(self._go_on, fingerprint)
+
+    def _go_on(self, fingerprint: int) -> None:
+        """Takes what waited for a trial's end.
+
+        After a success all start; else the first begins the next trial.
+        """
+        for part in self._trial_queue.pop(fingerprint, []):
+            self.take(part)
+
+
+def _ignore(owned: OwnedSearcher) -> None:
+    """Does nothing."""
+
+
+def _now_s() -> float:
+    """Reads the loop's clock, in seconds."""
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/azureramp/controllers/parts.py
@@ -0,0 +1,70 @@
+"""One sub-request on its way through an owner."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from azureramp import errors, messages
+from azureramp.policy import connections
+from azureramp.ports.searchers import api as searchers_api
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Part:
+    """One sub-request on its way through an owner.
+
+    Attributes:
+        coordinator: The VM that asked.
+        batch: The batch that it came in.
+        request: The sub-request.
+        key: What names it in the deployment.
+        deadline_s: The request's deadline, on this VM's clock.
+        alone: True if nothing else may run beside it on its searcher.
+        sent: True once its first byte may have been written.
+        sent_s: When that was.
+        epoch: The ramp's epoch then.
+        refusal: Why the write was refused at the last moment, if it was.
+        again: True if it must be queued again.
+        unwanted: True if its coordinator has cancelled it.
+        task: The task that runs it; None while it waits.
+    """
+
+    coordinator: str
+    batch: messages.QueryBatch
+    request: messages.PartRequest
+    key: tuple[str, int]
+    deadline_s: float
+    alone: bool = False
+    sent: bool = False
+    sent_s: float = 0.0
+    epoch: int = 0
+    refusal: errors.Failure | None = None
+    again: bool = False
+    unwanted: bool = False
+    task: asyncio.Task[None] | None = None
+
+    def make_call(
+        self, address: str, left_s: float, usual_ms: float
+    ) -> searchers_api.Call:
+        """Makes the port's call.
+
+        Args:
+            address: The searcher's `IP:port`.
+            left_s: The time that it may take, in seconds.
+            usual_ms: The searcher's usual service time, in milliseconds.
+        """
+        batch, request = self.batch, self.request
+        return searchers_api.Call(
+            address=address,
+            call_id=f"{batch.request_id}/{request.part}",
+            index=batch.index,
+            version=batch.version,
+            shard=request.shard,
+            low=request.low,
+            high=request.high,
+            deadline_ms=max(0.0, left_s * 1000),
+            body=batch.body,
+            repeatable=batch.repeatable,
+            overdue_ms=connections.get_overdue_ms(usual_ms),
+        )
--- /dev/null
+++ b/src/azureramp/controllers/poisoning.py
@@ -0,0 +1,290 @@
+"""Finding the requests that crash backend servers, with the other VMs."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+
+import expression
+
+from azureramp import blackboard, errors, events, messages
+from azureramp.controllers import directory, owned_searcher
+from azureramp.controllers import outbox as outbox_module
+from azureramp.policy import poison, trials
+from azureramp.ports.searchers import api as searchers_api
+
+GIVEN_UP_S = 0.5
+"""How long a call that was given up may still crash its server, in
+seconds."""
+
+MAX_GIVEN_UP = 256
+"""Most calls remembered that were given up."""
+
+REPEAT_S = 5.0
+"""Time between notices of all quarantines, for VMs that came up since."""
+
+OwnedSearcher = owned_searcher.OwnedSearcher
+Part = owned_searcher.Part
+
+
+@dataclasses.dataclass(slots=True)
+class Incident:
+    """Connections to a backend server were lost, and it is being looked at.
+
+    Attributes:
+        fingerprints: What was in flight.
+        verdict: Ends with True if the server crashed.
+    """
+
+    fingerprints: set[int]
+    verdict: asyncio.Task[bool]
+
+
+class Poisoning:
+    """Judges lost connections, and keeps suspect requests apart.
+
+    Attributes:
+        trials: Which requests are on trial.
+        tries_new: True if also requests that nobody has seen crash run first
+            on one searcher alone.
+    """
+
+    __slots__ = (
+        "_board",
+        "_crashed_s",
+        "_directory",
+        "_given_up",
+        "_holdings",
+        "_incidents",
+        "_outbox",
+        "_port",
+        "_repeated_s",
+        "trials",
+        "tries_new",
+    )
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        outbox: outbox_module.Outbox,
+        port: searchers_api.Searchers,
+        places: directory.Directory,
+        holdings: owned_searcher.Holdings,
+    ) -> None:
+        """Makes it without any suspect."""
+        self.trials = trials.Trials()
+        self.tries_new = False
+        self._board = board
+        self._outbox = outbox
+        self._port = port
+        self._directory = places
+        self._holdings = holdings
+        self._incidents: dict[str, Incident] = {}
+        self._crashed_s: dict[str, float] = {}
+        self._given_up: collections.deque[tuple[float, str, int]] = (
+            collections.deque(maxlen=MAX_GIVEN_UP)
+        )
+        self._repeated_s = 0.0
+
+    def is_suspect(self, part: Part) -> bool:
+        """Tells whether a sub-request's fingerprint is charged."""
+        fingerprint = part.batch.fingerprint
+        return self._board.blame.crashes(fingerprint, _now_s()) > 0
+
+    def needs_trial(self, part: Part) -> bool:
+        """Tells whether a sub-request may only run as the one of its sort."""
+        if part.batch.isolated or self.is_suspect(part):
+            return True
+        return self.tries_new and not self.trials.is_proven(
+            part.batch.fingerprint, _now_s()
+        )
+
+    def get_refusal(
+        self, part: Part, owned: OwnedSearcher
+    ) -> errors.Failure | None:
+        """Returns why a request may not run now; None if it may."""
+        now_s = _now_s()
+        left_ms = self._board.blame.quarantined_ms(
+            part.batch.fingerprint, now_s
+        )
+        if left_ms > 0:
+            return errors.Failure(
+                errors.Kind.QUARANTINED, retry_after_ms=left_ms
+            )
+        crashed_s = self._crashed_s.get(owned.place.server.name)
+        if (
+            crashed_s is not None
+            and now_s - crashed_s <= poison.MERGE_S
+            and self.is_suspect(part)
+        ):
+            # Another crash of the same server so soon would be taken for the
+            # same one, and the suspect would get a third try.
+            return errors.Failure(errors.Kind.COLD, "just crashed")
+        return None
+
+    def succeed(self, part: Part) -> None:
+        """Takes a success, which clears a suspect."""
+        fingerprint = part.batch.fingerprint
+        self.trials.prove(fingerprint, _now_s())
+        self._board.blame.clear(fingerprint)
+
+    def give_up(self, owned: OwnedSearcher, part: Part) -> None:
+        """Remembers a call that ended without a reply."""
+        self._given_up.append(
+            (_now_s(), owned.place.server.name, part.batch.fingerprint)
+        )
+
+    async def judge(self, owned: OwnedSearcher, part: Part) -> bool:
+        """Tells whether a lost connection was its server's crash.
+
+        All calls that a crash cut share one look at the server. Until it has
+        ended none of them is answered, so that no coordinator sends the
+        request to the next server before it is known for a suspect.
+
+        Args:
+            owned: The searcher.
+            part: The sub-request whose connection was lost.
+
+        Returns:
+            True if the server crashed.
+        """
+        server = owned.place.server.name
+        incident = self._incidents.get(server)
+        if incident is None:
+            incident = Incident(
+                self._get_in_flight(server),
+                asyncio.ensure_future(self._look(owned)),
+            )
+            self._incidents[server] = incident
+        incident.fingerprints.add(part.batch.fingerprint)
+        return await asyncio.shield(incident.verdict)
+
+    def receive_notice(self, message: messages.CrashNotice) -> None:
+        """Learns of a crash, or of quarantines, from another VM."""
+        now_s = _now_s()
+        for fingerprint in message.fingerprints:
+            if message.quarantine_ms > 0:
+                self._board.blame.adopt(
+                    fingerprint, message.quarantine_ms, now_s
+                )
+        if message.crash_id:
+            self._record(message)
+
+    def repeat_quarantines(self) -> None:
+        """Tells the other VMs of all quarantines, now and then."""
+        now_s = _now_s()
+        if now_s - self._repeated_s < REPEAT_S:
+            return
+        self._repeated_s = now_s
+        quarantined = self._board.blame.get_quarantined_ms(now_s)
+        for fingerprint, left_ms in quarantined.items():
+            self._tell(
+                messages.CrashNotice(
+                    server="",
+                    crash_id="",
+                    fingerprints=(fingerprint,),
+                    quarantine_ms=left_ms,
+                )
+            )
+
+    def close(self) -> None:
+        """Ends what runs in the background."""
+        for incident in self._incidents.values():
+            incident.verdict.cancel()
+
+    async def _look(self, owned: OwnedSearcher) -> bool:
+        """Looks at a searcher over a fresh connection.
+
+        A crash is told from a connection that something on the way has
+        dropped: after a crash the searcher refuses connections, or is
+        another incarnation. Silence says nothing of either.
+        """
+        server = owned.place.server.name
+        known = owned.health.incarnation if owned.health else 0
+        try:
+            report = await self._port.read_health(
+                owned.get_address(), fresh=True
+            )
+            match report:
+                case expression.Result(tag="ok", ok=health):
+                    crashed = health.incarnation != known
+                case expression.Result(error=failure):
+                    crashed = failure.kind is errors.Kind.CONNECTION_LOST
+            if crashed:
+                self._tell_crash(owned, known)
+            return crashed
+        finally:
+            del self._incidents[server]
+
+    def _tell_crash(self, owned: OwnedSearcher, incarnation: int) -> None:
+        """Charges what was in flight, here and on every other VM."""
+        server = owned.place.server.name
+        self._board.metrics.count("searcher.crashes")
+        self._board.timeline.record(
+            events.SearcherChanged(
+                searcher=owned.get_name(),
+                incarnation=incarnation,
+                state="crashed",
+                reason="lost",
+                limit=owned.ramp.limit,
+            ),
+            _now_s(),
+        )
+        fingerprints = sorted(self._incidents[server].fingerprints)
+        notice = messages.CrashNotice(
+            server=server,
+            crash_id=f"{owned.get_name()}/{incarnation}",
+            fingerprints=tuple(fingerprints[: poison.MAX_FINGERPRINTS]),
+        )
+        self._record(notice)
+        self._tell(notice)
+
+    def _record(self, notice: messages.CrashNotice) -> None:
+        """Charges a crash."""
+        now_s = _now_s()
+        blame = self._board.blame
+        self._crashed_s[notice.server] = now_s
+        is_new = blame.record(
+            notice.server,
+            notice.crash_id.rpartition("/")[0],
+            notice.crash_id,
+            frozenset(notice.fingerprints),
+            now_s,
+            self._directory.get_policy().quarantine_s,
+        )
+        if not is_new:
+            return
+        for fingerprint in notice.fingerprints:
+            self.trials.forget(fingerprint)
+            self._board.timeline.record(
+                events.FingerprintBlamed(
+                    server=notice.server,
+                    crash_id=notice.crash_id,
+                    fingerprint=fingerprint,
+                    crashes=blame.crashes(fingerprint, now_s),
+                    quarantined=blame.quarantined_ms(fingerprint, now_s) > 0,
+                ),
+                now_s,
+            )
+
+    def _tell(self, notice: messages.CrashNotice) -> None:
+        """Sends a notice to every other VM."""
+        for vm in self._board.members:
+            if vm != self._board.settings.vm:
+                self._outbox.send(vm, notice)
+
+    def _get_in_flight(self, server: str) -> set[int]:
+        """Returns what is, or a moment ago was, in flight on a server."""
+        since_s = _now_s() - GIVEN_UP_S
+        given_up = {
+            fingerprint
+            for at_s, name, fingerprint in self._given_up
+            if name == server and at_s >= since_s
+        }
+        return self._holdings.get_sent(server) | given_up
+
+
+def _now_s() -> float:
+    """Reads the loop's clock, in seconds."""
+    return asyncio.get_running_loop().time()
--- a/src/azureramp/policy/queues.py
+++ b/src/azureramp/policy/queues.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import heapq
+import math
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
@@ -19,13 +20,13 @@
     Attributes:
         priority: How urgent it is.
         deadline_s: When it is of no more use to anybody.
-        queued_s: When it began to wait.
+        end_s: When it gives up waiting, at the deadline or before.
         content: The thing.
     """
 
     priority: resources.Priority
     deadline_s: float
-    queued_s: float
+    end_s: float
     content: _T
 
     def get_rank(self) -> tuple[int, float]:
@@ -42,12 +43,13 @@
     waits, so nothing starves while there is spare capacity.
     """
 
-    __slots__ = ("_heap", "_sequence")
+    __slots__ = ("_first_end_s", "_heap", "_sequence")
 
     def __init__(self) -> None:
         """Makes an empty queue."""
         self._heap: list[tuple[tuple[int, float], int, Waiting[_T]]] = []
         self._sequence = 0
+        self._first_end_s = math.inf
 
     def __len__(self) -> int:
         """Returns how many wait."""
@@ -65,11 +67,12 @@
             have room.
         """
         self._sequence += 1
+        self._first_end_s = min(self._first_end_s, waiting.end_s)
         entry = (waiting.get_rank(), self._sequence, waiting)
         heapq.heappush(self._heap, entry)
         if len(self._heap) <= limit:
             return None
-        worst = max(self._heap)
+        worst = max(self._heap, key=lambda entry: entry[:2])
         self._heap.remove(worst)
         heapq.heapify(self._heap)
         return worst[2]
@@ -82,19 +85,19 @@
         """Takes the next one; there must be one."""
         return heapq.heappop(self._heap)[2]
 
-    def expire(self, now_s: float, longest_s: float) -> list[Waiting[_T]]:
-        """Takes out all that waited too long or whose deadline passed.
+    def expire(self, now_s: float) -> list[Waiting[_T]]:
+        """Takes out all that have waited to their end, in order.
 
         Args:
             now_s: The time.
-            longest_s: Longest wait, in seconds.
         """
-        return self._take(
-            lambda waiting: (
-                waiting.deadline_s <= now_s
-                or waiting.queued_s + longest_s <= now_s
-            )
+        if now_s < self._first_end_s:
+            return []
+        expired = self._take(lambda waiting: waiting.end_s <= now_s)
+        self._first_end_s = min(
+            (entry[2].end_s for entry in self._heap), default=math.inf
         )
+        return expired
 
     def remove(self, content: _T) -> bool:
         """Takes one thing out; False if it doesn't wait."""
@@ -102,20 +105,10 @@
 
     def clear(self) -> list[Waiting[_T]]:
         """Takes all out, in order."""
-        taken = [entry[2] for entry in sorted(self._heap)]
-        self._heap.clear()
-        return taken
-
-    def get_next_end_s(self, longest_s: float) -> float | None:
-        """Returns when the first one expires; None if none waits."""
-        ends = (
-            min(entry[2].deadline_s, entry[2].queued_s + longest_s)
-            for entry in self._heap
-        )
-        return min(ends, default=None)
+        return self._take(lambda waiting: True)
 
     def count_before(self, priority: resources.Priority) -> int:
-        """Counts those that go before a new one of this priority."""
+        """Counts those that may go before a new one of this priority."""
         return sum(entry[2].priority <= priority for entry in self._heap)
 
     def _take(
@@ -128,4 +121,23 @@
                 entry for entry in self._heap if not is_taken(entry[2])
             ]
             heapq.heapify(self._heap)
-        return [entry[2] for entry in sorted(taken)]
+        taken.sort(key=lambda entry: entry[:2])
+        return [entry[2] for entry in taken]
+
+
+def estimate_wait_ms(
+    before: int, in_use: int, limit: int, service_ms: float
+) -> float:
+    """Estimates how long a new one will wait for its slot.
+
+    Args:
+        before: How many wait that go before it.
+        in_use: Slots in use.
+        limit: Slots that may be in use.
+        service_ms: The usual service time, in milliseconds; 0 if unknown.
+
+    Returns:
+        The time in milliseconds.
+    """
+    rounds = max(0, before + in_use - limit + 1) / max(1, limit)
+    return rounds * service_ms
--- a/src/azureramp/ports/searchers/api.py
+++ b/src/azureramp/ports/searchers/api.py
@@ -27,6 +27,8 @@
         deadline_ms: Time left, in milliseconds, told to the searcher.
         body: The query, JSON.
         repeatable: False if the call has effects and may be made only once.
+        overdue_ms: After this time without a reply, in milliseconds, the
+            connection is suspect; 0 for never.
     """
 
     address: str
@@ -39,6 +41,7 @@
     deadline_ms: float
     body: bytes
     repeatable: bool = True
+    overdue_ms: float = 0.0
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -88,6 +91,20 @@
     versions: tuple[str, ...]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Links:
+    """The connections to one searcher.
+
+    Attributes:
+        open: How many are open.
+        lost: How many were lost since the start: closed by the searcher, or
+            broken, and not by this side.
+    """
+
+    open: int
+    lost: int
+
+
 class Searchers(Protocol):
     """Calls to searchers, over pooled connections.
 
@@ -95,8 +112,15 @@
     Cancelling a call's task cancels the call at the searcher too.
     """
 
-    def set_limit(self, address: str, connections: int) -> None:
-        """Sets the most connections to hold open to an address."""
+    def set_limit(self, address: str, limit: int) -> None:
+        """Sets the most connections to hold open to an address.
+
+        Those for health reads count too; 0 closes all that are idle.
+        """
+        ...
+
+    def get_links(self, address: str) -> Links:
+        """Returns what is known now of the connections to an address."""
         ...
 
     async def call(
@@ -117,9 +141,18 @@
         ...
 
     async def read_health(
-        self, address: str
+        self, address: str, fresh: bool = False
     ) -> expression.Result[Health, errors.Failure]:
-        """Reads a searcher's own report, on its own connection."""
+        """Reads a searcher's own report, on its own connection.
+
+        Args:
+            address: The searcher's `IP:port`.
+            fresh: True if the connection must be a new one.
+
+        Returns:
+            The report; `CONNECTION_LOST` if the connection was refused or
+            broke; `DEADLINE_PASSED` if nothing came in time.
+        """
         ...
 
     async def close(self) -> None:
--- a/src/azureramp/ports/searchers/http.py
+++ b/src/azureramp/ports/searchers/http.py
@@ -21,9 +21,13 @@
     409: errors.Kind.VERSION_GONE,
     410: errors.Kind.VERSION_GONE,
     503: errors.Kind.SHED,
+    504: errors.Kind.DEADLINE_PASSED,
 }
 """The error kinds of a searcher's refusals; all others are failures."""
 
+MAX_RETRY_AFTER_S = 60
+"""A searcher's Retry-After past this is cut to it, in seconds."""
+
 
 class SearchBody(msgspec.Struct, frozen=True):
     """The body of a call.
@@ -64,13 +68,8 @@
         self._connection = connection
 
     @property
-    def opened_s(self) -> float:
-        """When it was opened, on the loop's clock."""
-        return self._connection.opened_s
-
-    @property
-    def used_s(self) -> float:
-        """When it last ended an exchange, on the loop's clock."""
+    def proven_s(self) -> float:
+        """When it last gave proof of life, on the loop's clock."""
         return self._connection.used_s
 
     def is_reusable(self) -> bool:
@@ -119,6 +118,8 @@
     ) -> expression.Result[api.Health, errors.Failure]:
         """Reads the searcher's health; see `calls.Link`."""
         response = await self._connection.exchange("GET", HEALTH_PATH, ())
+        if response.status != 200:
+            return expression.Error(make_refusal(response))
         try:
             return expression.Ok(_health_decoder.decode(response.body))
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
@@ -132,9 +133,9 @@
     kind = STATUS_KINDS.get(response.status, errors.Kind.BACKEND_FAILED)
     fields = {name.lower(): value for name, value in response.headers}
     retry_after = fields.get("retry-after", "")
-    retry_after_ms = (
-        int(retry_after) * 1000 if retry_after.isdecimal() else None
-    )
+    retry_after_ms = None
+    if retry_after.isascii() and retry_after.isdecimal():
+        retry_after_ms = min(int(retry_after[:6]), MAX_RETRY_AFTER_S) * 1000
     return errors.Failure(
         kind, f"the searcher said {response.status}", retry_after_ms
     )
--- /dev/null
+++ b/src/azureramp/ports/searchers/memory_searcher.py
@@ -0,0 +1,270 @@
+"""An in-memory searcher with the faults of real ones, for virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import expression
+import msgspec
+
+from azureramp import errors
+from azureramp.ports.searchers import api, calls
+from azureramp.ports.web import connection as web_connection
+
+Search = Callable[[api.Call], bytes]
+"""Makes the items, a JSON array, of a call."""
+
+
+def search_nothing(call: api.Call) -> bytes:
+    """Finds nothing."""
+    return b"[]"
+
+
+class Link(Protocol):
+    """What a searcher knows of a connection to it."""
+
+    silent: bool
+
+    def lose(self) -> None:
+        """Breaks the connection, from the searcher's side."""
+        ...
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """What goes wrong at one searcher; may be changed at any time.
+
+    Attributes:
+        down: True while connections are refused.
+        sheds: Probability that a call is refused.
+        fails: Probability that a call fails.
+        straggles: Probability that a call takes `straggler_factor` times as
+            long.
+        straggler_factor: See `straggles`.
+        crashes_on: A call whose body holds these bytes crashes the backend
+            server; empty for none.
+        restart_s: How long a crashed searcher is down, in seconds.
+        crossed: How many of the next replies carry another call's id.
+        truncated: How many of the next replies break off.
+        hangs: How many of the next calls are never answered.
+        reports_cold: What health says of cold; None tells the truth.
+    """
+
+    down: bool = False
+    sheds: float = 0.0
+    fails: float = 0.0
+    straggles: float = 0.0
+    straggler_factor: float = 10.0
+    crashes_on: bytes = b""
+    restart_s: float = 1.0
+    crossed: int = 0
+    truncated: int = 0
+    hangs: int = 0
+    reports_cold: bool | None = None
+
+
+class Searcher:
+    """One searcher process.
+
+    Attributes:
+        address: Its `IP:port`.
+        slots: How many calls it runs at once; more wait in it.
+        cold_limit: How many it bears at once in cold start.
+        versions: The `index.version` names that it serves.
+        faults: What goes wrong.
+        search: Makes a reply's items.
+        incarnation: Its start number.
+        warm_after: How many calls make it warm.
+        cold_factor: How much longer a call takes in cold start.
+        service_ms: Median service time, in milliseconds.
+        spread: Sigma of the service time's log-normal distribution.
+        connect_ms: Time to open a connection, in milliseconds.
+        siblings: The searchers that crash with it, itself included.
+        served: Calls that it has ended since it started.
+        running: Calls in it now.
+        calls: Calls that reached it, ever.
+        crashes: How often it has crashed.
+        most_cold: The most that it had at once in cold start, ever.
+        most_running: The most that it had at once, ever.
+        most_links: The most connections open to it at once, ever.
+        effects: The bodies of the calls with effects that it ran.
+        links: The connections open to it.
+        last_call_s: When the last call reached it.
+    """
+
+    __slots__ = (
+        "_random",
+        "_slots",
+        "address",
+        "calls",
+        "cold_factor",
+        "cold_limit",
+        "connect_ms",
+        "crashes",
+        "effects",
+        "faults",
+        "incarnation",
+        "last_call_s",
+        "links",
+        "most_cold",
+        "most_links",
+        "most_running",
+        "running",
+        "search",
+        "served",
+        "service_ms",
+        "siblings",
+        "slots",
+        "spread",
+        "versions",
+        "warm_after",
+    )
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        slots: int = 2,
+        cold_limit: int = 1,
+        service_ms: float = 10.0,
+        spread: float = 0.2,
+        connect_ms: float = 6.0,
+        versions: tuple[str, ...] = (),
+        seed: int = 0,
+    ) -> None:
+        """Makes a searcher that is warm and without faults."""
+        self.address = address
+        self.slots = slots
+        self.cold_limit = cold_limit
+        self.versions = versions
+        self.faults = Faults()
+        self.search: Search = search_nothing
+        self.incarnation = 1
+        self.warm_after = 0
+        self.cold_factor = 5.0
+        self.service_ms = service_ms
+        self.spread = spread
+        self.connect_ms = connect_ms
+        self.siblings: list[Searcher] = [self]
+        self.served = 0
+        self.running = 0
+        self.calls = 0
+        self.crashes = 0
+        self.most_cold = 0
+        self.most_running = 0
+        self.most_links = 0
+        self.effects: list[bytes] = []
+        self.links: set[Link] = set()
+        self.last_call_s = -1.0
+        self._random = random.Random(f"{address}/{seed}")
+        self._slots = asyncio.Semaphore(slots)
+
+    def is_cold(self) -> bool:
+        """Tells whether it is in cold start."""
+        return self.served < self.warm_after
+
+    def restart(self, warm_after: int = 0) -> None:
+        """Starts anew: all connections are lost.
+
+        Args:
+            warm_after: How many calls it takes until it is warm.
+        """
+        self.incarnation += 1
+        self.served = 0
+        self.warm_after = warm_after
+        for link in list(self.links):
+            link.lose()
+
+    def silence(self) -> None:
+        """Something on the way loses track of all open connections."""
+        for link in self.links:
+            link.silent = True
+
+    def turn_cold(self, warm_after: int) -> None:
+        """Turns cold without a restart and without a word."""
+        self.served = 0
+        self.warm_after = warm_after
+
+    def crash(self) -> None:
+        """Crashes, and starts again after a while."""
+        self.crashes += 1
+        self.faults.down = True
+        for link in list(self.links):
+            link.lose()
+        asyncio.get_running_loop().call_later(
+            self.faults.restart_s, self._recover
+        )
+
+    def _recover(self) -> None:
+        """Is back after a crash."""
+        self.faults.down = False
+        self.restart(self.warm_after)
+
+    async def serve(self, call: api.Call) -> calls.Outcome:
+        """Runs a call, or waits for a slot first."""
+        self.calls += 1
+        self.last_call_s = asyncio.get_running_loop().time()
+        if f"{call.index}.{call.version}" not in self.versions:
+            return _refuse(errors.Kind.VERSION_GONE)
+        if self._random.random() < self.faults.sheds:
+            return _refuse(errors.Kind.SHED)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        if self.is_cold():
+            self.most_cold = max(self.most_cold, self.running)
+        try:
+            async with self._slots:
+                return await self._run(call)
+        finally:
+            self.running -= 1
+
+    async def _run(self, call: api.Call) -> calls.Outcome:
+        """Runs a call in a slot."""
+        faults = self.faults
+        if faults.hangs:
+            faults.hangs -= 1
+            await asyncio.get_running_loop().create_future()
+        await asyncio.sleep(self._draw_ms() / 1000)
+        if faults.crashes_on and faults.crashes_on in call.body:
+            for sibling in self.siblings:
+                sibling.crash()
+            await asyncio.get_running_loop().create_future()
+        self.served += 1
+        if self._random.random() < faults.fails:
+            return _refuse(errors.Kind.BACKEND_FAILED)
+        if not call.repeatable:
+            self.effects.append(call.body)
+        if faults.truncated:
+            faults.truncated -= 1
+            raise web_connection.BrokenError("the reply broke off")
+        call_id = call.call_id
+        if faults.crossed:
+            faults.crossed -= 1
+            call_id = "another"
+        return expression.Ok(
+            api.Reply(
+                call_id,
+                call.version,
+                call.low,
+                call.high,
+                msgspec.Raw(self.search(call)),
+            )
+        )
+
+    def _draw_ms(self) -> float:
+        """Draws a service time, in milliseconds."""
+        took_ms = self.service_ms * self._random.lognormvariate(0, self.spread)
+        if self._random.random() < self.faults.straggles:
+            took_ms *= self.faults.straggler_factor
+        if self.is_cold():
+            took_ms *= self.cold_factor
+        return took_ms
+
+
+def _refuse(kind: errors.Kind) -> calls.Outcome:
+    """Makes a searcher's refusal."""
+    return expression.Error(errors.Failure(kind, "the searcher refused"))
--- a/src/azureramp/ports/searchers/pool.py
+++ b/src/azureramp/ports/searchers/pool.py
@@ -20,13 +20,8 @@
     """What the pool needs of a connection."""
 
     @property
-    def opened_s(self) -> float:
-        """When it was opened, on the loop's clock."""
-        ...
-
-    @property
-    def used_s(self) -> float:
-        """When it last ended an exchange, on the loop's clock."""
+    def proven_s(self) -> float:
+        """When it last gave proof of life, on the loop's clock."""
         ...
 
     def is_reusable(self) -> bool:
@@ -47,21 +42,22 @@
 
 
 class AddressPool(Generic[_C]):
-    """The connections to one address.
+    """The connections to one address that carry calls.
 
     Attributes:
-        limit: Most connections to hold open.
-        suspect_before_s: Connections opened before this are not used again.
+        opened: How many are open, in use or idle.
+        lost: How many the other side has closed, or broke, ever.
     """
 
     __slots__ = (
         "_address",
         "_connect",
-        "_freed",
         "_idle",
-        "limit",
+        "_limit",
+        "_suspect_before_s",
+        "_waiters",
+        "lost",
         "opened",
-        "suspect_before_s",
     )
 
     def __init__(self, address: str, connect: Connect[_C]) -> None:
@@ -71,16 +67,24 @@
             address: The searcher's `IP:port`.
             connect: Opens a connection.
         """
-        self.limit = DEFAULT_LIMIT
         self.opened = 0
-        self.suspect_before_s = 0.0
+        self.lost = 0
+        self._limit = DEFAULT_LIMIT
+        self._suspect_before_s = 0.0
         self._address = address
         self._connect = connect
         self._idle: list[_C] = []
-        self._freed: collections.deque[asyncio.Future[None]] = (
+        self._waiters: collections.deque[asyncio.Future[None]] = (
             collections.deque()
         )
 
+    def set_limit(self, limit: int) -> None:
+        """Sets the most connections to hold open."""
+        self._limit = limit
+        while self._idle and self.opened > limit:
+            self._close(self._idle.pop(0))
+        self._wake()
+
     async def acquire(
         self, timeout_s: float
     ) -> expression.Result[_C, errors.Failure]:
@@ -96,10 +100,10 @@
         loop = asyncio.get_running_loop()
         until_s = loop.time() + timeout_s
         while True:
-            connection = self._take_idle(loop.time())
-            if connection is not None:
-                return expression.Ok(connection)
-            if self.opened < self.limit:
+            self.prune()
+            if self._idle:
+                return expression.Ok(self._idle.pop())
+            if self.opened < self._limit:
                 return await self._open(until_s - loop.time())
             if not await self._wait(until_s):
                 return expression.Error(
@@ -108,84 +112,90 @@
                     )
                 )
 
-    def release(self, connection: _C) -> None:
-        """Gives a connection back; a broken one is closed."""
-        if connection.is_reusable() and self.opened <= self.limit:
+    def release(self, connection: _C, broke: bool = False) -> None:
+        """Gives a connection back; one that can't be reused is closed.
+
+        Args:
+            connection: The connection.
+            broke: True if it failed, and wasn't closed by this side.
+        """
+        if broke:
+            self.lost += 1
+        if connection.is_reusable() and self.opened <= self._limit:
             self._idle.append(connection)
             self._wake()
         else:
             self._close(connection)
 
     def suspect(self, before_s: float) -> None:
-        """Closes the idle connections opened before a time.
+        """Closes the idle connections without proof of life since a time.
 
-        Those in use are closed when they come back.
+        Those in use are judged by their own replies when they come back.
         """
-        self.suspect_before_s = max(self.suspect_before_s, before_s)
-        self._prune(asyncio.get_running_loop().time())
-
-    def close(self) -> None:
-        """Closes the idle connections."""
-        while self._idle:
-            self._close(self._idle.pop())
-
-    def _take_idle(self, now_s: float) -> _C | None:
-        """Takes the idle connection that was used last."""
-        self._prune(now_s)
-        return self._idle.pop() if self._idle else None
+        self._suspect_before_s = max(self._suspect_before_s, before_s)
+        self.prune()
 
-    def _prune(self, now_s: float) -> None:
+    def prune(self) -> None:
         """Closes the idle connections that may not be used again."""
-        kept: list[_C] = []
-        for connection in self._idle:
-            if connection.is_reusable() and connections.may_reuse(
-                connection.opened_s,
-                connection.used_s,
-                now_s,
-                self.suspect_before_s,
+        now_s = asyncio.get_running_loop().time()
+        for connection in tuple(self._idle):
+            if not connection.is_reusable():
+                self.lost += 1
+            elif connections.may_reuse(
+                connection.proven_s, now_s, self._suspect_before_s
             ):
-                kept.append(connection)
-            else:
-                self._close(connection)
-        self._idle = kept
+                continue
+            self._idle.remove(connection)
+            self._close(connection)
 
     async def _open(
         self, timeout_s: float
     ) -> expression.Result[_C, errors.Failure]:
         """Opens a connection and counts it."""
         self.opened += 1
-        opened = False
+        succeeded = False
         try:
             result = await self._connect(self._address, timeout_s)
-            opened = result.is_ok()
+            succeeded = result.is_ok()
             return result
         finally:
-            if not opened:
+            if not succeeded:
                 self.opened -= 1
                 self._wake()
 
     async def _wait(self, until_s: float) -> bool:
         """Waits for a free place; False if the time ran out."""
-        freed = asyncio.get_running_loop().create_future()
-        self._freed.append(freed)
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
         try:
             async with asyncio.timeout_at(until_s):
-                await freed
+                await waiter
         except TimeoutError:
             return False
         finally:
-            if freed in self._freed:
-                self._freed.remove(freed)
-            elif freed.cancelled():
-                self._wake()
+            self._stop_waiting(waiter)
         return True
 
+    def _stop_waiting(self, waiter: asyncio.Future[None]) -> None:
+        """Forgets a waiter; one that was woken in vain wakes the next.
+
+        A waiter that is cancelled in the turn in which it was woken would
+        otherwise take the free place with it, and the next would wait on
+        with places free.
+        """
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+        else:
+            self._wake()
+
     def _wake(self) -> None:
-        """Lets the longest waiter look again."""
-        while self._freed:
-            freed = self._freed.popleft()
-            if not freed.done():
-                freed.set_result(None)
+        """Lets the longest waiter look again, if there is a place."""
+        if not self._idle and self.opened >= self._limit:
+            return
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
                 return
 
     def _close(self, connection: _C) -> None:
@@ -217,6 +227,6 @@
         return pool
 
     def close(self) -> None:
-        """Closes all idle connections."""
+        """Closes all idle connections, and others when they come back."""
         for pool in self._pools.values():
-            pool.close()
+            pool.set_limit(0)
--- a/src/azureramp/ports/web/connection.py
+++ b/src/azureramp/ports/web/connection.py
@@ -131,6 +131,8 @@
         if self._writer.is_closing() or self._reader.at_eof():
             raise UnsentError("closed")
         if may_write is not None and not may_write():
+            # Nothing was written, so the connection is as good as new.
+            self._http = h11.Connection(h11.CLIENT)
             raise UnsentError("not allowed")
         try:
             self._writer.write(data)
@@ -192,7 +194,7 @@
                 break
             elif isinstance(event, h11.ConnectionClosed):
                 raise EOFError("closed before the response")
-        if self._http.our_state is h11.MUST_CLOSE:
+        if self._http.our_state is h11.MUST_CLOSE or self._has_surplus():
             self.abort()
         else:
             self._http.start_next_cycle()
@@ -204,6 +206,14 @@
             headers=headers,
         )
 
+    def _has_surplus(self) -> bool:
+        """Tells whether bytes came past the end of the response.
+
+        A server, or something before it, that sends more than was asked for
+        would have the surplus read as the next request's response.
+        """
+        return bool(self._http.trailing_data[0])
+
     def abort(self) -> None:
         """Closes at once."""
         self._writer.transport.abort()
