--- a/src/azureramp/controllers/dispatch_rules.py
+++ b/src/azureramp/controllers/dispatch_rules.py
@@ -12,9 +12,10 @@
 LEASE_MARGIN_S = 0.05
 """A call to a cold searcher ends so long before the lease does, in seconds."""
 
-USELESS_SHARE = 0.5
-"""With less than this share of the usual service time left, a sub-request
-isn't started any more."""
+USELESS_SHARE = 0.8
+"""With less than this share of the expected service time left, a sub-request
+isn't started any more, and with less after its wait isn't queued: it would
+only take a slot from another one that can still be in time."""
 
 OwnedSearcher = owned_searcher.OwnedSearcher
 Part = owned_searcher.Part
@@ -86,7 +87,8 @@
             return suspicion
         before = owned.queue.count_before(part.batch.priority)
         wait_ms = self.estimate_wait_ms(owned, before)
-        if before and wait_ms >= left_ms:
+        least_ms = owned.ramp.get_expected_ms() * USELESS_SHARE
+        if before and wait_ms + least_ms >= left_ms:
             return errors.Failure(
                 errors.Kind.DEADLINE_TOO_SHORT, "", int(wait_ms)
             )
@@ -104,7 +106,7 @@
             before,
             owned.count_in_use(_now_s()),
             owned.ramp.limit,
-            owned.ramp.get_usual_ms(),
+            owned.ramp.get_expected_ms(),
         )
 
     def may_start(self, owned: OwnedSearcher) -> bool:
@@ -118,8 +120,8 @@
 
     def is_useless(self, owned: OwnedSearcher, part: Part) -> bool:
         """Tells whether a sub-request could hardly end in time."""
-        least_s = owned.ramp.get_usual_ms() * USELESS_SHARE / 1000
-        return part.deadline_s - _now_s() <= least_s
+        least_ms = owned.ramp.get_expected_ms() * USELESS_SHARE
+        return (part.deadline_s - _now_s()) * 1000 <= least_ms
 
     def get_lease_s(self) -> float:
         """Returns how long a cold searcher's call may take, in seconds."""
--- a/src/azureramp/controllers/handoffs.py
+++ b/src/azureramp/controllers/handoffs.py
@@ -115,7 +115,8 @@
         """Sends again what may have been lost, and tells what has ended."""
         now_s = _now_s()
         for name, released in list(self._released.items()):
-            if not released.owned.running and not released.done:
+            in_use = released.owned.count_in_use(now_s)
+            if in_use == 0 and not released.done:
                 released.done = True
                 self._outbox.send(
                     released.vm, messages.HandoffDone(searchers=(name,))
@@ -130,6 +131,17 @@
             if released.done and now_s - released.at_s > self._get_memory_s():
                 del self._released[name]
 
+    def receive_done(self, sender: str, searcher: str) -> None:
+        """Learns that nothing of a former owner runs there any more.
+
+        The searcher may have been handed on already, with the former
+        owner's slots counted.
+        """
+        released = self._released.get(searcher)
+        if released is not None:
+            released.owned.held.pop(sender, None)
+            self.tend()
+
     def end_part(self, owned: OwnedSearcher) -> None:
         """Tells the new owner at once when the last call has ended."""
         released = self._released.get(owned.get_name())
@@ -139,17 +151,16 @@
     def _send(self, released: Released) -> None:
         """Sends a handoff."""
         owned = released.owned
-        running = owned.running.values()
-        longest_s = max((part.deadline_s for part in running), default=0.0)
+        now_s = _now_s()
         self._outbox.send(
             released.vm,
             messages.Handoff(
                 searcher=owned.get_name(),
                 incarnation=owned.health.incarnation if owned.health else 0,
-                in_use=owned.count_in_use(_now_s()),
+                in_use=owned.count_in_use(now_s),
                 limit=owned.ramp.limit,
                 service_ms=owned.ramp.get_usual_ms(),
-                running_ms=max(0.0, longest_s - _now_s()) * 1000,
+                running_ms=owned.get_longest_s(now_s) * 1000,
             ),
         )
 
--- a/src/azureramp/controllers/owned_searcher.py
+++ b/src/azureramp/controllers/owned_searcher.py
@@ -24,19 +24,16 @@
         confirmed_lost: How many connections had been lost when it was last
             seen to be the process that it was.
         succeeded_s: When it last answered a call.
-        held: Slots that the former owner still uses.
-        held_until_s: Until when at most the former owner can use them.
-        former: The former owner that handed it off; empty if none did.
+        held: Slots that former owners still use, and until when at most, by
+            the VMs that told of them.
         lingering_s: When each slot comes free whose call was given up.
         noted: The state that was recorded last.
     """
 
     __slots__ = (
         "confirmed_lost",
-        "former",
         "health",
         "held",
-        "held_until_s",
         "lingering_s",
         "misses",
         "noted",
@@ -60,9 +57,7 @@
         self.misses = 0
         self.confirmed_lost = 0
         self.succeeded_s = 0.0
-        self.held = 0
-        self.held_until_s = 0.0
-        self.former = ""
+        self.held: dict[str, tuple[int, float]] = {}
         self.lingering_s: list[float] = []
         self.noted: tuple[str, int] | None = None
 
@@ -80,13 +75,26 @@
 
     def count_in_use(self, now_s: float) -> int:
         """Returns how many slots are in use, the former owner's included."""
-        held = self.held if now_s < self.held_until_s else 0
+        held = sum(
+            slots for slots, until_s in self.held.values() if now_s < until_s
+        )
         if self.lingering_s:
             self.lingering_s = [
                 until_s for until_s in self.lingering_s if until_s > now_s
             ]
         return len(self.running) + held + len(self.lingering_s)
 
+    def hold(self, former: str, slots: int, until_s: float) -> None:
+        """Leaves the slots free that a former owner still uses."""
+        self.held[former] = (slots, until_s)
+
+    def get_longest_s(self, now_s: float) -> float:
+        """Returns how long a slot in use may stay so, in seconds."""
+        ends_s = [part.deadline_s for part in self.running.values()]
+        ends_s += self.lingering_s
+        ends_s += [until_s for _, until_s in self.held.values()]
+        return max(0.0, max(ends_s, default=now_s) - now_s)
+
     def has_room(self, part: Part, now_s: float) -> bool:
         """Tells whether a sub-request may start now."""
         in_use = self.count_in_use(now_s)
--- a/src/azureramp/controllers/owner.py
+++ b/src/azureramp/controllers/owner.py
@@ -118,7 +118,7 @@
         if owned is None:
             self._handoffs.receive(sender, message)
             self.update_ownership()
-        elif not owned.former:
+        else:
             # This VM didn't wait for it, but what still runs counts.
             ownership_changes.hold_slots(owned, sender, message)
 
@@ -128,8 +128,10 @@
         """Learns that a former owner has nothing running any more."""
         for name in message.searchers:
             owned = self._holdings.owned.get(name)
-            if owned is not None and owned.former == sender:
-                owned.held = 0
+            if owned is None:
+                self._handoffs.receive_done(sender, name)
+            else:
+                owned.held.pop(sender, None)
                 self._runner.pump(owned)
 
     def receive_crash_notice(
--- a/src/azureramp/controllers/ownership_changes.py
+++ b/src/azureramp/controllers/ownership_changes.py
@@ -121,6 +121,7 @@
         owned.ramp.resize(searcher.slots, searcher.cold_limit)
         if place.refusal is not None:
             self._prober.lose(owned, "out")
+            self._prober.forget(owned.get_name())
             self._port.set_limit(owned.get_address(), 0)
             self._runner.fail_waiting(owned, errors.Failure(place.refusal))
         else:
@@ -150,9 +151,8 @@
     owned: OwnedSearcher, former: str, message: messages.Handoff
 ) -> None:
     """Leaves the slots free that the former owner still uses."""
-    owned.former = former
-    owned.held = message.in_use
-    owned.held_until_s = _now_s() + message.running_ms / 1000 + HELD_MARGIN_S
+    running_s = message.running_ms / 1000 + HELD_MARGIN_S
+    owned.hold(former, message.in_use, _now_s() + running_s)
 
 
 def _now_s() -> float:
--- a/src/azureramp/policy/ramps.py
+++ b/src/azureramp/policy/ramps.py
@@ -135,6 +135,16 @@
             return statistics.median_low(self._latencies_ms)
         return self._usual_ms
 
+    def get_expected_ms(self) -> float:
+        """Returns what a call takes now, in milliseconds; 0 if unknown.
+
+        A cold searcher takes longer than usual.
+        """
+        if self.state is State.COLD and self._watched_ms:
+            latest = list(self._watched_ms)[-RECENT:]
+            return max(self._usual_ms, statistics.median_low(latest))
+        return self.get_usual_ms()
+
     def turn_cold(self, reason: str) -> None:
         """Goes back to the cold limit.
 
--- a/src/azureramp/ports/searchers/memory.py
+++ b/src/azureramp/ports/searchers/memory.py
@@ -90,6 +90,7 @@
             await asyncio.wait({self._lost})
             raise web_connection.BrokenError("lost")
         searcher = self._searcher
+        searcher.health_reads += 1
         cold = searcher.faults.reports_cold
         self.proven_s = asyncio.get_running_loop().time()
         return expression.Ok(
--- a/src/azureramp/ports/searchers/memory_searcher.py
+++ b/src/azureramp/ports/searchers/memory_searcher.py
@@ -94,6 +94,7 @@
         effects: The bodies of the calls with effects that it ran.
         links: The connections open to it.
         last_call_s: When the last call reached it.
+        health_reads: How often its health was read, ever.
     """
 
     __slots__ = (
@@ -107,6 +108,7 @@
         "crashes",
         "effects",
         "faults",
+        "health_reads",
         "incarnation",
         "last_call_s",
         "links",
@@ -160,6 +162,7 @@
         self.effects: list[bytes] = []
         self.links: set[Link] = set()
         self.last_call_s = -1.0
+        self.health_reads = 0
         self._random = random.Random(f"{address}/{seed}")
         self._slots = asyncio.Semaphore(slots)
 
--- a/tests/controllers/owning.py
+++ b/tests/controllers/owning.py
@@ -1,10 +1,10 @@
-"""One owner over in-memory searchers, for tests under virtual time."""
+"""Owners over in-memory searchers, for tests under virtual time."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
 import async_solipsism
@@ -19,37 +19,85 @@
 )
 from azureramp.controllers import outbox, owner
 from azureramp.ports.peers import api as peers_api
+from azureramp.ports.searchers import api as searchers_api
 from azureramp.ports.searchers import memory
 from azureramp.ports.vmlist import api as vmlist_api
 
 _T = TypeVar("_T")
 
 VERSION = "stock.1"
+LEASE_MS = 1500
+HOP_S = 0.001
+
+
+class Loop(async_solipsism.EventLoop):  # type: ignore[misc]
+    """A virtual-time loop whose clock can jump, as after a pause.
+
+    Attributes:
+        jumped_s: By how much it has jumped.
+        owners: The owners to stop at the test's end.
+    """
+
+    def __init__(self) -> None:
+        """Begins without a jump."""
+        super().__init__()
+        self.jumped_s = 0.0
+        self.owners: list[owner.Owner] = []
+
+    def time(self) -> float:
+        """Reads the clock, jumps included."""
+        return float(super().time()) + self.jumped_s
+
+
+def get_loop() -> Loop:
+    """Returns the running loop."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, Loop)
+    return loop
 
 
 def run(coroutine: Coroutine[Any, Any, _T]) -> _T:
     """Runs a test's coroutine under virtual time, to its end."""
-    with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner:
-        return runner.run(coroutine)
+
+    async def run_and_stop() -> _T:
+        try:
+            return await coroutine
+        finally:
+            for started in get_loop().owners:
+                await started.drain(0.0)
+
+    with asyncio.Runner(loop_factory=Loop) as runner:
+        return runner.run(run_and_stop())
 
 
-class SentPeers:
-    """Peer links that only keep what was sent.
+class TestPeers:
+    """Peer links that keep what was sent, and carry it to other benches.
 
     Attributes:
         sent: The messages with the addresses that they went to.
+        routes: Who takes what goes to an address.
+        is_lost: Tells whether a message gets lost.
     """
 
+    __test__ = False
+
     def __init__(self) -> None:
-        """Begins with nothing sent."""
+        """Begins with nothing sent and nobody to take it."""
         self.sent: list[tuple[str, messages.PeerMessage]] = []
+        self.routes: dict[str, Callable[[messages.PeerMessage], None]] = {}
+        self.is_lost: Callable[[messages.PeerMessage], bool] = lambda _: False
 
     async def start(self, handler: peers_api.Handler) -> None:
         """Receives nothing."""
 
     def send(self, address: str, *batch: messages.PeerMessage) -> bool:
-        """Keeps messages."""
-        self.sent.extend((address, message) for message in batch)
+        """Keeps messages, and carries them if there is a route."""
+        loop = asyncio.get_running_loop()
+        for message in batch:
+            self.sent.append((address, message))
+            route = self.routes.get(address)
+            if route is not None and not self.is_lost(message):
+                loop.call_later(HOP_S, route, message)
         return True
 
     async def close(self) -> None:
@@ -71,25 +119,35 @@
     )
 
 
+def make_searcher(name: str, **fields: Any) -> memory.Searcher:
+    """Makes the process of a searcher."""
+    fields.setdefault("versions", (VERSION,))
+    return memory.Searcher(f"{name}:1", **fields)
+
+
 class Bench:
-    """A VM `vm1` that owns searchers; `vm2` is the coordinator.
+    """A VM that owns searchers; the VM `asker` asks it.
 
     Attributes:
+        vm: The VM's name.
         board: The VM's state.
         peers: What it sent.
         fleet: The searchers.
+        port: How it reaches them.
         owner: The owner.
     """
 
     def __init__(
         self,
-        searchers: list[memory.Searcher],
+        fleet: memory.Fleet,
         servers: list[resources.BackendServer],
         vm: str = "vm1",
+        vms: tuple[str, ...] = ("vm1", "vm2", "vm3"),
     ) -> None:
         """Makes a VM that owns all of these servers' searchers."""
-        self.peers = SentPeers()
-        self.fleet = memory.Fleet(searchers)
+        self.vm = vm
+        self.peers = TestPeers()
+        self.fleet = fleet
         self.board = blackboard.Blackboard(
             settings.Settings(
                 vm=vm,
@@ -98,12 +156,13 @@
                 peer_address=f"{vm}:2",
                 store_address="store:1",
                 vmlist_address="list:1",
+                lease_ms=LEASE_MS,
             ),
             1,
             events.Timeline(vm, wall=lambda: 0.0),
             metrics.Metrics(),
         )
-        for name in ("vm1", "vm2", "vm3"):
+        for name in (*vms, "asker"):
             self.board.members[name] = blackboard.Member(
                 vmlist_api.Vm(name, "a", f"{name}:1", f"{name}:2")
             )
@@ -113,13 +172,16 @@
             for searcher in server.searchers:
                 self.board.owners[searcher.name] = vm
                 self.board.may_start_s[searcher.name] = 0.0
-        out = outbox.Outbox(self.board, self.peers)
+        self.port: searchers_api.Searchers = memory.make(fleet)
         self.owner = owner.make(
-            self.board, out, memory.make(self.fleet), random.Random(1)
+            self.board,
+            outbox.Outbox(self.board, self.peers),
+            self.port,
+            random.Random(vm),
         )
 
     def put(self, resource: resources.AnyResource) -> None:
-        """Brings a resource into force."""
+        """Brings a resource into force, as its controller would."""
         configuration = self.board.configuration
         configuration.revision += 1
         kind = next(
@@ -131,28 +193,32 @@
             resource, kind, resource.name, configuration.revision
         )
 
+    def receive(self, sender: str, message: messages.PeerMessage) -> None:
+        """Takes a message from another VM."""
+        match message:
+            case messages.QueryBatch():
+                self.owner.receive_batch(sender, message)
+            case messages.Cancel():
+                self.owner.receive_cancel(sender, message)
+            case messages.Handoff():
+                self.owner.receive_handoff(sender, message)
+            case messages.HandoffDone():
+                self.owner.receive_handoff_done(sender, message)
+            case messages.CrashNotice():
+                self.owner.receive_crash_notice(sender, message)
+            case _:
+                pass
+
     async def start(self, settle_s: float = 0.5) -> asyncio.Task[None]:
         """Starts the owner and lets the first probes pass."""
+        get_loop().owners.append(self.owner)
         running = asyncio.ensure_future(self.owner.run())
         await asyncio.sleep(settle_s)
         return running
 
     def send(self, *searchers: str, **fields: Any) -> None:
         """Sends a batch with one sub-request for each searcher named."""
-        fields.setdefault("request_id", "r1")
-        fields.setdefault("priority", resources.Priority.NORMAL)
-        fields.setdefault("remaining_ms", 1000.0)
-        fields.setdefault("fingerprint", 1)
-        fields.setdefault("body", b"{}")
-        first = fields.pop("first_part", 1)
-        parts = tuple(
-            messages.PartRequest(number, name, f"shard-{name}", 0, 100)
-            for number, name in enumerate(searchers, first)
-        )
-        batch = messages.QueryBatch(
-            index="stock", version=1, parts=parts, **fields
-        )
-        self.owner.receive_batch("vm2", batch)
+        self.owner.receive_batch("asker", make_batch(*searchers, **fields))
 
     def get_results(self) -> dict[tuple[str, int], messages.PartResult]:
         """Returns the results sent back so far, by request and part."""
@@ -163,6 +229,14 @@
             for result in message.results
         }
 
+    def get_kinds(self) -> dict[str, str]:
+        """Returns the first parts' results by request: `ok` or the kind."""
+        return {
+            request_id: get_kind(result)
+            for (request_id, part), result in self.get_results().items()
+            if part == 1
+        }
+
     def get_events(self, wanted: type[_T]) -> list[_T]:
         """Returns the recorded events of a type."""
         return [
@@ -170,3 +244,45 @@
             for record in self.board.timeline.get_records()
             if isinstance(record.event, wanted)
         ]
+
+
+def get_kind(result: messages.PartResult) -> str:
+    """Returns `ok`, or the kind of a failure."""
+    return result.kind if isinstance(result, messages.PartFailed) else "ok"
+
+
+def make_batch(*searchers: str, **fields: Any) -> messages.QueryBatch:
+    """Makes a batch with one sub-request for each searcher named."""
+    fields.setdefault("request_id", "r1")
+    fields.setdefault("priority", resources.Priority.NORMAL)
+    fields.setdefault("remaining_ms", 1000.0)
+    fields.setdefault("fingerprint", hash(fields["request_id"]))
+    fields.setdefault("body", b"{}")
+    parts = tuple(
+        messages.PartRequest(number, name, f"shard-{name}", 0, 100)
+        for number, name in enumerate(searchers, fields.pop("first_part", 1))
+    )
+    return messages.QueryBatch(index="stock", version=1, parts=parts, **fields)
+
+
+def make_bench(searcher: memory.Searcher | None = None, **fields: Any) -> Bench:
+    """Makes a VM that owns the one searcher `s1`."""
+    searcher = searcher or make_searcher("s1", spread=0.0)
+    return Bench(memory.Fleet([searcher]), [make_server("s1", **fields)])
+
+
+def join(benches: list[Bench]) -> None:
+    """Lets VMs exchange their messages."""
+    for source in benches:
+        for target in benches:
+            if source is not target:
+                source.peers.routes[f"{target.vm}:2"] = _make_route(
+                    source, target
+                )
+
+
+def _make_route(
+    source: Bench, target: Bench
+) -> Callable[[messages.PeerMessage], None]:
+    """Makes the way from one VM to another."""
+    return lambda message: target.receive(source.vm, message)
--- a/tests/controllers/test_owner.py
+++ b/tests/controllers/test_owner.py
@@ -3,105 +3,362 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
+
+import pytest
 
 from azureramp import events, messages, resources
-from azureramp.ports.searchers import memory
 from tests.controllers import owning
 
+URGENT = resources.Priority.URGENT
+DEFERRABLE = resources.Priority.DEFERRABLE
+OUT = resources.Zone(name="a", state=resources.ZoneState.OUT)
+BACK = resources.Zone(name="a", state=resources.ZoneState.IN_SERVICE)
+
 
-def make_bench(**faults: object) -> owning.Bench:
-    searcher = memory.Searcher("s1:1", versions=(owning.VERSION,))
-    for name, value in faults.items():
-        setattr(searcher.faults, name, value)
-    return owning.Bench([searcher], [owning.make_server("s1")])
+async def warm(bench: owning.Bench) -> None:
+    """Sends a new searcher enough work for its whole ramp."""
+    for number in range(20):
+        bench.send("s1", request_id=f"warm{number}")
+        await asyncio.sleep(0.025)
 
 
 def test_a_part_comes_back_whole_and_is_recorded_before_its_write() -> None:
     async def scenario() -> None:
-        bench = make_bench()
-        running = await bench.start()
+        bench = owning.make_bench()
+        await bench.start()
         bench.send("s1")
         await asyncio.sleep(0.2)
-        running.cancel()
 
         result = bench.get_results()["r1", 1]
         assert isinstance(result, messages.PartDone)
         assert (result.version, result.low, result.high) == (1, 0, 100)
         (dispatched,) = bench.get_events(events.PartDispatched)
-        assert dispatched.searcher == "s1"
-        assert dispatched.in_use == 1
+        assert (dispatched.searcher, dispatched.in_use) == ("s1", 1)
 
     owning.run(scenario())
 
 
 def test_no_more_run_than_the_slots_and_the_rest_waits() -> None:
     async def scenario() -> None:
-        bench = make_bench()
-        running = await bench.start()
+        bench = owning.make_bench()
+        await bench.start()
         for number in range(20):
             bench.send("s1", request_id=f"r{number}")
         await asyncio.sleep(1)
-        running.cancel()
 
         dispatched = bench.get_events(events.PartDispatched)
         assert len(dispatched) == 20
-        assert max(event.in_use for event in dispatched) == 2
-        assert all(event.in_use <= event.limit for event in dispatched)
+        assert all(event.in_use <= event.limit <= 2 for event in dispatched)
+        assert bench.fleet.searchers["s1:1"].most_running == 2
+
+    owning.run(scenario())
+
+
+def test_an_owner_holds_open_at_most_half_of_the_connection_cap() -> None:
+    """Two owners of one searcher overlap while their views differ.
+
+    The searcher accepts 10 connections from everybody. Its calls hang, are
+    cancelled and replaced, and its health is read all the while; the owner
+    must leave half of the cap to the other one at every moment.
+    """
+
+    async def scenario() -> None:
+        searcher = owning.make_searcher("s1", slots=8, spread=0.0)
+        bench = owning.make_bench(
+            searcher, slots=8, cold_limit=8, connections=10
+        )
+        await bench.start()
+        for number in range(40):
+            searcher.faults.hangs = 2
+            bench.send("s1", request_id=f"r{number}", remaining_ms=100.0)
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(1)
+
+        assert searcher.calls >= 20
+        assert 3 <= searcher.most_links <= 5
+
+    owning.run(scenario())
+
+
+def test_urgent_work_waits_at_most_one_service_time_for_deferrable() -> None:
+    """Statements fill every slot and the queue when the front desk asks."""
+
+    async def scenario() -> None:
+        bench = owning.make_bench(slots=2)
+        await bench.start()
+        for number in range(30):
+            bench.send("s1", request_id=f"d{number}", priority=DEFERRABLE)
+        await asyncio.sleep(0.001)
+        bench.send("s1", request_id="urgent", priority=URGENT)
+        service_s, connect_s = 0.010, 0.006
+        await asyncio.sleep(2 * (service_s + connect_s) + 0.002)
+
+        assert bench.get_kinds()["urgent"] == "ok"
+
+    owning.run(scenario())
+
+
+def test_deferrable_work_does_not_starve_beside_spare_capacity() -> None:
+    """The front desk keeps a searcher three quarters busy for three seconds.
+
+    The statements that were sent at the beginning must get the last quarter.
+    """
+
+    async def scenario() -> None:
+        bench = owning.make_bench()
+        await bench.start()
+        bench.put(resources.Policy(name="default", queue_ms=4000))
+        for number in range(50):
+            bench.send(
+                "s1",
+                request_id=f"d{number}",
+                priority=DEFERRABLE,
+                remaining_ms=4000.0,
+            )
+        for number in range(450):
+            bench.send("s1", request_id=f"u{number}", priority=URGENT)
+            await asyncio.sleep(0.010 / 1.5)
+        await asyncio.sleep(1)
+
+        kinds = bench.get_kinds()
+        assert {kinds[f"d{number}"] for number in range(50)} == {"ok"}
+        assert {kinds[f"u{number}"] for number in range(450)} == {"ok"}
+
+    owning.run(scenario())
+
+
+def test_a_full_queue_drops_the_least_urgent_and_says_when_to_return() -> None:
+    async def scenario() -> None:
+        bench = owning.make_bench()
+        await bench.start()
+        bench.put(resources.Policy(name="default", queue_limit=8))
+        await warm(bench)
+        for number in range(12):
+            bench.send("s1", request_id=f"d{number}", priority=DEFERRABLE)
+        for number in range(5):
+            bench.send("s1", request_id=f"u{number}", priority=URGENT)
+        await asyncio.sleep(1)
+
+        kinds = bench.get_kinds()
+        assert {kinds[f"u{number}"] for number in range(5)} == {"ok"}
+        refused = [
+            result
+            for result in bench.get_results().values()
+            if isinstance(result, messages.PartFailed)
+        ]
+        assert len(refused) == 7
+        assert {result.kind for result in refused} == {"overloaded"}
+        assert not any(result.sent for result in refused)
+        assert all(result.retry_after_ms > 0 for result in refused)
+
+    owning.run(scenario())
+
+
+def test_nothing_waits_longer_than_the_policy_says() -> None:
+    async def scenario() -> None:
+        searcher = owning.make_searcher("s1")
+        bench = owning.make_bench(searcher)
+        await bench.start()
+        await warm(bench)
+        bench.put(resources.Policy(name="default", queue_ms=80))
+        searcher.faults.hangs = 2
+        for number in range(3):
+            bench.send("s1", request_id=f"r{number}", remaining_ms=5000.0)
+        await asyncio.sleep(0.19)
+
+        kinds = bench.get_kinds()
+        assert "r0" not in kinds
+        assert "r1" not in kinds
+        assert kinds["r2"] == "overloaded"
+
+    owning.run(scenario())
+
+
+def test_what_cannot_end_in_time_is_refused_at_once() -> None:
+    async def scenario() -> None:
+        bench = owning.make_bench()
+        await bench.start()
+        await warm(bench)
+        for number in range(20):
+            bench.send("s1", request_id=f"r{number}")
+        bench.send("s1", request_id="hasty", remaining_ms=30.0)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+
+        assert bench.get_kinds()["hasty"] == "deadline_too_short"
 
     owning.run(scenario())
 
 
-def test_a_cancelled_part_frees_its_slot() -> None:
+def test_a_cancelled_part_frees_its_slot_without_an_answer() -> None:
     async def scenario() -> None:
-        bench = make_bench(hangs=1)
-        running = await bench.start()
+        searcher = owning.make_searcher("s1")
+        bench = owning.make_bench(searcher)
+        await bench.start()
+        searcher.faults.hangs = 1
         bench.send("s1", request_id="hung")
         await asyncio.sleep(0.1)
-        bench.owner.receive_cancel(
-            "vm2", messages.Cancel(request_id="hung", parts=(1,))
-        )
+        bench.receive("asker", messages.Cancel(request_id="hung", parts=(1,)))
         bench.send("s1", request_id="next")
-        await asyncio.sleep(0.1)
-        running.cancel()
+        await asyncio.sleep(0.2)
 
-        result = bench.get_results()["next", 1]
-        assert isinstance(result, messages.PartDone)
+        assert searcher.running == 0
+        assert bench.get_kinds() == {"next": "ok"}
+
+    owning.run(scenario())
+
+
+def test_a_queued_grant_that_is_cancelled_is_told_to_be_unsent() -> None:
+    """A caller gives up on a grant that still waits for its slot.
+
+    Its coordinator may release the idempotency record only if it is told
+    that no byte went out; and one that was sent goes on to its end.
+    """
+
+    async def scenario() -> None:
+        bench = owning.make_bench()
+        await bench.start()
+        for name in ("sent", "waiting"):
+            bench.send("s1", request_id=name, repeatable=False)
+        await asyncio.sleep(0.01)
+        for name in ("sent", "waiting"):
+            bench.receive("asker", messages.Cancel(request_id=name, parts=(1,)))
+        await asyncio.sleep(0.5)
+
+        results = bench.get_results()
+        assert owning.get_kind(results["sent", 1]) == "ok"
+        waiting = results["waiting", 1]
+        assert isinstance(waiting, messages.PartFailed)
+        assert (waiting.kind, waiting.sent) == ("cancelled", False)
+        assert len(bench.fleet.searchers["s1:1"].effects) == 1
+
+    owning.run(scenario())
+
+
+def test_a_grant_whose_message_comes_twice_runs_once() -> None:
+    """A peer message is doubled on the way, the copy a minute late.
+
+    The second copy must not run the grant again, nor answer anything that
+    its coordinator could take for the outcome.
+    """
+
+    async def scenario() -> None:
+        bench = owning.make_bench()
+        await bench.start()
+        for wait_s in (0.001, 60.0, 0.5):
+            bench.send("s1", request_id="grant", repeatable=False)
+            await asyncio.sleep(wait_s)
+
+        assert len(bench.fleet.searchers["s1:1"].effects) == 1
+        assert len(bench.peers.sent) == 1
 
     owning.run(scenario())
 
 
-def test_a_zone_taken_out_gets_nothing_and_the_queue_goes_back() -> None:
-    """An operator takes a zone out while work waits for its searchers.
+@pytest.mark.parametrize(
+    ("resource", "kind"),
+    [
+        (OUT, "zone_out"),
+        (
+            owning.make_server("s1", state=resources.ServerState.LEAVING),
+            "leaving",
+        ),
+    ],
+    ids=["zone_out", "leaving"],
+)
+def test_what_is_out_of_service_gets_nothing_any_more(
+    resource: Any, kind: str
+) -> None:
+    """An operator takes a zone, or a server, out while work waits for it.
 
-    What runs there ends; what waits goes back at once, unsent, so that its
-    coordinator asks another replica; nothing new is dispatched or probed.
+    What runs there ends. What waits goes back at once, unsent, so that its
+    coordinator asks another replica. Nothing new is dispatched or probed,
+    not even by a call that was waiting for its connection to open.
     """
 
     async def scenario() -> None:
-        bench = make_bench()
-        running = await bench.start()
+        bench = owning.make_bench()
+        await bench.start()
+        await warm(bench)
+        await asyncio.sleep(4.5)
+        searcher = bench.fleet.searchers["s1:1"]
+        calls = searcher.calls
         for number in range(5):
             bench.send("s1", request_id=f"r{number}")
-        await asyncio.sleep(0)
-        out = resources.Zone(name="a", state=resources.ZoneState.OUT)
-        await asyncio.sleep(0.008)
-        bench.put(out)
+        await asyncio.sleep(0.003)
+        bench.put(resource)
         bench.owner.update_ownership()
-        calls = bench.fleet.searchers["s1:1"].calls
-        await asyncio.sleep(1)
+        reads = searcher.health_reads
+        await asyncio.sleep(3)
         bench.send("s1", request_id="late")
         await asyncio.sleep(0.1)
-        running.cancel()
 
-        results = bench.get_results()
-        done = [r for r in results.values() if type(r) is messages.PartDone]
-        refused = [
-            r
-            for r in results.values()
-            if isinstance(r, messages.PartFailed) and r.kind == "zone_out"
-        ]
-        assert len(done) == calls == bench.fleet.searchers["s1:1"].calls
-        assert len(done) + len(refused) == 6
-        assert not any(result.sent for result in refused)
+        kinds = bench.get_kinds()
+        assert searcher.calls == calls
+        assert searcher.health_reads == reads
+        assert not searcher.links
+        for name in ("r0", "r1", "r2", "r3", "r4", "late"):
+            assert kinds[name] == kind
+        assert not bench.board.owned["s1"].usable
+
+    owning.run(scenario())
+
+
+def test_what_runs_in_a_zone_taken_out_comes_to_its_end() -> None:
+    async def scenario() -> None:
+        bench = owning.make_bench()
+        await bench.start()
+        bench.send("s1")
+        await asyncio.sleep(0.010)
+        bench.put(OUT)
+        bench.owner.update_ownership()
+        await asyncio.sleep(0.5)
+
+        assert bench.get_kinds() == {"r1": "ok"}
+
+    owning.run(scenario())
+
+
+def test_a_zone_that_comes_back_is_taken_for_cold() -> None:
+    async def scenario() -> None:
+        bench = owning.make_bench()
+        await bench.start()
+        await warm(bench)
+        before = bench.board.owned["s1"].limit
+        bench.put(OUT)
+        bench.owner.update_ownership()
+        await asyncio.sleep(5)
+        bench.put(BACK)
+        bench.owner.update_ownership()
+        await asyncio.sleep(0.5)
+
+        assert before == 2
+        assert bench.board.owned["s1"].usable
+        assert bench.board.owned["s1"].limit == 1
+
+    owning.run(scenario())
+
+
+def test_a_fault_in_a_port_neither_holds_a_slot_nor_stays_unanswered() -> None:
+    async def scenario() -> None:
+        searcher = owning.make_searcher("s1")
+        bench = owning.make_bench(searcher)
+        await bench.start()
+
+        def fail(call: object) -> bytes:
+            raise ZeroDivisionError
+
+        searcher.search = fail
+        for number in range(4):
+            bench.send("s1", request_id=f"bad{number}")
+        await asyncio.sleep(0.2)
+        searcher.search = lambda call: b"[]"
+        bench.send("s1", request_id="good")
+        await asyncio.sleep(0.2)
+
+        kinds = bench.get_kinds()
+        assert {kinds[f"bad{number}"] for number in range(4)} == {"internal"}
+        assert kinds["good"] == "ok"
 
     owning.run(scenario())
--- /dev/null
+++ b/tests/policy/test_ramps.py
@@ -0,0 +1,236 @@
+"""The cold-start ramp."""
+
+from __future__ import annotations
+
+import random
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from azureramp.policy import ramps
+
+USUAL_MS = 10.0
+COLD_MS = 60.0
+
+
+def make_warm(slots: int = 4, cold_limit: int = 1) -> ramps.Ramp:
+    ramp = ramps.Ramp(slots, cold_limit)
+    ramp.resume(slots, USUAL_MS)
+    for _ in range(ramps.HISTORY):
+        ramp.succeed(USUAL_MS, ramp.epoch)
+    return ramp
+
+
+def test_a_new_ramp_begins_cold_at_the_cold_limit() -> None:
+    ramp = ramps.Ramp(slots=8, cold_limit=2)
+
+    assert (ramp.state, ramp.limit) == (ramps.State.COLD, 2)
+
+
+def test_it_doubles_after_as_many_normal_successes_as_the_limit() -> None:
+    ramp = make_warm(slots=8)
+    ramp.turn_cold("incarnation")
+    limits = []
+    for _ in range(1 + 2 + 4):
+        limits.append(ramp.limit)
+        ramp.succeed(USUAL_MS, ramp.epoch)
+
+    assert limits == [1, 2, 2, 4, 4, 4, 4]
+    assert (ramp.state, ramp.limit) == (ramps.State.WARM, 8)
+
+
+def test_slow_successes_do_not_raise_the_limit() -> None:
+    ramp = make_warm()
+    ramp.turn_cold("incarnation")
+    for _ in range(ramps.CHANGED_CALLS - 1):
+        ramp.succeed(COLD_MS, ramp.epoch)
+
+    assert ramp.limit == 1
+
+
+def test_a_failure_halves_the_limit_of_a_ramp() -> None:
+    ramp = make_warm(slots=8)
+    ramp.turn_cold("incarnation")
+    for _ in range(3):
+        ramp.succeed(USUAL_MS, ramp.epoch)
+    ramp.fail(ramp.epoch)
+
+    assert ramp.limit == 2
+
+
+@pytest.mark.parametrize(
+    ("slow", "state"),
+    [(1, "warm"), (2, "warm"), (3, "cold"), (4, "cold")],
+)
+def test_recent_latencies_tell_a_turn_to_cold(slow: int, state: str) -> None:
+    ramp = make_warm()
+    for _ in range(slow):
+        ramp.succeed(COLD_MS, ramp.epoch)
+
+    assert ramp.state.value == state
+
+
+def test_stragglers_of_one_in_a_hundred_do_not_turn_a_searcher_cold() -> None:
+    ramp = make_warm()
+    rng = random.Random(5)
+    turned = 0
+    for _ in range(20_000):
+        factor = 10.0 if rng.random() < 0.01 else 1.0
+        ramp.succeed(USUAL_MS * factor * rng.lognormvariate(0, 0.2), ramp.epoch)
+        turned += ramp.state is ramps.State.COLD
+        if ramp.state is ramps.State.COLD:
+            ramp.resume(4, USUAL_MS)
+
+    assert turned == 0
+
+
+def test_a_call_given_up_early_says_nothing_and_late_counts_as_slow() -> None:
+    """Every slow call of a searcher that turned cold is hedged away.
+
+    Its replies are never seen, only that they had not come in time.
+    """
+    ramp = make_warm()
+    for _ in range(10):
+        ramp.end_unanswered(USUAL_MS, ramp.epoch)
+    early = ramp.state
+    for _ in range(3):
+        ramp.end_unanswered(USUAL_MS * 4, ramp.epoch)
+
+    assert (early, ramp.state) == (ramps.State.WARM, ramps.State.COLD)
+
+
+def test_failures_in_a_row_turn_a_warm_searcher_cold() -> None:
+    ramp = make_warm()
+    for _ in range(ramps.FAILURES):
+        ramp.fail(ramp.epoch)
+
+    assert (ramp.state, ramp.reason) == (ramps.State.COLD, "failures")
+
+
+def test_a_call_from_before_the_turn_says_nothing_of_the_ramp() -> None:
+    ramp = make_warm()
+    before = ramp.epoch
+    ramp.turn_cold("latency")
+    for _ in range(10):
+        ramp.succeed(USUAL_MS, before)
+
+    assert ramp.limit == 1
+
+
+def test_without_a_usual_latency_it_waits_until_latencies_settle() -> None:
+    ramp = ramps.Ramp(slots=4, cold_limit=1)
+    falling = [100 * 0.8**step for step in range(16)]
+    for took_ms in falling:
+        ramp.succeed(took_ms, ramp.epoch)
+    while_falling = ramp.limit
+    for _ in range(ramps.CHANGED_CALLS):
+        ramp.succeed(USUAL_MS, ramp.epoch)
+
+    assert (while_falling, ramp.limit) == (1, 4)
+
+
+def test_a_lasting_change_of_latency_does_not_hold_the_ramp_for_good() -> None:
+    """A larger index version makes every call three times as slow for good."""
+    ramp = make_warm(slots=2)
+    ramp.turn_cold("latency")
+    for _ in range(ramps.CHANGED_CALLS + 2):
+        ramp.succeed(USUAL_MS * 3.5, ramp.epoch)
+
+    assert (ramp.state, ramp.limit) == (ramps.State.WARM, 2)
+
+
+def test_a_report_to_be_cold_holds_back_only_what_is_unknown() -> None:
+    unknown = ramps.Ramp(slots=2, cold_limit=1)
+    known = make_warm(slots=2)
+    known.turn_cold("lost")
+    for ramp in (unknown, known):
+        ramp.held = True
+        for _ in range(40):
+            ramp.succeed(USUAL_MS, ramp.epoch)
+
+    assert (unknown.limit, known.limit) == (1, 2)
+
+
+class RampMachine(stateful.RuleBasedStateMachine):
+    """A searcher that turns cold as it likes, and its owner's ramp.
+
+    The owner starts a call only below the limit. While the searcher is cold
+    its calls are slow; the owner is told of restarts before it starts
+    another call, and never of a silent turn. Whatever happens, between a
+    turn that the ramp knows of and the searcher's first normal reply, no
+    more than the cold limit may be in it.
+    """
+
+    def __init__(self) -> None:
+        """Begins with a new searcher."""
+        super().__init__()
+        self.cold_limit = 2
+        self.slots = 8
+        self.ramp = ramps.Ramp(self.slots, self.cold_limit)
+        self.ramp.adopt_usual(USUAL_MS)
+        self.cold = True
+        self.running: list[int] = []
+
+    @stateful.rule()
+    def start(self) -> None:
+        """Starts a call if there is room."""
+        if len(self.running) < self.ramp.limit:
+            self.running.append(self.ramp.epoch)
+
+    @stateful.precondition(lambda self: self.running)
+    @stateful.rule(data=st.data(), share=st.floats(0.5, 1.9))
+    def succeed(self, data: st.DataObject, share: float) -> None:
+        """Ends a call with a reply, slow if the searcher is cold."""
+        epoch = self._end(data)
+        took_ms = COLD_MS if self.cold else USUAL_MS
+        self.ramp.succeed(took_ms * share, epoch)
+
+    @stateful.precondition(lambda self: self.running)
+    @stateful.rule(data=st.data())
+    def fail(self, data: st.DataObject) -> None:
+        """Ends a call with a failure."""
+        self.ramp.fail(self._end(data))
+
+    @stateful.precondition(lambda self: self.running)
+    @stateful.rule(data=st.data(), after_ms=st.floats(1, 100))
+    def give_up(self, data: st.DataObject, after_ms: float) -> None:
+        """Cancels a call."""
+        self.ramp.end_unanswered(after_ms, self._end(data))
+
+    @stateful.rule()
+    def restart(self) -> None:
+        """Restarts the searcher: its calls are lost, and it shows."""
+        self.cold = True
+        self.running.clear()
+        self.ramp.turn_cold("incarnation")
+
+    @stateful.rule()
+    def warm_up(self) -> None:
+        """Makes the searcher warm."""
+        self.cold = False
+
+    @stateful.invariant()
+    def keep_the_cold_limit(self) -> None:
+        """A searcher known to be cold has at most its cold limit."""
+        assert 1 <= self.ramp.limit <= self.slots
+        if self.ramp.state is ramps.State.WARM:
+            assert self.ramp.limit == self.slots
+        if self.cold:
+            assert len(self.running) <= self.cold_limit
+
+    def _end(self, data: st.DataObject) -> int:
+        """Takes a running call out."""
+        position = data.draw(st.integers(0, len(self.running) - 1))
+        return self.running.pop(position)
+
+
+TestRampMachine = RampMachine.TestCase
+TestRampMachine.settings = hypothesis.settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=60,
+    stateful_step_count=60,
+)
