--- a/src/azureramp_standins/cluster.py
+++ b/src/azureramp_standins/cluster.py
@@ -160,6 +160,7 @@
     ) -> None:
         """Logs that a call has reached a searcher."""
         name, server, zone = self._servers[searcher.address]
+        cold = searcher.is_cold() and searcher.cold_shown
         key = ""
         if not call.repeatable:
             key = str(msgspec.json.decode(call.body).get(EFFECT_KEY, ""))
@@ -172,7 +173,7 @@
                 zone=zone,
                 version=call.version,
                 in_use=searcher.running,
-                cold_limit=searcher.cold_limit if searcher.is_cold() else None,
+                cold_limit=searcher.cold_limit if cold else None,
                 idempotency_key=key,
             )
         )
