--- /dev/null
+++ b/src/azureramp/controllers/admitting.py
@@ -0,0 +1,204 @@
+"""The checks before a request is sent on: all refuse truly as not run."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import fractions
+
+import expression
+
+from azureramp import blackboard, errors, resources
+from azureramp.controllers import dispatching
+from azureramp.policy import (
+    admission,
+    deadlines,
+    fingerprints,
+    identity,
+    outcomes,
+    snapshots,
+)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Asked:
+    """What the checks need to know of a request.
+
+    Attributes:
+        request_id: Unique in the deployment.
+        caller: The caller.
+        service: The service's name.
+        index: The index.
+        body: The query or the operation, JSON.
+        deadline_s: When the caller gives up, on the loop's clock.
+        repeatable: False if it may run at most once.
+        minimum_coverage: The least coverage that the caller takes, 0 to 1.
+    """
+
+    request_id: str
+    caller: resources.Caller
+    service: str
+    index: str
+    body: bytes
+    deadline_s: float
+    repeatable: bool
+    minimum_coverage: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Admitted:
+    """A request that may be sent on.
+
+    Attributes:
+        service: The service.
+        snapshot: The pinned version.
+        header: What its sub-requests share.
+        allowed_ms: The time that it had at admission, in milliseconds.
+    """
+
+    service: resources.Service
+    snapshot: snapshots.Snapshot
+    header: dispatching.Header
+    allowed_ms: float
+
+
+class Gate:
+    """Admits requests."""
+
+    __slots__ = ("_board", "_dispatcher")
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        dispatcher: dispatching.Dispatcher,
+    ) -> None:
+        """Makes a gate."""
+        self._board = board
+        self._dispatcher = dispatcher
+
+    def admit(
+        self, asked: Asked
+    ) -> expression.Result[Admitted, errors.Failure]:
+        """Checks a request, and pins its snapshot.
+
+        Args:
+            asked: The request.
+
+        Returns:
+            The admitted request, or why it is not run.
+        """
+        now_s = asyncio.get_running_loop().time()
+        checked = identity.check_service(
+            self._dispatcher.get_topology(),
+            asked.caller,
+            asked.service,
+            asked.index,
+        )
+        if checked.is_error():
+            return expression.Error(checked.error)
+        fingerprint = fingerprints.compute(asked.index, asked.body)
+        blame = self._board.blame
+        quarantined_ms = blame.quarantined_ms(fingerprint, now_s)
+        if quarantined_ms > 0:
+            kind = errors.Kind.QUARANTINED
+            failure = errors.Failure(kind, retry_after_ms=quarantined_ms)
+            return expression.Error(failure)
+        pinned = self._dispatcher.pin(asked.index)
+        if pinned.is_error():
+            return expression.Error(pinned.error)
+        short = check_reach(asked, checked.ok, pinned.ok)
+        if short is not None:
+            return expression.Error(errors.Failure(short))
+        answer_s = deadlines.get_answer_s(now_s, asked.deadline_s)
+        refused = self._check_load(asked, pinned.ok, answer_s - now_s)
+        if refused is not None:
+            return expression.Error(refused)
+        header = dispatching.Header(
+            request_id=asked.request_id,
+            index=asked.index,
+            version=pinned.ok.shard_map.version,
+            priority=asked.caller.priority,
+            fingerprint=fingerprint,
+            repeatable=asked.repeatable,
+            isolated=blame.crashes(fingerprint, now_s) > 0,
+            body=asked.body,
+            answer_s=answer_s,
+        )
+        allowed_ms = (answer_s - now_s) * 1000
+        return expression.Ok(
+            Admitted(checked.ok, pinned.ok, header, allowed_ms)
+        )
+
+    def _check_load(
+        self, asked: Asked, snapshot: snapshots.Snapshot, left_s: float
+    ) -> errors.Failure | None:
+        """Refuses what can't meet its deadline, and sheds under overload."""
+        now_s = asyncio.get_running_loop().time()
+        measured = self._dispatcher.measured
+        priority = asked.caller.priority
+        demand = admission.Demand(
+            priority=priority,
+            left_ms=left_s * 1000,
+            needed_ms=measured.times.estimate_ms(asked.index, priority, now_s),
+            running=measured.running,
+            share=measured.level.get_share(priority, now_s),
+        )
+        kind = admission.decide(demand, measured.random.random())
+        if kind is None:
+            return None
+        drain_ms = admission.estimate_drain_ms(
+            snapshot.shard_map.shards, self._board.get_searcher_states()
+        )
+        retry_ms = admission.compute_retry_ms(
+            drain_ms, measured.random.random()
+        )
+        return errors.Failure(kind, retry_after_ms=retry_ms)
+
+    def observe(self, admitted: Admitted, tally: outcomes.Tally) -> None:
+        """Takes in how an admitted request's parts went."""
+        header = admitted.header
+        now_s = asyncio.get_running_loop().time()
+        measured = self._dispatcher.measured
+        wait_ms = tally.get_mean_wait_ms()
+        if tally.results:
+            measured.times.observe(
+                header.index,
+                header.priority,
+                tally.get_mean_service_ms(),
+                wait_ms,
+                now_s,
+            )
+        queue_ms = self._dispatcher.get_topology().policy.queue_ms
+        ratio = admission.compute_ratio(wait_ms, admitted.allowed_ms, queue_ms)
+        parts = len(admitted.snapshot.shard_map.shards)
+        ratio += admission.compute_refusal_ratio(tally.refused, parts)
+        measured.level.observe(header.priority, ratio, now_s)
+
+
+def check_reach(
+    asked: Asked, service: resources.Service, snapshot: snapshots.Snapshot
+) -> errors.Kind | None:
+    """Finds out before anything is sent that the minimum can't be reached.
+
+    Args:
+        asked: The request.
+        service: Its service.
+        snapshot: The pinned version.
+
+    Returns:
+        `FORBIDDEN` if the service may query too little, `NO_SNAPSHOT` if too
+        little has a usable replica; None if enough can be reached.
+    """
+    permitted = served = total = 0
+    for shard in snapshot.shard_map.shards:
+        total += shard.size
+        if identity.may_query(service, shard):
+            permitted += shard.size
+            if snapshot.replicas[shard.name]:
+                served += shard.size
+    minimum = fractions.Fraction(asked.minimum_coverage) * total
+    if permitted < minimum:
+        return errors.Kind.FORBIDDEN
+    if served < minimum:
+        return errors.Kind.NO_SNAPSHOT
+    return None
--- /dev/null
+++ b/src/azureramp/controllers/attempts.py
@@ -0,0 +1,194 @@
+"""The attempts of one running query: chosen, sent, ended, cancelled."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Collection, Iterable
+
+from azureramp import blackboard, errors, events, messages
+from azureramp.controllers import dispatching
+from azureramp.policy import assembly, outcomes, snapshots
+
+
+class Attempts:
+    """Sends a query's sub-requests, and takes account of their ends.
+
+    Attributes:
+        dispatcher: Sends and receives.
+        header: What all sub-requests share.
+        state: What runs, is held and is lost.
+        tally: How the parts went.
+    """
+
+    __slots__ = (
+        "_board",
+        "_next_part",
+        "dispatcher",
+        "header",
+        "state",
+        "tally",
+    )
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        dispatcher: dispatching.Dispatcher,
+        header: dispatching.Header,
+        state: assembly.Assembly,
+    ) -> None:
+        """Makes attempts of which none is sent yet."""
+        self._board = board
+        self._next_part = 0
+        self.dispatcher = dispatcher
+        self.header = header
+        self.state = state
+        self.tally = outcomes.Tally()
+
+    def restart(self, state: assembly.Assembly) -> None:
+        """Goes over to another version; its parts get new numbers."""
+        self.cancel(self.state.get_running())
+        self.state = state
+        version = state.ledger.shard_map.version
+        self.header = dataclasses.replace(self.header, version=version)
+
+    def start(
+        self,
+        wanted: Iterable[assembly.Progress],
+        reason: str,
+        replicas: snapshots.Replicas | None = None,
+    ) -> bool:
+        """Sends one more attempt for each of some shards, where it can.
+
+        Args:
+            wanted: The shards.
+            reason: `first`, `hedge` or `retry`.
+            replicas: The usable searchers; None looks for them now.
+
+        Returns:
+            True if any was sent.
+        """
+        attempts = []
+        for progress in wanted:
+            shard = progress.shard
+            candidates = (
+                replicas[shard.name]
+                if replicas is not None
+                else self.dispatcher.find_replicas(self.header, shard)
+            )
+            searcher = self._choose(progress, candidates, reason)
+            if searcher is None:
+                continue
+            self._next_part += 1
+            attempt = self.dispatcher.make_attempt(
+                self._next_part, shard, searcher, reason
+            )
+            self.state.add(attempt)
+            attempts.append(attempt)
+        unsent = self.dispatcher.send(self.header, attempts)
+        for attempt in unsent:
+            self.state.remove(attempt)
+        return len(unsent) < len(attempts)
+
+    def _choose(
+        self,
+        progress: assembly.Progress,
+        candidates: Collection[str],
+        reason: str,
+    ) -> str | None:
+        """Chooses a searcher for one more attempt.
+
+        A hedge goes to another backend server or nowhere: what makes the
+        first attempt late may be the whole server.
+        """
+        if progress.attempts >= assembly.MAX_ATTEMPTS:
+            return None
+        used = {attempt.server for attempt in progress.running.values()}
+        sites = self.dispatcher.get_topology().sites
+        left = [
+            name
+            for name in candidates
+            if name not in progress.tried
+            and name in sites
+            and (reason != "hedge" or sites[name].server not in used)
+        ]
+        return self.dispatcher.choose(left, used)
+
+    def take(self, result: messages.PartResult) -> assembly.Taken:
+        """Takes a result, and measures what it says of its searcher."""
+        now_s = asyncio.get_running_loop().time()
+        taken = self.state.take(result)
+        match taken:
+            case assembly.Unknown():
+                self._board.metrics.count("part.refused")
+            case assembly.Merged(attempt=attempt):
+                took_ms = (now_s - attempt.sent_s) * 1000
+                self.tally.add_merged(taken, took_ms)
+                self.dispatcher.measured.finish(
+                    self.header.index, attempt, now_s
+                )
+                self._record_ended(attempt, "ok", True)
+                self.cancel(taken.losers)
+            case assembly.Failed():
+                self._end_failed(taken)
+        return taken
+
+    def drop(self, attempt: assembly.Attempt) -> assembly.Failed | None:
+        """Counts a running attempt as lost with its owner."""
+        if not self.state.remove(attempt):
+            return None
+        kind = errors.Kind.CONNECTION_LOST
+        failed = assembly.Failed(attempt, kind, sent=True, ran=True)
+        self._end_failed(failed)
+        return failed
+
+    def cancel(self, attempts: Iterable[assembly.Attempt]) -> None:
+        """Forgets running attempts, and tells their owners."""
+        now_s = asyncio.get_running_loop().time()
+        cancelled = [one for one in attempts if self.state.remove(one)]
+        for attempt in cancelled:
+            self.tally.ran = True
+            self.dispatcher.measured.abandon(self.header.index, attempt, now_s)
+            self._record_ended(attempt, errors.Kind.CANCELLED.value, False)
+        if cancelled:
+            self.dispatcher.cancel(self.header.request_id, cancelled)
+
+    def end(self, attempts: Iterable[assembly.Attempt]) -> None:
+        """Cancels what had no result when the query ended."""
+        now_s = asyncio.get_running_loop().time()
+        ended = tuple(attempts)
+        for attempt in ended:
+            self.tally.add_unanswered((now_s - attempt.sent_s) * 1000)
+        self.cancel(ended)
+
+    def readopt(self, state: assembly.Assembly) -> None:
+        """Goes back to another version's results, which were kept aside."""
+        self.state = state
+        version = state.ledger.shard_map.version
+        self.header = dataclasses.replace(self.header, version=version)
+        for attempt in state.merged:
+            self._record_ended(attempt, "ok", True)
+
+    def _end_failed(self, failed: assembly.Failed) -> None:
+        """Takes account of a failure."""
+        now_s = asyncio.get_running_loop().time()
+        self.tally.add_failed(failed)
+        self.dispatcher.measured.fail(failed.attempt, now_s)
+        self._record_ended(failed.attempt, failed.kind.value, False)
+
+    def _record_ended(
+        self, attempt: assembly.Attempt, code: str, merged: bool
+    ) -> None:
+        """Records the end of an attempt."""
+        event = events.PartEnded(
+            request_id=self.header.request_id,
+            part=attempt.part,
+            searcher=attempt.searcher,
+            version=self.header.version,
+            low=attempt.shard.low,
+            high=attempt.shard.high,
+            code=code,
+            merged=merged,
+        )
+        now_s = asyncio.get_running_loop().time()
+        self._board.timeline.record(event, now_s)
--- a/src/azureramp/controllers/caller_api.py
+++ b/src/azureramp/controllers/caller_api.py
@@ -5,69 +5,16 @@
 import asyncio
 import random
 import unicodedata
-from typing import Annotated
 
 import expression
 import msgspec
 
 from azureramp import blackboard, errors, messages, resources
-from azureramp.controllers import answers
+from azureramp.controllers import answers, caller_input
 from azureramp.controllers import coordinator as coordinator_controller
-from azureramp.policy import identity
+from azureramp.policy import addresses, identity
 from azureramp.ports.web import api as web_api
 
-MAX_BODY_BYTES = 262_144
-"""Largest body of a request, in bytes."""
-
-MAX_KEY_CHARACTERS = 200
-"""Longest idempotency key."""
-
-MAX_DEADLINE_MS = 600_000
-
-_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
-_DeadlineMs = Annotated[int, msgspec.Meta(ge=1, le=MAX_DEADLINE_MS)]
-_Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
-_Key = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
-
-
-class QueryBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The body of POST /v1/query.
-
-    An unknown field is refused: a misspelt `minimum_coverage` must not turn
-    into none.
-
-    Attributes:
-        service: The service's name.
-        index: The index.
-        query: The query, any JSON.
-        deadline_ms: How long the caller waits, in milliseconds.
-        minimum_coverage: The least coverage that it takes.
-    """
-
-    service: _Name
-    index: _Name
-    query: msgspec.Raw
-    deadline_ms: _DeadlineMs
-    minimum_coverage: _Share = 0.0
-
-
-class ExecuteBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The body of POST /v1/execute.
-
-    Attributes:
-        service: The service's name.
-        index: The index.
-        key: A key of the key space; its shard runs the operation.
-        operation: The operation, any JSON.
-        deadline_ms: How long the caller waits, in milliseconds.
-    """
-
-    service: _Name
-    index: _Name
-    key: _Key
-    operation: msgspec.Raw
-    deadline_ms: _DeadlineMs
-
 
 class CallerApi:
     """Handles the callers' requests."""
@@ -79,7 +26,6 @@
         "_next",
         "_prefix",
         "_query_decoder",
-        "_random",
     )
 
     def __init__(
@@ -91,10 +37,10 @@
         """Makes the interface; see `make`."""
         self._board = board
         self._coordinator = coordinator
-        self._random = rng
-        self._query_decoder = msgspec.json.Decoder(QueryBody)
-        self._execute_decoder = msgspec.json.Decoder(ExecuteBody)
-        self._prefix = f"{board.settings.vm}-{board.incarnation}"
+        self._query_decoder = msgspec.json.Decoder(caller_input.QueryBody)
+        self._execute_decoder = msgspec.json.Decoder(caller_input.ExecuteBody)
+        nonce = f"{rng.getrandbits(32):08x}"
+        self._prefix = f"{board.settings.vm}-{board.incarnation}-{nonce}"
         self._next = 0
 
     async def handle(self, request: web_api.Request) -> web_api.Response:
@@ -138,13 +84,13 @@
         if identified.is_error():
             return self._make_error(identified.error, None)
         caller = identified.ok
-        refusal = self._check_serving() or _check_size(request)
+        refusal = self._check_serving() or caller_input.check_size(request)
         if refusal is not None:
             return self._make_error(refusal, caller)
         try:
             body = self._query_decoder.decode(request.body)
         except (msgspec.MsgspecError, RecursionError, ValueError) as error:
-            return self._make_error(_describe(error), caller)
+            return self._make_error(caller_input.describe(error), caller)
         query = coordinator_controller.Query(
             request_id=self._make_request_id(),
             caller=caller,
@@ -166,14 +112,16 @@
         caller = identified.ok
         key = request.headers.get("idempotency-key", "")
         refusal = (
-            self._check_serving() or _check_size(request) or _check_key(key)
+            self._check_serving()
+            or caller_input.check_size(request)
+            or caller_input.check_key(key)
         )
         if refusal is not None:
             return self._make_error(refusal, caller)
         try:
             body = self._execute_decoder.decode(request.body)
         except (msgspec.MsgspecError, RecursionError, ValueError) as error:
-            return self._make_error(_describe(error), caller)
+            return self._make_error(caller_input.describe(error), caller)
         execute = coordinator_controller.Execute(
             request_id=self._make_request_id(),
             caller=caller,
@@ -237,23 +185,40 @@
                 return errors.Failure(errors.Kind.STALE_CONFIGURATION)
 
     def _make_request_id(self) -> str:
-        """Makes an id that no other VM or process makes."""
+        """Makes an id that no other VM or process makes.
+
+        A clock that was set back may give two processes of a VM the same
+        incarnation; a result meant for the first must not match a request
+        of the second, so the ids carry a random part too.
+        """
         self._next += 1
         return f"{self._prefix}-{self._next}"
 
     def _order_addresses(self, caller: resources.Caller) -> tuple[str, ...]:
         """Orders the VMs that this caller should use."""
-        zones_out = self._coordinator.get_topology().zones_out
-        addresses = [
-            member.vm.http_address
-            for member in self._board.members.values()
-            if member.state is blackboard.MemberState.LIVE
-            and member.ready
-            and not member.vm.leaving
-            and member.vm.zone not in zones_out
-        ]
-        self._random.shuffle(addresses)
-        return tuple(addresses)
+        table = self._coordinator.get_topology()
+        members = self._board.members
+        eligible = addresses.choose_eligible(
+            (
+                addresses.Entry(
+                    name=name,
+                    zone=member.vm.zone,
+                    ready=member.ready,
+                    live=member.state is blackboard.MemberState.LIVE,
+                    leaving=member.vm.leaving,
+                )
+                for name, member in members.items()
+            ),
+            table.zones_out,
+        )
+        weights = {
+            one.name: one.weight
+            for same in table.callers.values()
+            for one in same
+            if not one.revoked
+        }
+        ordered = addresses.order(caller.name, weights, eligible)
+        return tuple(members[name].vm.http_address for name in ordered)
 
     def _make_response(
         self,
@@ -277,12 +242,12 @@
         request_id: str = "",
     ) -> web_api.Response:
         """Makes an error's response; only a known caller gets addresses."""
-        addresses: tuple[str, ...] = ()
+        others: tuple[str, ...] = ()
         wanted = failure.get_answer().retry is errors.Retry.OTHER_ADDRESS
         if caller is not None and wanted:
-            addresses = self._order_addresses(caller)
+            others = self._order_addresses(caller)
         return answers.make_error(
-            failure, request_id=request_id, addresses=addresses
+            failure, request_id=request_id, addresses=others
         )
 
 
@@ -296,7 +261,7 @@
     Args:
         board: The process's state.
         coordinator: Runs the requests.
-        rng: Spreads the callers over the addresses.
+        rng: Draws what makes this process's request ids its own.
     """
     return CallerApi(board, coordinator, rng)
 
@@ -306,36 +271,3 @@
     if path in ("/413", "/431"):
         return errors.Failure(errors.Kind.TOO_LARGE)
     return errors.Failure(errors.Kind.BAD_REQUEST, "not valid HTTP")
-
-
-def _check_size(request: web_api.Request) -> errors.Failure | None:
-    """Refuses a body that is too large."""
-    if len(request.body) > MAX_BODY_BYTES:
-        return errors.Failure(
-            errors.Kind.TOO_LARGE, f"most is {MAX_BODY_BYTES} bytes"
-        )
-    return None
-
-
-def _check_key(key: str) -> errors.Failure | None:
-    """Refuses an idempotency key that is missing or not plain."""
-    if not 0 < len(key) <= MAX_KEY_CHARACTERS:
-        return errors.Failure(
-            errors.Kind.BAD_REQUEST,
-            f"Idempotency-Key: 1 to {MAX_KEY_CHARACTERS} characters",
-        )
-    if not (key.isascii() and key.isprintable()):
-        return errors.Failure(
-            errors.Kind.BAD_REQUEST, "Idempotency-Key: printable ASCII only"
-        )
-    return None
-
-
-def _describe(error: Exception) -> errors.Failure:
-    """Makes a refusal of a body that can't be read."""
-    match error:
-        case msgspec.MsgspecError() | UnicodeError():
-            detail = str(error)[:200]
-        case _:
-            detail = "the body is nested too deeply"
-    return errors.Failure(errors.Kind.BAD_REQUEST, detail)
--- a/src/azureramp/controllers/coordinator.py
+++ b/src/azureramp/controllers/coordinator.py
@@ -9,16 +9,17 @@
 import expression
 import msgspec
 
-from azureramp import blackboard, errors, events, messages, resources
-from azureramp.controllers import dispatching, execution, gathering
-from azureramp.controllers import outbox as outbox_controller
-from azureramp.policy import (
-    deadlines,
-    fingerprints,
-    identity,
-    snapshots,
-    topology,
+from azureramp import blackboard, errors, messages, resources
+from azureramp.controllers import (
+    admitting,
+    dispatching,
+    execution,
+    gathering,
+    measurements,
+    request_log,
 )
+from azureramp.controllers import outbox as outbox_controller
+from azureramp.policy import identity, topology
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -46,24 +47,28 @@
 
 Execute = execution.Execute
 
+Answered = expression.Result[messages.QueryAnswer, errors.Failure]
+
 
 class Coordinator:
     """Runs queries and requests that may not be repeated."""
 
-    __slots__ = ("_board", "_dispatcher", "_executor", "_random")
+    __slots__ = ("_board", "_dispatcher", "_executor", "_gate", "_log")
 
     def __init__(
         self,
         board: blackboard.Blackboard,
         dispatcher: dispatching.Dispatcher,
+        gate: admitting.Gate,
         executor: execution.Executor,
-        rng: random.Random,
+        log: request_log.RequestLog,
     ) -> None:
         """Makes a coordinator; see `make`."""
         self._board = board
         self._dispatcher = dispatcher
+        self._gate = gate
         self._executor = executor
-        self._random = rng
+        self._log = log
 
     def get_topology(self) -> topology.Topology:
         """Returns the configuration in force, indexed."""
@@ -85,11 +90,11 @@
         """Waits until the records of all that ran are written."""
         await self._executor.drain(limit_s)
 
-    async def query(
-        self, query: Query
-    ) -> expression.Result[messages.QueryAnswer, errors.Failure]:
+    async def query(self, query: Query) -> Answered:
         """Answers a query from one snapshot.
 
+        Cancelling this ends the query, and cancels its sub-requests.
+
         Args:
             query: The query.
 
@@ -97,131 +102,69 @@
             The answer, complete or marked short; or why there is none.
         """
         started_s = asyncio.get_running_loop().time()
-        result = await self._query(query, started_s)
-        self._record_answered(query, result, started_s)
+        asked = admitting.Asked(
+            query.request_id,
+            query.caller,
+            query.service,
+            query.index,
+            query.body,
+            query.deadline_s,
+            repeatable=True,
+            minimum_coverage=query.minimum_coverage,
+        )
+        admitted = self._gate.admit(asked)
+        result: Answered
+        if admitted.is_error():
+            result = expression.Error(admitted.error)
+        else:
+            result = await self._run(asked, admitted.ok, started_s)
+        self._log.record_query_answered(query.request_id, result, started_s)
         return result
 
-    async def _query(
-        self, query: Query, started_s: float
-    ) -> expression.Result[messages.QueryAnswer, errors.Failure]:
-        """Admits, pins, gathers."""
-        if query.deadline_s <= started_s:
-            return expression.Error(
-                errors.Failure(errors.Kind.DEADLINE_TOO_SHORT)
-            )
-        table = self._dispatcher.get_topology()
-        service = identity.check_service(
-            table, query.caller, query.service, query.index
-        )
-        if service.is_error():
-            return expression.Error(service.error)
-        pinned = self._dispatcher.pin(query.index)
-        if pinned.is_error():
-            return expression.Error(pinned.error)
-        snapshot = pinned.ok
-        header = self._make_header(query, snapshot, started_s)
-        self._record_admitted(query, header)
-        permitted = [
-            shard
-            for shard in snapshot.shard_map.shards
-            if identity.may_query(service.ok, shard)
-        ]
+    async def _run(
+        self,
+        asked: admitting.Asked,
+        admitted: admitting.Admitted,
+        started_s: float,
+    ) -> Answered:
+        """Gathers an admitted query's parts."""
+        service = admitted.service
+
+        def record_pinned(version: int) -> None:
+            self._log.record_admitted(asked, admitted.header, version)
+
+        record_pinned(admitted.header.version)
         running = gathering.Gathering(
             self._board,
             self._dispatcher,
-            header,
-            snapshot,
-            permitted,
-            query.minimum_coverage,
-            self._random,
+            admitted.header,
+            admitted.snapshot,
+            lambda shard: identity.may_query(service, shard),
+            asked.minimum_coverage,
+            record_pinned,
         )
-        failure = await running.run()
-        if failure is not None:
-            return expression.Error(failure)
-        ledger = running.get_ledger()
+        self._dispatcher.measured.running += 1
+        try:
+            outcome = await running.run()
+        finally:
+            self._dispatcher.measured.running -= 1
+        self._gate.observe(admitted, running.get_tally())
+        if isinstance(outcome, errors.Failure):
+            return expression.Error(outcome)
         took_s = asyncio.get_running_loop().time() - started_s
         return expression.Ok(
             messages.QueryAnswer(
-                request_id=query.request_id,
-                index=query.index,
-                version=ledger.shard_map.version,
-                complete=ledger.is_complete(),
-                coverage=ledger.get_coverage(),
-                missing=ledger.get_missing(),
-                items=msgspec.Raw(ledger.merge()),
+                request_id=asked.request_id,
+                index=asked.index,
+                version=outcome.shard_map.version,
+                complete=outcome.is_complete(),
+                coverage=outcome.get_coverage(),
+                missing=outcome.get_missing(),
+                items=msgspec.Raw(outcome.merge()),
                 took_ms=took_s * 1000,
             )
         )
 
-    def _make_header(
-        self, query: Query, snapshot: snapshots.Snapshot, started_s: float
-    ) -> dispatching.Header:
-        """Makes what the query's sub-requests share."""
-        return dispatching.Header(
-            request_id=query.request_id,
-            index=query.index,
-            version=snapshot.shard_map.version,
-            priority=query.caller.priority,
-            fingerprint=fingerprints.compute(query.index, query.body),
-            repeatable=True,
-            isolated=False,
-            body=query.body,
-            answer_s=deadlines.get_answer_s(started_s, query.deadline_s),
-        )
-
-    def _record_admitted(
-        self, query: Query, header: dispatching.Header
-    ) -> None:
-        """Records that a query begins."""
-        event = events.RequestAdmitted(
-            request_id=query.request_id,
-            caller=query.caller.name,
-            service=query.service,
-            index=query.index,
-            version=header.version,
-            priority=int(query.caller.priority),
-            fingerprint=header.fingerprint,
-        )
-        now_s = asyncio.get_running_loop().time()
-        self._board.timeline.record(event, now_s)
-
-    def _record_answered(
-        self,
-        query: Query,
-        result: expression.Result[messages.QueryAnswer, errors.Failure],
-        started_s: float,
-    ) -> None:
-        """Records and counts an answer."""
-        now_s = asyncio.get_running_loop().time()
-        took_ms = (now_s - started_s) * 1000
-        counters = self._board.metrics
-        counters.count("request.count")
-        counters.record_ms("request.took_ms", took_ms)
-        match result:
-            case expression.Result(tag="ok", ok=answer):
-                if not answer.complete:
-                    counters.count("request.short")
-                event = events.RequestAnswered(
-                    request_id=query.request_id,
-                    code="ok",
-                    ran=errors.Ran.RAN.value,
-                    version=answer.version,
-                    coverage=answer.coverage,
-                    missing=tuple((m.low, m.high) for m in answer.missing),
-                    took_ms=took_ms,
-                )
-            case expression.Result(error=failure):
-                ran = failure.get_answer().ran
-                if ran is errors.Ran.NOT_RUN:
-                    counters.count("request.refused")
-                event = events.RequestAnswered(
-                    request_id=query.request_id,
-                    code=failure.kind.value,
-                    ran=ran.value,
-                    took_ms=took_ms,
-                )
-        self._board.timeline.record(event, now_s)
-
 
 def make(
     board: blackboard.Blackboard,
@@ -237,6 +180,9 @@
         records: The idempotency records.
         rng: Draws among equal choices.
     """
-    dispatcher = dispatching.Dispatcher(board, outbox)
-    executor = execution.Executor(board, dispatcher, records, rng)
-    return Coordinator(board, dispatcher, executor, rng)
+    measured = measurements.Measurements(rng)
+    dispatcher = dispatching.Dispatcher(board, outbox, measured)
+    gate = admitting.Gate(board, dispatcher)
+    log = request_log.RequestLog(board)
+    executor = execution.Executor(board, dispatcher, gate, records, log)
+    return Coordinator(board, dispatcher, gate, executor, log)
--- a/src/azureramp/controllers/dispatching.py
+++ b/src/azureramp/controllers/dispatching.py
@@ -9,8 +9,9 @@
 import expression
 
 from azureramp import blackboard, errors, events, messages, resources
+from azureramp.controllers import measurements as measurements_module
 from azureramp.controllers import outbox as outbox_controller
-from azureramp.policy import deadlines, snapshots, topology
+from azureramp.policy import assembly, deadlines, snapshots, topology
 
 Receiver = Callable[[messages.PartResult], None]
 
@@ -42,30 +43,13 @@
     answer_s: float
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Attempt:
-    """One sub-request that was sent.
+class Dispatcher:
+    """Sends sub-requests, and hands each result to its request.
 
     Attributes:
-        part: Its number, unique within the request.
-        shard: Its shard.
-        searcher: The searcher's name.
-        owner: The VM that it was sent to.
-        sent_s: When.
-        reason: `first`, `hedge` or `retry`.
+        measured: What was measured of the searchers.
     """
 
-    part: int
-    shard: resources.Shard
-    searcher: str
-    owner: str
-    sent_s: float
-    reason: str
-
-
-class Dispatcher:
-    """Sends sub-requests, and hands each result to its request."""
-
     __slots__ = (
         "_board",
         "_outbox",
@@ -73,12 +57,17 @@
         "_rolled_out",
         "_topology",
         "_topology_key",
+        "measured",
     )
 
     def __init__(
-        self, board: blackboard.Blackboard, outbox: outbox_controller.Outbox
+        self,
+        board: blackboard.Blackboard,
+        outbox: outbox_controller.Outbox,
+        measured: measurements_module.Measurements,
     ) -> None:
         """Makes a dispatcher without requests."""
+        self.measured = measured
         self._board = board
         self._outbox = outbox
         self._receivers: dict[str, Receiver] = {}
@@ -137,17 +126,78 @@
         for result in results.results:
             receiver(result)
 
+    def find_replicas(
+        self, header: Header, shard: resources.Shard
+    ) -> tuple[str, ...]:
+        """Finds the searchers that may get work of a shard now.
+
+        Asked anew for each later attempt: a zone taken out, or a server that
+        began to leave under the query, must get no hedge and no retry.
+        """
+        return snapshots.find_usable(
+            shard,
+            f"{header.index}.{header.version}",
+            self.get_topology().sites,
+            self._board.get_searcher_states(),
+            self.is_owned,
+        )
+
+    def choose(
+        self, candidates: Collection[str], avoided: Collection[str]
+    ) -> str | None:
+        """Chooses a searcher.
+
+        Args:
+            candidates: The searchers' names.
+            avoided: Backend servers to use only if there is no other.
+        """
+        sites = self.get_topology().sites
+        known = [name for name in candidates if name in sites]
+        apart = [n for n in known if sites[n].server not in avoided]
+        if not known:
+            return None
+        return self.measured.scoreboard.choose(
+            apart or known,
+            self._board.get_searcher_states(),
+            asyncio.get_running_loop().time(),
+            self.measured.random,
+        )
+
     def make_attempt(
         self, part: int, shard: resources.Shard, searcher: str, reason: str
-    ) -> Attempt:
+    ) -> assembly.Attempt:
         """Makes an attempt for a searcher that has an owner."""
-        now_s = asyncio.get_running_loop().time()
         owner = self._board.owners[searcher]
-        return Attempt(part, shard, searcher, owner, now_s, reason)
+        return assembly.Attempt(
+            part=part,
+            shard=shard,
+            searcher=searcher,
+            server=self.get_topology().sites[searcher].server,
+            owner=owner,
+            owner_incarnation=self._board.members[owner].incarnation,
+            sent_s=asyncio.get_running_loop().time(),
+            reason=reason,
+        )
+
+    def is_owner_lost(self, attempt: assembly.Attempt) -> bool:
+        """Tells whether an attempt's owner has gone with the attempt.
+
+        A VM that restarted has forgotten it; one that is no longer heard
+        will not answer, or too late.
+        """
+        member = self._board.members.get(attempt.owner)
+        if member is None:
+            return True
+        if member.incarnation != attempt.owner_incarnation:
+            return attempt.owner_incarnation != 0
+        return member.state in (
+            blackboard.MemberState.SUSPECT,
+            blackboard.MemberState.GONE,
+        )
 
     def send(
-        self, header: Header, attempts: Iterable[Attempt]
-    ) -> list[Attempt]:
+        self, header: Header, attempts: Iterable[assembly.Attempt]
+    ) -> list[assembly.Attempt]:
         """Sends attempts, all of one owner in one message.
 
         Args:
@@ -157,19 +207,22 @@
         Returns:
             Those that could not be sent, since their owner is not known.
         """
-        by_owner: dict[str, list[Attempt]] = {}
+        by_owner: dict[str, list[assembly.Attempt]] = {}
         for attempt in attempts:
             by_owner.setdefault(attempt.owner, []).append(attempt)
-        unsent: list[Attempt] = []
+        unsent: list[assembly.Attempt] = []
         for owner, group in by_owner.items():
             if not self._outbox.send(owner, self._make_batch(header, group)):
                 unsent.extend(group)
                 continue
             for attempt in group:
+                self.measured.scoreboard.begin(attempt.searcher)
                 self._record_chosen(header, attempt)
         return unsent
 
-    def cancel(self, request_id: str, attempts: Collection[Attempt]) -> None:
+    def cancel(
+        self, request_id: str, attempts: Collection[assembly.Attempt]
+    ) -> None:
         """Tells the owners that nobody waits for some attempts any more."""
         by_owner: dict[str, list[int]] = {}
         for attempt in attempts:
@@ -179,7 +232,7 @@
             self._outbox.send(owner, message)
 
     def _make_batch(
-        self, header: Header, group: list[Attempt]
+        self, header: Header, group: list[assembly.Attempt]
     ) -> messages.QueryBatch:
         """Makes the message for one owner."""
         now_s = asyncio.get_running_loop().time()
@@ -205,7 +258,7 @@
             ),
         )
 
-    def _record_chosen(self, header: Header, attempt: Attempt) -> None:
+    def _record_chosen(self, header: Header, attempt: assembly.Attempt) -> None:
         """Records who was chosen."""
         event = events.PartChosen(
             request_id=header.request_id,
--- a/src/azureramp/controllers/gathering.py
+++ b/src/azureramp/controllers/gathering.py
@@ -3,38 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import fractions
-import random
-from collections.abc import Iterable
+from collections.abc import Callable
 
-import msgspec
+from azureramp import blackboard, errors, messages, resources
+from azureramp.controllers import attempts, dispatching, lateness
+from azureramp.policy import assembly, coverage, outcomes, snapshots
 
-from azureramp import blackboard, errors, events, messages, resources
-from azureramp.controllers import dispatching
-from azureramp.policy import coverage, snapshots
+NOT_OWNER_WAIT_S = 0.025
+"""Wait for a handoff to be known, when no other replica is left."""
 
-MAX_ATTEMPTS = 3
-"""Most attempts for one shard of one query, hedges included."""
+MOST_CRASHES = 2
+"""Crashes under one query that end it: two are the quarantine's proof."""
 
-_items_decoder = msgspec.json.Decoder(list[msgspec.Raw])
-
-
-@dataclasses.dataclass(slots=True)
-class _Progress:
-    """How far one shard is.
-
-    Attributes:
-        shard: The shard.
-        tried: The searchers that have had an attempt.
-        running: The attempts without a result yet, by part number.
-    """
-
-    shard: resources.Shard
-    tried: list[str] = dataclasses.field(default_factory=list)
-    running: dict[int, dispatching.Attempt] = dataclasses.field(
-        default_factory=dict
-    )
+Permits = Callable[[resources.Shard], bool]
 
 
 class Gathering:
@@ -50,15 +32,13 @@
         "_board",
         "_dispatcher",
         "_finished",
-        "_header",
-        "_ledger",
-        "_lost",
+        "_former",
+        "_held_back",
         "_minimum",
-        "_next_part",
-        "_permitted",
-        "_progress",
-        "_random",
+        "_on_pinned",
+        "_permits",
         "_snapshot",
+        "_watch",
     )
 
     def __init__(
@@ -67,9 +47,9 @@
         dispatcher: dispatching.Dispatcher,
         header: dispatching.Header,
         snapshot: snapshots.Snapshot,
-        permitted: Iterable[resources.Shard],
+        permits: Permits,
         minimum_coverage: float,
-        rng: random.Random,
+        on_pinned: Callable[[int], None],
     ) -> None:
         """Makes a query that has not sent anything yet.
 
@@ -78,203 +58,237 @@
             dispatcher: Sends and receives.
             header: What all sub-requests share.
             snapshot: The pinned version.
-            permitted: The shards that the service may query.
+            permits: Tells which shards the service may query.
             minimum_coverage: The least coverage that the caller takes.
-            rng: Draws among equal replicas.
+            on_pinned: Called with each version that is pinned later.
         """
+        self._on_pinned = on_pinned
         self._board = board
         self._dispatcher = dispatcher
-        self._header = header
         self._snapshot = snapshot
-        self._random = rng
+        self._permits = permits
         self._minimum = fractions.Fraction(minimum_coverage)
-        self._ledger = coverage.Ledger(snapshot.shard_map)
-        self._progress = {s.name: _Progress(s) for s in permitted}
-        self._lost = {
-            shard.name
-            for shard in snapshot.shard_map.shards
-            if shard.name not in self._progress
-        }
-        self._attempts: dict[int, dispatching.Attempt] = {}
-        self._next_part = 0
-        self._finished: asyncio.Future[errors.Failure | None] | None = None
-
-    async def run(self) -> errors.Failure | None:
+        self._former: assembly.Assembly | None = None
+        self._held_back: list[assembly.Progress] = []
+        self._attempts = attempts.Attempts(
+            board,
+            dispatcher,
+            header,
+            assembly.Assembly(snapshot.shard_map, permits),
+        )
+        self._watch = lateness.Watch(board, self._attempts, self._take_lost)
+        self._finished = asyncio.get_running_loop().create_future()
+
+    def get_tally(self) -> outcomes.Tally:
+        """Returns how the parts went."""
+        return self._attempts.tally
+
+    async def run(self) -> coverage.Ledger | errors.Failure:
         """Sends, gathers, and returns once there is a final answer.
 
+        Cancelling this cancels what runs at the owners.
+
         Returns:
-            Why there is no answer, or None: then `get_ledger` has it.
+            What is held of one version; or why there is no answer.
         """
+        header = self._attempts.header
+        self._dispatcher.register(header.request_id, self.receive)
         loop = asyncio.get_running_loop()
-        self._finished = loop.create_future()
-        request_id = self._header.request_id
-        self._dispatcher.register(request_id, self.receive)
-        timer = loop.call_at(self._header.answer_s, self._end_at_deadline)
+        timer = loop.call_at(header.answer_s, self._finish)
         try:
-            self._start_all()
-            return await self._finished
+            self._begin()
+            await self._finished
         finally:
             timer.cancel()
-            self._dispatcher.unregister(request_id)
-            self._cancel(self._attempts.values())
-
-    def get_ledger(self) -> coverage.Ledger:
-        """Returns what is held."""
-        return self._ledger
+            self._watch.stop()
+            self._dispatcher.unregister(header.request_id)
+            self._attempts.end(self._attempts.state.get_running())
+        return self._conclude()
 
     def receive(self, result: messages.PartResult) -> None:
-        """Takes one sub-request's result.
+        """Takes one sub-request's result."""
+        if self._finished.done():
+            return
+        taken = self._attempts.take(result)
+        match taken:
+            case assembly.Merged():
+                self._start_held_back()
+            case assembly.Failed():
+                self._replace(taken)
+        self._check_finished()
+
+    def _begin(self) -> None:
+        """Sends the first attempts over the pinned version.
 
-        A result for a part that does not run is a copy, or came late: the
-        first one counts.
+        A request that is blamed for a crash is sent to one shard alone first;
+        the others get it only once that one has survived it.
         """
-        attempt = self._attempts.pop(result.part, None)
-        if attempt is None:
-            self._board.metrics.count("part.refused")
-            return
-        progress = self._progress[attempt.shard.name]
-        progress.running.pop(attempt.part, None)
-        match result:
-            case messages.PartDone():
-                self._take_done(progress, attempt, result)
-            case messages.PartFailed():
-                self._record_ended(attempt, result.kind, False)
-                self._replace(progress, result)
+        waiting = list(self._attempts.state.progress.values())
+        if self._attempts.header.isolated:
+            waiting, self._held_back = waiting[:1], waiting[1:]
+            for progress in self._held_back:
+                progress.waiting = True
+        needed = len(self._attempts.state.progress)
+        policy = self._dispatcher.get_topology().policy
+        measured = self._dispatcher.measured
+        measured.hedges.earn(needed, policy.hedge_budget)
+        measured.retries.earn(needed, policy.retry_budget)
+        self._board.metrics.count("part.needed", needed)
+        self._start_first(waiting, self._snapshot.replicas)
         self._check_finished()
+        if not self._finished.done():
+            self._watch.schedule()
+
+    def _start_held_back(self) -> None:
+        """Sends what waited for the first part's survival."""
+        held_back, self._held_back = self._held_back, []
+        if held_back:
+            self._start_first(held_back, None)
 
-    def _take_done(
+    def _start_first(
         self,
-        progress: _Progress,
-        attempt: dispatching.Attempt,
-        done: messages.PartDone,
+        waiting: list[assembly.Progress],
+        replicas: snapshots.Replicas | None,
     ) -> None:
-        """Merges a result, or treats it as lost."""
-        items = read_items(done.items)
-        merged = items is not None and self._ledger.hold(
-            attempt.shard, done, items
-        )
-        code = "ok" if merged else errors.Kind.CROSSED_REPLY.value
-        self._record_ended(attempt, code, merged)
-        if merged:
-            self._cancel(tuple(progress.running.values()))
+        """Sends first attempts; a shard without a replica is lost."""
+        for progress in waiting:
+            progress.waiting = False
+        self._attempts.start(waiting, "first", replicas)
+        for progress in waiting:
+            if not progress.running:
+                self._lose(progress)
+
+    def _take_lost(self, failed: assembly.Failed) -> None:
+        """Replaces an attempt whose owner VM has gone.
+
+        It needs no budget: each running attempt can lose its owner but once,
+        and an eighth of all parts go with one of eight VMs.
+        """
+        self._replace(failed, paid=True)
+        self._check_finished()
+
+    def _replace(self, failed: assembly.Failed, paid: bool = False) -> None:
+        """Tries another replica after a failure, or gives the shard up.
+
+        Args:
+            failed: The failure.
+            paid: True if the retry needs no budget.
+        """
+        if self._attempts.tally.crashes >= MOST_CRASHES:
+            self._stop()
+            return
+        progress = self._attempts.state.progress[failed.attempt.shard.name]
+        if progress.running or progress.waiting:
             return
-        self._board.metrics.count("part.refused")
-        self._replace(progress, messages.PartFailed(done.part, code, True))
+        not_owner = failed.kind is errors.Kind.NOT_OWNER
+        if not_owner:
+            progress.tried.discard(failed.attempt.searcher)
+        if self._may_retry(failed, paid) and self._attempts.start(
+            (progress,), "retry"
+        ):
+            self._board.metrics.count("part.retried")
+        elif not_owner and progress.attempts < assembly.MAX_ATTEMPTS:
+            progress.waiting = True
+            asyncio.get_running_loop().call_later(
+                NOT_OWNER_WAIT_S, self._retry_later, progress
+            )
+        elif failed.kind is not errors.Kind.VERSION_GONE or not self._restart():
+            self._lose(progress)
 
-    def _replace(
-        self, progress: _Progress, failed: messages.PartFailed
-    ) -> None:
-        """Tries another replica after a failure, or gives the shard up."""
-        if progress.running or self._ledger.is_held(progress.shard):
+    def _may_retry(self, failed: assembly.Failed, paid: bool) -> bool:
+        """Tells whether a failed attempt may be followed by another.
+
+        What a searcher never got costs it nothing and needs no budget. What
+        crashed a server must not meet the next one.
+        """
+        if not failed.sent:
+            return True
+        if self._attempts.header.isolated or self._attempts.tally.crashes:
+            return False
+        return paid or self._dispatcher.measured.retries.spend()
+
+    def _retry_later(self, progress: assembly.Progress) -> None:
+        """Tries again once an owner should be known."""
+        state = self._attempts.state
+        present = state.progress.get(progress.shard.name) is progress
+        if self._finished.done() or not present or not progress.waiting:
             return
-        if not self._start((progress,), "retry"):
-            self._lost.add(progress.shard.name)
-
-    def _start_all(self) -> None:
-        """Sends the first attempt for every shard."""
-        waiting = list(self._progress.values())
-        self._start(waiting, "first")
-        self._lost.update(p.shard.name for p in waiting if not p.running)
-        self._board.metrics.count("part.needed", len(self._attempts))
+        progress.waiting = False
+        if not self._attempts.start((progress,), "retry"):
+            self._lose(progress)
         self._check_finished()
 
-    def _start(self, wanted: Iterable[_Progress], reason: str) -> bool:
-        """Sends one more attempt for each of some shards, where it can.
-
-        Returns:
-            True if any was sent.
+    def _lose(self, progress: assembly.Progress) -> None:
+        """Gives a shard up; if all others wait for it, the next one leads."""
+        state = self._attempts.state
+        state.give_up(progress)
+        while self._held_back and not state.get_running():
+            following = self._held_back.pop(0)
+            following.waiting = False
+            if self._attempts.tally.crashes or not self._attempts.start(
+                (following,), "first"
+            ):
+                state.give_up(following)
+
+    def _stop(self) -> None:
+        """Ends a query that crashes the backend servers that run it."""
+        state = self._attempts.state
+        self._attempts.cancel(state.get_running())
+        self._held_back = []
+        for progress in state.get_open():
+            progress.waiting = False
+            state.give_up(progress)
+
+    def _restart(self) -> bool:
+        """Starts once more, on a newer version that is served whole.
+
+        The index was repartitioned or reloaded under the query. What is held
+        of the old version is kept aside, never mixed: it may still be the
+        better answer if the time runs out.
         """
-        attempts = []
-        for progress in wanted:
-            searcher = self._choose(progress)
-            if searcher is None:
-                continue
-            self._next_part += 1
-            attempt = self._dispatcher.make_attempt(
-                self._next_part, progress.shard, searcher, reason
-            )
-            progress.tried.append(searcher)
-            progress.running[attempt.part] = attempt
-            self._attempts[attempt.part] = attempt
-            attempts.append(attempt)
-        unsent = self._dispatcher.send(self._header, attempts)
-        for attempt in unsent:
-            del self._attempts[attempt.part]
-            del self._progress[attempt.shard.name].running[attempt.part]
-        return len(unsent) < len(attempts)
-
-    def _choose(self, progress: _Progress) -> str | None:
-        """Chooses a searcher that has not been tried."""
-        if len(progress.tried) >= MAX_ATTEMPTS:
-            return None
-        candidates = [
-            name
-            for name in self._snapshot.replicas[progress.shard.name]
-            if name not in progress.tried and self._dispatcher.is_owned(name)
-        ]
-        return self._random.choice(candidates) if candidates else None
+        header = self._attempts.header
+        if self._former is not None or header.isolated:
+            return False
+        measured = self._dispatcher.measured
+        needed_s = measured.delays.get_index_ms(header.index) / 1000
+        now_s = asyncio.get_running_loop().time()
+        if now_s + needed_s >= header.answer_s:
+            return False
+        pinned = self._dispatcher.pin(header.index, after=header.version)
+        if pinned.is_error() or not snapshots.is_whole(pinned.ok):
+            return False
+        self._snapshot = pinned.ok
+        self._former = self._attempts.state
+        self._attempts.restart(
+            assembly.Assembly(pinned.ok.shard_map, self._permits)
+        )
+        self._on_pinned(pinned.ok.shard_map.version)
+        self._begin()
+        return True
 
     def _check_finished(self) -> None:
         """Ends the query as soon as nothing more can change its answer."""
-        if self._ledger.get_reachable(self._lost) < self._minimum:
-            self._finish(errors.Failure(errors.Kind.COVERAGE_TOO_LOW))
-        elif not self._attempts:
-            self._finish(None)
-
-    def _end_at_deadline(self) -> None:
-        """Ends the query with what is held."""
-        held = self._ledger.get_coverage()
-        if fractions.Fraction(held) < self._minimum:
-            self._finish(errors.Failure(errors.Kind.COVERAGE_TOO_LOW))
-        else:
-            self._finish(None)
-
-    def _finish(self, failure: errors.Failure | None) -> None:
+        state = self._attempts.state
+        if state.is_final() or (
+            state.lost and state.get_reachable() < self._minimum
+        ):
+            self._finish()
+
+    def _finish(self) -> None:
         """Wakes `run`."""
-        if self._finished is not None and not self._finished.done():
-            self._finished.set_result(failure)
-
-    def _cancel(self, attempts: Iterable[dispatching.Attempt]) -> None:
-        """Forgets running attempts, and tells their owners."""
-        cancelled = list(attempts)
-        for attempt in cancelled:
-            self._attempts.pop(attempt.part, None)
-            self._progress[attempt.shard.name].running.pop(attempt.part, None)
-            code = errors.Kind.CANCELLED.value
-            self._record_ended(attempt, code, False)
-        self._dispatcher.cancel(self._header.request_id, cancelled)
-
-    def _record_ended(
-        self, attempt: dispatching.Attempt, code: str, merged: bool
-    ) -> None:
-        """Records the end of an attempt."""
-        event = events.PartEnded(
-            request_id=self._header.request_id,
-            part=attempt.part,
-            searcher=attempt.searcher,
-            version=self._header.version,
-            low=attempt.shard.low,
-            high=attempt.shard.high,
-            code=code,
-            merged=merged,
+        if not self._finished.done():
+            self._finished.set_result(None)
+
+    def _conclude(self) -> coverage.Ledger | errors.Failure:
+        """Makes the final answer of what is held of one version."""
+        chosen = outcomes.choose(self._former, self._attempts.state)
+        if chosen is not self._attempts.state:
+            self._on_pinned(chosen.ledger.shard_map.version)
+            self._attempts.readopt(chosen)
+        failure = outcomes.judge(
+            chosen.ledger,
+            self._minimum,
+            self.get_tally(),
+            bool(chosen.progress),
         )
-        now_s = asyncio.get_running_loop().time()
-        self._board.timeline.record(event, now_s)
-
-
-def read_items(data: bytes) -> bytes | None:
-    """Checks that a result's items are one whole JSON array.
-
-    A reply that was cut short on its way is not valid JSON any more.
-
-    Args:
-        data: The items.
-
-    Returns:
-        What is between the brackets, or None.
-    """
-    try:
-        pieces = _items_decoder.decode(data)
-    except (msgspec.MsgspecError, RecursionError):
-        return None
-    return b",".join(bytes(piece) for piece in pieces)
+        return chosen.ledger if failure is None else failure
--- /dev/null
+++ b/src/azureramp/controllers/lateness.py
@@ -0,0 +1,117 @@
+"""Looks after the running attempts of one query: hedges, and lost owners."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from azureramp import blackboard, resources
+from azureramp.controllers import attempts as attempts_module
+from azureramp.policy import assembly, hedging
+
+LONGEST_TICK_S = 0.05
+"""Longest time between two looks at the running attempts."""
+
+SHORTEST_TICK_S = 0.001
+
+
+class Watch:
+    """A timer that looks for attempts that are late or lost."""
+
+    __slots__ = ("_attempts", "_board", "_on_lost", "_timer")
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        attempts: attempts_module.Attempts,
+        on_lost: Callable[[assembly.Failed], None],
+    ) -> None:
+        """Makes a watch that does not run yet.
+
+        Args:
+            board: The process's state.
+            attempts: The query's attempts.
+            on_lost: Called with an attempt whose owner VM has gone.
+        """
+        self._board = board
+        self._attempts = attempts
+        self._on_lost = on_lost
+        self._timer: asyncio.TimerHandle | None = None
+
+    def schedule(self) -> None:
+        """Sets the timer for the next look."""
+        self.stop()
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
+        next_s = now_s + LONGEST_TICK_S
+        for attempt in self._attempts.state.get_running():
+            delay_s = self._get_delay_ms(attempt) / 1000
+            for due_s in (
+                attempt.sent_s + delay_s,
+                attempt.sent_s + delay_s * hedging.LOST_FACTOR,
+            ):
+                if now_s < due_s < next_s:
+                    next_s = due_s
+        next_s = max(next_s, now_s + SHORTEST_TICK_S)
+        self._timer = loop.call_at(next_s, self._look)
+
+    def stop(self) -> None:
+        """Ends the watch."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _look(self) -> None:
+        """Looks at every running attempt once."""
+        for attempt in self._attempts.state.get_running():
+            if self._attempts.dispatcher.is_owner_lost(attempt):
+                failed = self._attempts.drop(attempt)
+                if failed is not None:
+                    self._on_lost(failed)
+        for progress in self._attempts.state.get_open():
+            if progress.running:
+                self._help_late(progress)
+        self.schedule()
+
+    def _help_late(self, progress: assembly.Progress) -> None:
+        """Hedges a late attempt, or adds a retry to a lost one."""
+        measured = self._attempts.dispatcher.measured
+        newest = list(progress.running.values())[-1]
+        now_s = asyncio.get_running_loop().time()
+        elapsed_ms = (now_s - newest.sent_s) * 1000
+        step = hedging.decide(elapsed_ms, self._get_delay_ms(newest))
+        if step is hedging.Step.WAIT or not self._may_hedge(now_s):
+            return
+        if len(progress.running) == 1 and measured.hedges.can_spend():
+            if self._attempts.start((progress,), "hedge"):
+                measured.hedges.spend()
+                self._board.metrics.count("part.hedged")
+            return
+        if step is not hedging.Step.REPLACE or not measured.retries.can_spend():
+            return
+        if self._attempts.start((progress,), "retry"):
+            measured.retries.spend()
+            self._board.metrics.count("part.retried")
+
+    def _may_hedge(self, now_s: float) -> bool:
+        """Tells whether more calls may be made for a late one.
+
+        Not for a request that may have crashed a server, not for one that
+        can wait its turn, and not under overload, when a second call only
+        takes the slot of somebody's first.
+        """
+        header = self._attempts.header
+        if header.isolated or self._attempts.tally.crashes:
+            return False
+        if header.priority is resources.Priority.DEFERRABLE:
+            return False
+        level = self._attempts.dispatcher.measured.level
+        return not level.is_overloaded(now_s)
+
+    def _get_delay_ms(self, attempt: assembly.Attempt) -> float:
+        """Returns the hedge delay of an attempt's shard."""
+        header = self._attempts.header
+        left_ms = (header.answer_s - attempt.sent_s) * 1000
+        return self._attempts.dispatcher.measured.delays.get_ms(
+            header.index, attempt.shard.name, left_ms
+        )
--- /dev/null
+++ b/src/azureramp/controllers/request_log.py
@@ -0,0 +1,128 @@
+"""The timeline's and the metrics' account of callers' requests."""
+
+from __future__ import annotations
+
+import asyncio
+
+import expression
+
+from azureramp import blackboard, errors, events, messages
+from azureramp.controllers import admitting, dispatching
+
+
+class RequestLog:
+    """Records each request's admission and answer."""
+
+    __slots__ = ("_board",)
+
+    def __init__(self, board: blackboard.Blackboard) -> None:
+        """Makes a log on a process's timeline."""
+        self._board = board
+
+    def record_admitted(
+        self,
+        asked: admitting.Asked,
+        header: dispatching.Header,
+        version: int,
+        idempotency_key: str = "",
+    ) -> None:
+        """Records that a request begins on a version, at first or anew."""
+        event = events.RequestAdmitted(
+            request_id=asked.request_id,
+            caller=asked.caller.name,
+            service=asked.service,
+            index=asked.index,
+            version=version,
+            priority=int(asked.caller.priority),
+            fingerprint=header.fingerprint,
+            idempotency_key=idempotency_key,
+        )
+        now_s = asyncio.get_running_loop().time()
+        self._board.timeline.record(event, now_s)
+
+    def record_query_answered(
+        self,
+        request_id: str,
+        result: expression.Result[messages.QueryAnswer, errors.Failure],
+        started_s: float,
+    ) -> None:
+        """Records and counts the answer to a query."""
+        match result:
+            case expression.Result(tag="ok", ok=answer):
+                if not answer.complete:
+                    self._board.metrics.count("request.short")
+                event = events.RequestAnswered(
+                    request_id=request_id,
+                    code="ok",
+                    ran=errors.Ran.RAN.value,
+                    version=answer.version,
+                    coverage=answer.coverage,
+                    missing=tuple((m.low, m.high) for m in answer.missing),
+                    took_ms=self._count(started_s),
+                )
+                now_s = asyncio.get_running_loop().time()
+                self._board.timeline.record(event, now_s)
+            case expression.Result(error=failure):
+                self._record_failed(request_id, failure, started_s, "")
+
+    def record_execute_answered(
+        self,
+        request_id: str,
+        idempotency_key: str,
+        result: expression.Result[messages.ExecuteAnswer, errors.Failure],
+        version: int,
+        started_s: float,
+    ) -> None:
+        """Records and counts the answer to what may not be repeated.
+
+        Args:
+            request_id: The request.
+            idempotency_key: The caller's key.
+            result: The answer.
+            version: The index version that it ran on; 0 if another did.
+            started_s: When the request came.
+        """
+        match result:
+            case expression.Result(tag="ok"):
+                event = events.RequestAnswered(
+                    request_id=request_id,
+                    code="ok",
+                    ran=errors.Ran.RAN.value,
+                    version=version,
+                    took_ms=self._count(started_s),
+                    idempotency_key=idempotency_key,
+                )
+                now_s = asyncio.get_running_loop().time()
+                self._board.timeline.record(event, now_s)
+            case expression.Result(error=failure):
+                self._record_failed(
+                    request_id, failure, started_s, idempotency_key
+                )
+
+    def _record_failed(
+        self,
+        request_id: str,
+        failure: errors.Failure,
+        started_s: float,
+        idempotency_key: str,
+    ) -> None:
+        """Records and counts a request without a result."""
+        ran = failure.get_answer().ran
+        if ran is errors.Ran.NOT_RUN:
+            self._board.metrics.count("request.refused")
+        event = events.RequestAnswered(
+            request_id=request_id,
+            code=failure.kind.value,
+            ran=ran.value,
+            took_ms=self._count(started_s),
+            idempotency_key=idempotency_key,
+        )
+        now_s = asyncio.get_running_loop().time()
+        self._board.timeline.record(event, now_s)
+
+    def _count(self, started_s: float) -> float:
+        """Counts an answer; returns how long it took, in milliseconds."""
+        took_ms = (asyncio.get_running_loop().time() - started_s) * 1000
+        self._board.metrics.count("request.count")
+        self._board.metrics.record_ms("request.took_ms", took_ms)
+        return took_ms
--- a/src/azureramp/policy/coverage.py
+++ b/src/azureramp/policy/coverage.py
@@ -11,6 +11,8 @@
 import math
 from collections.abc import Collection
 
+import msgspec
+
 from azureramp import messages, resources
 
 
@@ -70,7 +72,11 @@
 
     def get_coverage(self) -> float:
         """Returns the share of the documents held, see `round_down`."""
-        return round_down(self._measure(self._held), self.is_complete())
+        return round_down(self.get_share(), self.is_complete())
+
+    def get_share(self) -> fractions.Fraction:
+        """Returns the exact share of the documents held."""
+        return self._measure(self._held)
 
     def get_reachable(self, lost: Collection[str]) -> fractions.Fraction:
         """Returns the share that can still be held.
@@ -94,6 +100,10 @@
                 missing.append(messages.KeyRange(shard.low, shard.high))
         return tuple(missing)
 
+    def get_items(self, shard: resources.Shard) -> bytes:
+        """Returns one held shard's items, a JSON array."""
+        return b"[" + self._held[shard.name] + b"]"
+
     def merge(self) -> bytes:
         """Returns the held items as one JSON array, ascending by shard."""
         pieces = [
@@ -127,3 +137,24 @@
     if fractions.Fraction(rounded) > share or rounded >= 1.0:
         rounded = math.nextafter(rounded, 0.0)
     return rounded
+
+
+_items_decoder = msgspec.json.Decoder(list[msgspec.Raw])
+
+
+def read_items(data: bytes) -> bytes | None:
+    """Checks that a result's items are one whole JSON array.
+
+    A reply that was cut short on its way is not valid JSON any more.
+
+    Args:
+        data: The items.
+
+    Returns:
+        What is between the brackets, or None.
+    """
+    try:
+        pieces = _items_decoder.decode(data)
+    except (msgspec.MsgspecError, RecursionError):
+        return None
+    return b",".join(bytes(piece) for piece in pieces)
--- /dev/null
+++ b/src/azureramp/policy/hedging.py
@@ -0,0 +1,163 @@
+"""When a sub-request is late enough for a second attempt.
+
+The time is measured for each shard by itself: a shard that is slow as a whole
+is not made faster by asking it twice.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+
+HEDGE_QUANTILE = 0.95
+"""A sub-request later than this quantile of its shard may be hedged."""
+
+LOST_FACTOR = 4.0
+"""One later than so many hedge delays is taken for lost: a retry may go out
+too. A VM or a link that went silent loses an eighth of a query's parts at
+once, more than the hedges' budget holds.
+"""
+
+SHORTEST_MS = 1.0
+"""Shortest hedge delay; below it, scheduling noise would hedge."""
+
+UNKNOWN_SHARE = 0.25
+"""Share of the time left after which to hedge while nothing is measured."""
+
+_BUCKETS_PER_OCTAVE = 8
+_LOWEST_OCTAVE = -6
+_OCTAVES = 26
+_DECAY_AT = 512
+_FEWEST = 20
+_RECOMPUTE_EVERY = 16
+
+
+class Sketch:
+    """A histogram of times with buckets of equal ratio (9 %).
+
+    It halves its counts whenever it is full, so that the last few hundred
+    times count most.
+    """
+
+    __slots__ = ("_cached", "_counts", "_fresh", "_quantile", "_total")
+
+    def __init__(self, quantile: float) -> None:
+        """Makes an empty sketch.
+
+        Args:
+            quantile: The quantile that it is asked for, 0 to 1.
+        """
+        self._quantile = quantile
+        self._counts = [0] * (_OCTAVES * _BUCKETS_PER_OCTAVE)
+        self._total = 0
+        self._fresh = 0
+        self._cached: float | None = None
+
+    def add(self, took_ms: float) -> None:
+        """Adds a time, in milliseconds."""
+        octave = math.log2(took_ms) if took_ms > 0 else _LOWEST_OCTAVE
+        bucket = int((octave - _LOWEST_OCTAVE) * _BUCKETS_PER_OCTAVE)
+        last = len(self._counts) - 1
+        self._counts[min(max(bucket, 0), last)] += 1
+        self._total += 1
+        self._fresh += 1
+        if self._total >= _DECAY_AT:
+            self._counts = [count // 2 for count in self._counts]
+            self._total = sum(self._counts)
+
+    def get(self) -> float | None:
+        """Returns the quantile in milliseconds; None with too few times."""
+        if self._total < _FEWEST:
+            return None
+        if self._cached is None or self._fresh >= _RECOMPUTE_EVERY:
+            self._cached = self._compute()
+            self._fresh = 0
+        return self._cached
+
+    def _compute(self) -> float:
+        """Finds the upper edge of the quantile's bucket."""
+        wanted = self._quantile * self._total
+        seen = 0
+        edge = 0
+        for count in self._counts:
+            seen += count
+            edge += 1
+            if seen >= wanted:
+                break
+        return float(2 ** (edge / _BUCKETS_PER_OCTAVE + _LOWEST_OCTAVE))
+
+
+class Delays:
+    """The hedge delays of every shard, from own measurements."""
+
+    __slots__ = ("_by_index", "_by_shard")
+
+    MOST_SHARDS = 4096
+    """Most shards kept; the one first seen goes first."""
+
+    def __init__(self) -> None:
+        """Makes delays without any measurement."""
+        self._by_shard: dict[tuple[str, str], Sketch] = {}
+        self._by_index: dict[str, Sketch] = {}
+
+    def add(self, index: str, shard: str, took_ms: float) -> None:
+        """Adds how long a sub-request took, its queue included.
+
+        A cancelled loser is added too, with the time until then: it was later
+        than the quantile, and leaving it out would pull the quantile down.
+        """
+        for sketch in self._find(index, shard):
+            sketch.add(took_ms)
+
+    def get_ms(self, index: str, shard: str, left_ms: float) -> float:
+        """Returns when to hedge a sub-request, in milliseconds after it.
+
+        Args:
+            index: The index.
+            shard: The shard's name.
+            left_ms: Time left until the answer is due, in milliseconds.
+        """
+        for sketch in self._find(index, shard):
+            quantile_ms = sketch.get()
+            if quantile_ms is not None:
+                return max(SHORTEST_MS, quantile_ms)
+        return max(SHORTEST_MS, left_ms * UNKNOWN_SHARE)
+
+    def get_index_ms(self, index: str) -> float:
+        """Returns the high quantile of a whole index; 0 if unknown."""
+        sketch = self._by_index.get(index)
+        return (sketch.get() if sketch else None) or 0.0
+
+    def _find(self, index: str, shard: str) -> tuple[Sketch, Sketch]:
+        """Finds or makes the sketches of a shard and of its index."""
+        by_shard = self._by_shard.get((index, shard))
+        if by_shard is None:
+            if len(self._by_shard) >= self.MOST_SHARDS:
+                self._by_shard.pop(next(iter(self._by_shard)))
+            by_shard = self._by_shard[index, shard] = Sketch(HEDGE_QUANTILE)
+        by_index = self._by_index.get(index)
+        if by_index is None:
+            by_index = self._by_index[index] = Sketch(HEDGE_QUANTILE)
+        return by_shard, by_index
+
+
+class Step(enum.Enum):
+    """What to do about a sub-request now."""
+
+    WAIT = "wait"
+    HEDGE = "hedge"
+    REPLACE = "replace"
+
+
+def decide(elapsed_ms: float, delay_ms: float) -> Step:
+    """Decides what to do about a sub-request without a result.
+
+    Args:
+        elapsed_ms: Time since it was sent, in milliseconds.
+        delay_ms: Its hedge delay, in milliseconds.
+    """
+    if elapsed_ms >= delay_ms * LOST_FACTOR:
+        return Step.REPLACE
+    if elapsed_ms >= delay_ms:
+        return Step.HEDGE
+    return Step.WAIT
--- a/src/azureramp/policy/snapshots.py
+++ b/src/azureramp/policy/snapshots.py
@@ -17,6 +17,10 @@
 """
 
 
+Replicas = Mapping[str, tuple[str, ...]]
+"""The usable searchers of each shard, by the shard's name."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Snapshot:
     """A pinned index version.
@@ -27,7 +31,7 @@
     """
 
     shard_map: resources.ShardMap
-    replicas: Mapping[str, tuple[str, ...]]
+    replicas: Replicas
 
 
 def find_usable(
@@ -113,6 +117,11 @@
     return held / total if total else 0.0
 
 
+def is_whole(snapshot: Snapshot) -> bool:
+    """Tells whether every shard has a replica."""
+    return _is_served(snapshot, 1)
+
+
 def has_enough(snapshot: Snapshot) -> bool:
     """Tells whether every shard has enough replicas."""
     return _is_served(snapshot, ENOUGH_REPLICAS)
--- a/tests/controllers/query_cell.py
+++ b/tests/controllers/query_cell.py
@@ -15,7 +15,6 @@
 from typing import Any, TypeVar
 
 import async_solipsism
-import expression
 
 from azureramp import (
     blackboard,
@@ -26,9 +25,17 @@
     resources,
     settings,
 )
-from azureramp.controllers import coordinator, inbox, outbox
+from azureramp.controllers import (
+    coordinator,
+    idempotency,
+    inbox,
+    outbox,
+)
+from azureramp.policy import idempotency as idempotency_policy
 from azureramp.policy import identity
 from azureramp.ports.peers import memory
+from azureramp.ports.store import memory as store_memory
+from azureramp.ports.store import state as store_state
 from azureramp.ports.vmlist import api as vmlist_api
 
 _T = TypeVar("_T")
@@ -50,6 +57,10 @@
         result: _T = loop.run_until_complete(main)
         return result
     finally:
+        left = asyncio.all_tasks(loop)
+        for task in left:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
         loop.close()
 
 
@@ -72,68 +83,6 @@
     slots: int = 2
 
 
-class Records:
-    """Idempotency records in memory, with the platform's faults.
-
-    Attributes:
-        calls: What was called, in order.
-        refusal: The failure of every claim, if any.
-        states: The state of each key.
-    """
-
-    def __init__(self) -> None:
-        self.calls: list[str] = []
-        self.refusal: errors.Failure | None = None
-        self.states: dict[tuple[str, str], tuple[str, bytes, str]] = {}
-        self.write_s = 0.002
-
-    async def claim(
-        self, caller: str, key: str, request_hash: int, request_id: str
-    ) -> expression.Result[object, errors.Failure]:
-        await asyncio.sleep(self.write_s)
-        self.calls.append("claim")
-        if self.refusal is not None:
-            return expression.Error(self.refusal)
-        match self.states.get((caller, key)):
-            case ("finished", result, ran_id):
-                return expression.Ok(RecordedOutcome(ran_id, result))
-            case ("unknown", _, _):
-                kind = errors.Kind.OUTCOME_UNKNOWN
-                return expression.Error(errors.Failure(kind))
-            case ("claimed", _, _):
-                kind = errors.Kind.IN_PROGRESS
-                return expression.Error(errors.Failure(kind))
-        self.states[caller, key] = ("claimed", b"", request_id)
-        return expression.Ok((caller, key, request_id))
-
-    async def finish(self, claimed: object, result: bytes) -> None:
-        await asyncio.sleep(self.write_s)
-        self._set(claimed, "finished", result)
-
-    async def mark_unknown(self, claimed: object) -> None:
-        await asyncio.sleep(self.write_s)
-        self._set(claimed, "unknown", b"")
-
-    def release(self, claimed: object) -> None:
-        self.calls.append("released")
-        assert isinstance(claimed, tuple)
-        del self.states[claimed[0], claimed[1]]
-
-    def _set(self, claimed: object, state: str, result: bytes) -> None:
-        assert isinstance(claimed, tuple)
-        self.calls.append(state)
-        caller, key, request_id = claimed
-        self.states[caller, key] = (state, result, request_id)
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class RecordedOutcome:
-    """The outcome of an earlier run."""
-
-    request_id: str
-    result: bytes
-
-
 class FakeSearcher:
     """A searcher behind its owner: slots, and a queue by priority."""
 
@@ -202,22 +151,33 @@
 
     Attributes:
         board: The coordinator's blackboard.
+        state: The key-value service.
+        store: The coordinator's client of it.
         records: Its idempotency records.
         searchers: The fake searchers by name.
         delay_s: The searchers' service time.
     """
 
-    def __init__(self, shape: Shape | None = None, seed: int = 1) -> None:
+    def __init__(
+        self,
+        shape: Shape | None = None,
+        seed: int = 1,
+        state: store_state.State | None = None,
+    ) -> None:
         self.shape = shape or Shape()
+        self.state = state or store_state.State()
+        self.store = store_memory.MemoryStore(self.state)
+        self.store.faults.delay_s = 0.002
         self.random = random.Random(seed)
         self.delay_s = 0.010
         self.network = memory.Network(seed)
-        self.records = Records()
         self.searchers: dict[str, FakeSearcher] = {}
         self.board = blackboard.Blackboard(
             make_settings(OWN_VM), 1, events.Timeline(OWN_VM), metrics.Metrics()
         )
         self.board.serving = blackboard.Serving.READY
+        self.records = idempotency.make(self.board, self.store, self.random)
+        self._saving = asyncio.ensure_future(self.records.run())
         self._links: dict[str, memory.MemoryPeers] = {}
         self._declare()
         port = self._make_link(OWN_VM)
@@ -407,6 +367,18 @@
             deadline_s=now_s + deadline_ms / 1000,
         )
 
+    def read_record(
+        self, key: str = "grant-1"
+    ) -> idempotency_policy.State | None:
+        """Returns the state of a key's record in the store."""
+        store_key = idempotency_policy.make_store_key("clerk", key)
+        entry = self.state.read(store_key)
+        if entry is None or entry.value is None:
+            return None
+        record = idempotency_policy.decode(entry.value)
+        assert record is not None
+        return record.state
+
     def count_calls(self) -> int:
         """Returns how many calls all searchers have had."""
         return sum(searcher.calls for searcher in self.searchers.values())
--- a/tests/controllers/test_execution.py
+++ b/tests/controllers/test_execution.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from azureramp import errors, messages
+from azureramp.policy import idempotency
 from tests.controllers import query_cell
 
 
@@ -31,15 +34,16 @@
     trucks. The cause: the searcher took the bytes and never replied.
     """
 
-    async def main() -> tuple[errors.Failure, int, list[str]]:
+    async def main() -> tuple[errors.Failure, int, idempotency.State | None]:
         cell = query_cell.Cell()
         for searcher in cell.searchers.values():
             searcher.behaviour = query_cell.stay_silent()
         result = await cell.coordinator.execute(cell.make_execute())
-        return result.error, cell.count_calls(), cell.records.calls
+        await asyncio.sleep(5)
+        return result.error, cell.count_calls(), cell.read_record()
 
     failure, calls, recorded = query_cell.run(main())
 
     assert failure.kind is errors.Kind.OUTCOME_UNKNOWN
     assert calls == 1
-    assert recorded == ["claim", "unknown"]
+    assert recorded is idempotency.State.UNKNOWN
