--- a/src/azureramp/controllers/admitting.py
+++ b/src/azureramp/controllers/admitting.py
@@ -103,7 +103,7 @@
             kind = errors.Kind.QUARANTINED
             failure = errors.Failure(kind, retry_after_ms=quarantined_ms)
             return expression.Error(failure)
-        pinned = self._dispatcher.pin(asked.index)
+        pinned = self._dispatcher.viewer.pin(asked.index)
         if pinned.is_error():
             return expression.Error(pinned.error)
         short = check_reach(asked, checked.ok, pinned.ok)
@@ -147,7 +147,7 @@
         if kind is None:
             return None
         drain_ms = admission.estimate_drain_ms(
-            snapshot.shard_map.shards, self._board.get_searcher_states()
+            snapshot.shard_map.shards, self._dispatcher.viewer.get().states
         )
         retry_ms = admission.compute_retry_ms(
             drain_ms, measured.random.random()
--- a/src/azureramp/controllers/attempts.py
+++ b/src/azureramp/controllers/attempts.py
@@ -6,8 +6,8 @@
 import dataclasses
 from collections.abc import Collection, Iterable
 
-from azureramp import blackboard, errors, events, messages
-from azureramp.controllers import dispatching
+from azureramp import blackboard, errors, events, messages, resources
+from azureramp.controllers import dispatching, searcher_view
 from azureramp.policy import assembly, outcomes, snapshots
 
 
@@ -68,20 +68,21 @@
         Returns:
             True if any was sent.
         """
+        view = self.dispatcher.viewer.get()
         attempts = []
         for progress in wanted:
             shard = progress.shard
             candidates = (
                 replicas[shard.name]
                 if replicas is not None
-                else self.dispatcher.find_replicas(self.header, shard)
+                else self.find_replicas(view, shard)
             )
-            searcher = self._choose(progress, candidates, reason)
+            searcher = self._choose(view, progress, candidates, reason)
             if searcher is None:
                 continue
             self._next_part += 1
             attempt = self.dispatcher.make_attempt(
-                self._next_part, shard, searcher, reason
+                view, self._next_part, shard, searcher, reason
             )
             self.state.add(attempt)
             attempts.append(attempt)
@@ -90,8 +91,20 @@
             self.state.remove(attempt)
         return len(unsent) < len(attempts)
 
+    def find_replicas(
+        self, view: searcher_view.View, shard: resources.Shard
+    ) -> tuple[str, ...]:
+        """Finds the searchers that may get work of a shard now.
+
+        Asked anew for each later attempt: a zone taken out, or a server that
+        began to leave under the query, must get no hedge and no retry.
+        """
+        version = self.state.ledger.shard_map.version
+        return view.find_replicas(self.header.index, version, shard)
+
     def _choose(
         self,
+        view: searcher_view.View,
         progress: assembly.Progress,
         candidates: Collection[str],
         reason: str,
@@ -104,7 +117,7 @@
         if progress.attempts >= assembly.MAX_ATTEMPTS:
             return None
         used = {attempt.server for attempt in progress.running.values()}
-        sites = self.dispatcher.get_topology().sites
+        sites = view.table.sites
         left = [
             name
             for name in candidates
@@ -112,7 +125,7 @@
             and name in sites
             and (reason != "hedge" or sites[name].server not in used)
         ]
-        return self.dispatcher.choose(left, used)
+        return self.dispatcher.choose(view, left, used)
 
     def take(self, result: messages.PartResult) -> assembly.Taken:
         """Takes a result, and measures what it says of its searcher."""
--- a/src/azureramp/controllers/dispatching.py
+++ b/src/azureramp/controllers/dispatching.py
@@ -6,12 +6,11 @@
 import dataclasses
 from collections.abc import Callable, Collection, Iterable
 
-import expression
-
-from azureramp import blackboard, errors, events, messages, resources
+from azureramp import blackboard, events, messages, resources
 from azureramp.controllers import measurements as measurements_module
 from azureramp.controllers import outbox as outbox_controller
-from azureramp.policy import assembly, deadlines, snapshots, topology
+from azureramp.controllers import searcher_view
+from azureramp.policy import assembly, deadlines, topology
 
 Receiver = Callable[[messages.PartResult], None]
 
@@ -48,16 +47,15 @@
 
     Attributes:
         measured: What was measured of the searchers.
+        viewer: What is known of the searchers now.
     """
 
     __slots__ = (
         "_board",
         "_outbox",
         "_receivers",
-        "_rolled_out",
-        "_topology",
-        "_topology_key",
         "measured",
+        "viewer",
     )
 
     def __init__(
@@ -71,42 +69,11 @@
         self._board = board
         self._outbox = outbox
         self._receivers: dict[str, Receiver] = {}
-        self._rolled_out: dict[str, int] = {}
-        self._topology = topology.build(board.configuration)
-        self._topology_key = (board.configuration, board.configuration.revision)
+        self.viewer = searcher_view.Viewer(board)
 
     def get_topology(self) -> topology.Topology:
-        """Returns the configuration in force, indexed once a revision."""
-        configuration = self._board.configuration
-        key = (configuration, configuration.revision)
-        if key != self._topology_key:
-            self._topology = topology.build(configuration)
-            self._topology_key = key
-        return self._topology
-
-    def is_owned(self, searcher: str) -> bool:
-        """Tells whether a searcher has an owner VM to send to."""
-        owner = self._board.owners.get(searcher)
-        return owner is not None and owner in self._board.members
-
-    def pin(
-        self, index: str, after: int = 0
-    ) -> expression.Result[snapshots.Snapshot, errors.Failure]:
-        """Pins the version that a request reads; see `snapshots.choose`."""
-        table = self.get_topology()
-        pinned = snapshots.choose(
-            table.maps.get(index, ()),
-            table.sites,
-            self._board.get_searcher_states(),
-            self.is_owned,
-            rolled_out=self._rolled_out.get(index, 0),
-            after=after,
-        )
-        match pinned:
-            case expression.Result(tag="ok", ok=snapshot):
-                if snapshots.has_enough(snapshot):
-                    self._rolled_out[index] = snapshot.shard_map.version
-        return pinned
+        """Returns the configuration in force, indexed."""
+        return self.viewer.get().table
 
     def register(self, request_id: str, receiver: Receiver) -> None:
         """Begins to hand a request's results to its receiver."""
@@ -126,45 +93,38 @@
         for result in results.results:
             receiver(result)
 
-    def find_replicas(
-        self, header: Header, shard: resources.Shard
-    ) -> tuple[str, ...]:
-        """Finds the searchers that may get work of a shard now.
-
-        Asked anew for each later attempt: a zone taken out, or a server that
-        began to leave under the query, must get no hedge and no retry.
-        """
-        return snapshots.find_usable(
-            shard,
-            f"{header.index}.{header.version}",
-            self.get_topology().sites,
-            self._board.get_searcher_states(),
-            self.is_owned,
-        )
-
     def choose(
-        self, candidates: Collection[str], avoided: Collection[str]
+        self,
+        view: searcher_view.View,
+        candidates: Collection[str],
+        avoided: Collection[str],
     ) -> str | None:
         """Chooses a searcher.
 
         Args:
+            view: What is known of the searchers.
             candidates: The searchers' names.
             avoided: Backend servers to use only if there is no other.
         """
-        sites = self.get_topology().sites
+        sites = view.table.sites
         known = [name for name in candidates if name in sites]
         apart = [n for n in known if sites[n].server not in avoided]
         if not known:
             return None
         return self.measured.scoreboard.choose(
             apart or known,
-            self._board.get_searcher_states(),
+            view.states,
             asyncio.get_running_loop().time(),
             self.measured.random,
         )
 
     def make_attempt(
-        self, part: int, shard: resources.Shard, searcher: str, reason: str
+        self,
+        view: searcher_view.View,
+        part: int,
+        shard: resources.Shard,
+        searcher: str,
+        reason: str,
     ) -> assembly.Attempt:
         """Makes an attempt for a searcher that has an owner."""
         owner = self._board.owners[searcher]
@@ -172,13 +132,17 @@
             part=part,
             shard=shard,
             searcher=searcher,
-            server=self.get_topology().sites[searcher].server,
+            server=view.table.sites[searcher].server,
             owner=owner,
             owner_incarnation=self._board.members[owner].incarnation,
             sent_s=asyncio.get_running_loop().time(),
             reason=reason,
         )
 
+    def has_moved(self, attempt: assembly.Attempt) -> bool:
+        """Tells whether an attempt's searcher has another owner by now."""
+        return self._board.owners.get(attempt.searcher) != attempt.owner
+
     def is_owner_lost(self, attempt: assembly.Attempt) -> bool:
         """Tells whether an attempt's owner has gone with the attempt.
 
--- a/src/azureramp/controllers/gathering.py
+++ b/src/azureramp/controllers/gathering.py
@@ -11,7 +11,9 @@
 from azureramp.policy import assembly, coverage, outcomes, snapshots
 
 NOT_OWNER_WAIT_S = 0.025
-"""Wait for a handoff to be known, when no other replica is left."""
+"""First wait for a handoff to be known, when no other replica is left; it
+doubles with each attempt.
+"""
 
 MOST_CRASHES = 2
 """Crashes under one query that end it: two are the quarantine's proof."""
@@ -181,7 +183,7 @@
         if progress.running or progress.waiting:
             return
         not_owner = failed.kind is errors.Kind.NOT_OWNER
-        if not_owner:
+        if not_owner and self._dispatcher.has_moved(failed.attempt):
             progress.tried.discard(failed.attempt.searcher)
         if self._may_retry(failed, paid) and self._attempts.start(
             (progress,), "retry"
@@ -190,7 +192,10 @@
         elif not_owner and progress.attempts < assembly.MAX_ATTEMPTS:
             progress.waiting = True
             asyncio.get_running_loop().call_later(
-                NOT_OWNER_WAIT_S, self._retry_later, progress
+                NOT_OWNER_WAIT_S * 2 ** (progress.attempts - 1),
+                self._retry_later,
+                progress,
+                failed.attempt.searcher,
             )
         elif failed.kind is not errors.Kind.VERSION_GONE or not self._restart():
             self._lose(progress)
@@ -207,13 +212,14 @@
             return False
         return paid or self._dispatcher.measured.retries.spend()
 
-    def _retry_later(self, progress: assembly.Progress) -> None:
-        """Tries again once an owner should be known."""
+    def _retry_later(self, progress: assembly.Progress, searcher: str) -> None:
+        """Tries a searcher again once its new owner should be known."""
         state = self._attempts.state
         present = state.progress.get(progress.shard.name) is progress
         if self._finished.done() or not present or not progress.waiting:
             return
         progress.waiting = False
+        progress.tried.discard(searcher)
         if not self._attempts.start((progress,), "retry"):
             self._lose(progress)
         self._check_finished()
@@ -254,7 +260,7 @@
         now_s = asyncio.get_running_loop().time()
         if now_s + needed_s >= header.answer_s:
             return False
-        pinned = self._dispatcher.pin(header.index, after=header.version)
+        pinned = self._dispatcher.viewer.pin(header.index, after=header.version)
         if pinned.is_error() or not snapshots.is_whole(pinned.ok):
             return False
         self._snapshot = pinned.ok
--- a/src/azureramp/controllers/single_run.py
+++ b/src/azureramp/controllers/single_run.py
@@ -14,7 +14,9 @@
 """How long after the deadline a result may still settle the record."""
 
 OWNER_WAIT_S = 0.025
-"""Wait for a handoff to be known, when no other replica is left."""
+"""First wait for a handoff to be known, when no other replica is left; it
+doubles with each attempt.
+"""
 
 
 class Recorder(Protocol):
@@ -205,10 +207,25 @@
         if isinstance(taken, assembly.Failed):
             self._dispatched = taken.ran
             if taken.kind is errors.Kind.NOT_OWNER and not taken.sent:
-                progress.tried.discard(taken.attempt.searcher)
-                await asyncio.sleep(OWNER_WAIT_S)
+                await self._follow_owner(progress, taken.attempt)
         return taken
 
+    async def _follow_owner(
+        self, progress: assembly.Progress, attempt: assembly.Attempt
+    ) -> None:
+        """Lets a searcher be tried again by its new owner.
+
+        Another replica is tried first; without one, the wait gives this VM's
+        view the time to learn of the new owner.
+        """
+        view = self._dispatcher.viewer.get()
+        replicas = self._attempts.find_replicas(view, self._shard)
+        if not self._dispatcher.has_moved(attempt):
+            if any(name not in progress.tried for name in replicas):
+                return
+            await asyncio.sleep(OWNER_WAIT_S * 2 ** (progress.attempts - 1))
+        progress.tried.discard(attempt.searcher)
+
     def _receive(self, result: messages.PartResult) -> None:
         """Takes a result; a copy, or one of an ended attempt, is dropped."""
         running = [one.part for one in self._attempts.state.get_running()]
--- a/src/azureramp/policy/coverage.py
+++ b/src/azureramp/policy/coverage.py
@@ -84,7 +84,7 @@
         Args:
             lost: The names of the shards that will get no result.
         """
-        names = [s.name for s in self.shard_map.shards if s.name not in lost]
+        names = {s.name for s in self.shard_map.shards if s.name not in lost}
         return self._measure(names)
 
     def get_missing(self) -> tuple[messages.KeyRange, ...]:
--- /dev/null
+++ b/tests/policy/test_snapshots.py
@@ -0,0 +1,94 @@
+"""Which version a query is pinned to."""
+
+from __future__ import annotations
+
+import pytest
+
+from azureramp import errors, resources
+from azureramp.policy import snapshots
+from tests.policy import query_parts
+
+OLD = query_parts.make_map([10, 10], version=1)
+NEW = query_parts.make_map([10, 10], version=2)
+ALL = ("s0-0", "s0-1", "s1-0", "s1-1")
+
+
+@pytest.mark.parametrize(
+    ("story", "serves_new", "rolled_out", "pinned"),
+    [
+        ("all replicas have it", ALL, 0, 2),
+        ("one replica a shard has it so far", ("s0-0", "s1-0"), 0, 1),
+        ("a replica was lost after the rollout", ("s0-0", "s1-0"), 2, 2),
+        ("a shard has no replica of it", ("s0-0", "s0-1"), 2, 1),
+        ("nobody has it", (), 0, 1),
+    ],
+)
+def test_the_newest_version_that_enough_replicas_serve_is_pinned(
+    story: str, serves_new: tuple[str, ...], rolled_out: int, pinned: int
+) -> None:
+    states = {
+        name: query_parts.make_state(
+            name, (1, 2) if name in serves_new else (1,)
+        )
+        for name in ALL
+    }
+
+    chosen = snapshots.choose(
+        (NEW, OLD),
+        query_parts.make_sites(OLD),
+        states,
+        lambda name: True,
+        rolled_out=rolled_out,
+    )
+
+    assert chosen.ok.shard_map.version == pinned, story
+
+
+@pytest.mark.parametrize(
+    "lost", ["out of service", "not usable", "no owner", "unknown"]
+)
+def test_a_shard_without_a_usable_replica_leaves_the_best_short_version(
+    lost: str,
+) -> None:
+    gone = ("s0-0", "s0-1")
+    states = query_parts.make_states(OLD)
+    for name in gone:
+        if lost == "not usable":
+            states[name] = query_parts.make_state(name, usable=False)
+        elif lost == "unknown":
+            del states[name]
+    sites = query_parts.make_sites(
+        OLD, gone if lost == "out of service" else ()
+    )
+
+    chosen = snapshots.choose(
+        (OLD,),
+        sites,
+        states,
+        lambda name: lost != "no owner" or name not in gone,
+    )
+
+    assert chosen.ok.replicas == {"0": (), "1": ("s1-0", "s1-1")}
+    assert snapshots.measure_size(chosen.ok) == 0.5
+
+
+def test_without_any_replica_there_is_no_snapshot() -> None:
+    chosen = snapshots.choose(
+        (NEW, OLD), query_parts.make_sites(OLD), {}, lambda name: True
+    )
+
+    assert chosen.error.kind is errors.Kind.NO_SNAPSHOT
+
+
+def test_a_shard_declared_with_one_replica_has_enough_with_it() -> None:
+    single = query_parts.make_map([10], version=2, replicas=1)
+
+    chosen = snapshots.choose(
+        (single, query_parts.make_map([10], version=1, replicas=1)),
+        query_parts.make_sites(single),
+        query_parts.make_states(single, (1, 2)),
+        lambda name: True,
+    )
+
+    assert chosen.ok.shard_map.version == 2
+    assert isinstance(chosen.ok.shard_map, resources.ShardMap)
