--- a/src/azureramp/blackboard.py
+++ b/src/azureramp/blackboard.py
@@ -51,6 +51,14 @@
             earliest, on this VM's clock.
         may_own_until_s: Until when it may take itself for an owner.
         searchers: The states of the searchers that it owns.
+        acknowledged_s: When this VM sent the newest heartbeat that the other
+            one acknowledged. What the acknowledgement says was true then or
+            later, however long either message was on its way.
+        acknowledged_revision: The revision in that acknowledgement.
+        acknowledged_incarnation: The incarnation in it.
+        acknowledged_confirmed_s: `acknowledged_s` less the age of
+            confirmation in it: the platform had confirmed that revision at
+            this time of this VM's clock or later.
     """
 
     vm: vmlist_api.Vm
@@ -62,6 +70,10 @@
     confirmed_s: float = -math.inf
     may_own_until_s: float = -math.inf
     searchers: tuple[messages.SearcherState, ...] = ()
+    acknowledged_s: float = -math.inf
+    acknowledged_revision: int = 0
+    acknowledged_incarnation: int = 0
+    acknowledged_confirmed_s: float = -math.inf
 
 
 class Blackboard:
@@ -77,6 +89,13 @@
         confirmed_s: When the platform confirmed the configuration to be its
             newest, at the earliest. By the configuration controller.
         serving: By the serving controller.
+        work_until_s: Until when new work may be sent to searchers on this
+            configuration, unless it is renewed: no change accepted
+            elsewhere can be missing here before then. Checked right before
+            each write, like the lease, since a process that was paused wakes
+            up before any controller runs. By the serving controller.
+        accepted_revision: Changes up to this revision are held by a majority
+            of the listed VMs. By the serving controller.
         members: The VMs of the cell by name, this one included. By the
             membership controller.
         lease_until_s: Until when this VM may send to cold searchers. By the
@@ -94,6 +113,7 @@
     """
 
     __slots__ = (
+        "accepted_revision",
         "blame",
         "configuration",
         "confirmed_s",
@@ -108,6 +128,7 @@
         "serving",
         "settings",
         "timeline",
+        "work_until_s",
     )
 
     def __init__(
@@ -125,6 +146,8 @@
         self.configuration = resources.Configuration()
         self.confirmed_s = -math.inf
         self.serving = Serving.STARTING
+        self.work_until_s = -math.inf
+        self.accepted_revision = 0
         self.members: dict[str, Member] = {}
         self.lease_until_s = -math.inf
         self.owners: dict[str, str] = {}
--- a/src/azureramp/events.py
+++ b/src/azureramp/events.py
@@ -163,6 +163,18 @@
     revision: int
 
 
+class ServingChanged(Event, frozen=True, kw_only=True, tag="serving.changed"):
+    """This VM began or ceased to take new work.
+
+    Attributes:
+        state: A value of `blackboard.Serving`.
+        revision: The configuration revision in force.
+    """
+
+    state: str
+    revision: int
+
+
 class MemberChanged(Event, frozen=True, kw_only=True, tag="membership.member"):
     """This VM's view of another VM changed."""
 
@@ -237,6 +249,7 @@
     | IdempotencyChanged
     | ConfigurationApplied
     | ConfigurationAccepted
+    | ServingChanged
     | MemberChanged
     | OwnerChanged
     | SearcherChanged
--- a/src/azureramp/messages.py
+++ b/src/azureramp/messages.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from azureramp import resources
@@ -184,12 +186,17 @@
         sequence: The heartbeat's sequence.
         granted: True if the answerer promises to see no other owner of the
             sender's searchers before the lease has run out.
-        revision: The answerer's configuration revision.
+        revision: The answerer's configuration revision; 0 while it has none
+            of its own right, so that it counts towards no majority.
+        confirmed_age_ms: As in a heartbeat, of the answerer.
+        incarnation: The answerer's incarnation.
     """
 
     sequence: int
     granted: bool
     revision: int
+    confirmed_age_ms: float = math.inf
+    incarnation: int = 0
 
 
 class ConfigurationRequest(
