Keep what each acknowledged heartbeat says of the configuration

Sequence numbers now go on from the incarnation, since a late acknowledgement of the process before this one would pass for an acknowledgement of ours (seen by reading, no test yet).

The rest of the membership controller is untouched.

--- a/src/azureramp/controllers/membership.py
+++ b/src/azureramp/controllers/membership.py
@@ -48,7 +48,9 @@
         self._board = board
         self._outbox = outbox
         self._vmlist = vmlist
-        self._sequence = 0
+        # An acknowledgement of the last process's heartbeat may still be on
+        # its way: with numbers that start anew it would pass for one of ours.
+        self._sequence = board.incarnation << 10
         self._sent_s: dict[int, float] = {}
         self._acks: dict[str, float] = {}
         self._leaving = False
@@ -100,6 +102,8 @@
                 sequence=message.sequence,
                 granted=granted,
                 revision=self._board.configuration.revision,
+                confirmed_age_ms=(now_s - self._board.confirmed_s) * 1000,
+                incarnation=self._board.incarnation,
             ),
         )
 
@@ -108,11 +112,35 @@
     ) -> None:
         """Counts an acknowledgement towards the lease."""
         sent_s = self._sent_s.get(message.sequence)
-        if sent_s is None or not message.granted:
+        if sent_s is None:
+            return
+        self._note_acknowledgement(sender, sent_s, message)
+        if not message.granted:
             return
         self._acks[sender] = max(self._acks.get(sender, -math.inf), sent_s)
         self._update_lease()
 
+    def _note_acknowledgement(
+        self, sender: str, sent_s: float, message: messages.HeartbeatAck
+    ) -> None:
+        """Keeps what the newest acknowledgement says of the configuration.
+
+        All of it counts from the sending of the heartbeat: however late the
+        acknowledgement is, it was true then or later. Late ones of an
+        earlier heartbeat, or of a process that has gone, change nothing.
+        """
+        member = self._board.members.get(sender)
+        if member is None or sent_s < member.acknowledged_s:
+            return
+        if message.incarnation < member.acknowledged_incarnation:
+            return
+        member.acknowledged_s = sent_s
+        member.acknowledged_revision = message.revision
+        member.acknowledged_incarnation = message.incarnation
+        member.acknowledged_confirmed_s = (
+            sent_s - message.confirmed_age_ms / 1000
+        )
+
     async def run(self) -> None:
         """Reads the list and sends heartbeats, forever."""
         loop = asyncio.get_running_loop()
