Propagate the configuration by few watches and by peers, with proof

A revision now means that every change up to it is held; single changes may be in force ahead of it. Only a few VMs hold the watch; the others hear by push, and by asking a peer that shows a higher revision.

A confirmation begins with a write as a barrier, since a store that answers reads from the past would otherwise confirm an outdated state. Contact with a majority counts from the sending of acknowledged heartbeats, and only from VMs that show no higher revision. A change is accepted once a majority has acknowledged it twice by the same processes. A VM that starts in an outage needs the word of a majority of the others.

Lost write replies are settled by trying the same compare-and-swap again with the change's id in the value.

--- a/src/azureramp/cli/apply.py
+++ b/src/azureramp/cli/apply.py
@@ -6,7 +6,7 @@
 
 import click
 
-from azureramp import errors
+from azureramp import errors, resources
 from azureramp.cli import changing, exits, files, options, output, waiting
 from azureramp.cli import client as client_module
 
@@ -48,7 +48,7 @@
     newest = 0
     for item in declared:
         resource = item.resource
-        kind = str(type(resource).__struct_config__.tag)
+        kind = resources.get_kind(resource)
         present = await changing.get(client, kind, resource.name)
         if present.is_error():
             if present.error.code != errors.Kind.NOT_FOUND.value:
--- a/src/azureramp/cli/changing.py
+++ b/src/azureramp/cli/changing.py
@@ -23,7 +23,7 @@
     expected: int,
 ) -> expression.Result[resources.Versioned, messages.ErrorAnswer]:
     """Writes a resource."""
-    kind = str(type(resource).__struct_config__.tag)
+    kind = resources.get_kind(resource)
     result = await client.call(
         resource_api.ChangeAnswer,
         "PUT",
--- /dev/null
+++ b/src/azureramp/controllers/changes.py
@@ -0,0 +1,137 @@
+"""Operators' changes: one compare-and-swap each, whatever gets lost.
+
+Each change carries an id, kept in the stored value. A write whose reply was
+lost is tried again with the same expected revision: at most one try can take
+effect, and one that finds its own id there did. Comparing values instead
+would take another operator's equal change for ours, and could not tell a
+change that took effect from one that was made and undone by others.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+import expression
+import msgspec
+
+from azureramp import errors, resources
+from azureramp.controllers import store_link
+from azureramp.ports.store import api as store_api
+
+SETTLE_S = 3.0
+"""How long an unknown outcome is pursued, in seconds."""
+
+RETRY_S = 0.2
+"""Time between two tries, in seconds."""
+
+CHANGE_ID = "change_id"
+"""The field of a stored value that holds the id of its change."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Refusal:
+    """A change that did not take effect, or may not have.
+
+    Attributes:
+        failure: Why.
+        present: The state that a stale change ran into, if any.
+    """
+
+    failure: errors.Failure
+    present: resources.Versioned | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Change:
+    """A change that an operator asks for.
+
+    Attributes:
+        kind: The resource's kind.
+        name: The resource's name.
+        resource: The resource; None to delete it.
+        expected: The revision that the operator saw; 0 for none.
+        change_id: Unique among all changes.
+    """
+
+    kind: str
+    name: str
+    resource: resources.AnyResource | None
+    expected: int
+    change_id: str
+
+
+async def write(
+    store: store_api.Store, change: Change
+) -> expression.Result[int, Refusal]:
+    """Writes a change.
+
+    Returns:
+        The store revision that holds it, or why it is not there:
+        `CONFLICT` if another change came first, `STORE_UNAVAILABLE` if
+        nothing took effect, `STORE_OUTCOME_UNKNOWN` if that can't be told.
+    """
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + SETTLE_S
+    uncertain = False
+    while True:
+        result = await _write_once(store, change)
+        if result.is_ok():
+            match result.ok:
+                case store_api.Written(revision):
+                    return expression.Ok(revision)
+                case store_api.Conflicted(present):
+                    return _settle(change, present, uncertain)
+        failure = result.error
+        if failure.kind is errors.Kind.STORE_OUTCOME_UNKNOWN:
+            uncertain = True
+        elif not uncertain:
+            return expression.Error(Refusal(failure))
+        if loop.time() + RETRY_S > until_s:
+            unknown = errors.Failure(
+                errors.Kind.STORE_OUTCOME_UNKNOWN, failure.detail
+            )
+            return expression.Error(Refusal(unknown))
+        await asyncio.sleep(RETRY_S)
+
+
+async def _write_once(
+    store: store_api.Store, change: Change
+) -> expression.Result[store_api.Write, errors.Failure]:
+    key = store_link.make_key(change.kind, change.name)
+    if change.resource is None:
+        return await store.delete(key, change.expected)
+    fields = msgspec.to_builtins(change.resource)
+    fields[CHANGE_ID] = change.change_id
+    return await store.write(key, msgspec.json.encode(fields), change.expected)
+
+
+def _settle(
+    change: Change, present: store_api.Entry | None, uncertain: bool
+) -> expression.Result[int, Refusal]:
+    """Decides on a write that found another revision than expected."""
+    if present is None:
+        # A deletion leaves no id. The key is gone, as was asked; whether by
+        # this try or another's makes no difference to anybody.
+        if change.resource is None and uncertain:
+            return expression.Ok(0)
+        return expression.Error(Refusal(errors.Failure(errors.Kind.CONFLICT)))
+    if change.resource is not None and _get_id(present) == change.change_id:
+        return expression.Ok(present.revision)
+    # After a lost reply, ours may have taken effect before the present one
+    # replaced it: "not run" would be untrue.
+    kind = errors.Kind.CONFLICT
+    if uncertain:
+        kind = errors.Kind.STORE_OUTCOME_UNKNOWN
+    return expression.Error(
+        Refusal(errors.Failure(kind), store_link.decode_entry(present))
+    )
+
+
+def _get_id(entry: store_api.Entry) -> str:
+    """Returns the id of the change that wrote an entry; empty if none."""
+    try:
+        fields = msgspec.json.decode(entry.value or b"", type=dict)
+    except (msgspec.DecodeError, msgspec.ValidationError):
+        return ""
+    return str(fields.get(CHANGE_ID, ""))
--- a/src/azureramp/controllers/configuration.py
+++ b/src/azureramp/controllers/configuration.py
@@ -1,67 +1,42 @@
-"""The configuration in force on this VM, and changes to it.
+"""The configuration in force on this VM.
 
-It lists and watches the store, exchanges entries with the peers, and writes
-operators' changes by compare-and-swap.
+It comes from the store through the few VMs that watch it, and from peers:
+pushed on a change, asked for when a peer shows a higher revision. The rules
+are in `policy.propagation` and `policy.contact`.
 """
 
 from __future__ import annotations
 
 import asyncio
-import dataclasses
+import random
+import secrets
 from collections.abc import Callable, Sequence
 
 import expression
-import logbook
-import msgspec
 
 from azureramp import blackboard, errors, events, messages, resources
+from azureramp.controllers import changes, serving, store_link
 from azureramp.controllers import outbox as outbox_module
-from azureramp.policy import propagation
+from azureramp.policy import contact, propagation, watching
 from azureramp.ports.store import api as store_api
 
-PREFIX = "/azureramp/resources/"
-
-WATCH_S = 1.0
+WATCH_S = 5.0
 """Longest wait of one watch, in seconds."""
 
 RETRY_S = 0.5
 """Time between attempts to reach the store, in seconds."""
 
-MAX_EVENT_KEYS = 32
-"""Most changed resources that one event names."""
-
-_logger = logbook.Logger("azureramp.configuration")
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Refusal:
-    """A change that did not take effect, or may not have.
-
-    Attributes:
-        failure: Why.
-        present: The state that a stale change ran into, if any.
-    """
-
-    failure: errors.Failure
-    present: resources.Versioned | None = None
-
+MAX_DOUBLINGS = 3
+"""How often the time between failed confirmations doubles."""
 
-def make_key(kind: str, name: str) -> str:
-    """Makes the store's key of a resource."""
-    return f"{PREFIX}{kind}/{name}"
+CONTACT_WAIT_S = 1.0
+"""How long a change waits for contact with a majority, in seconds."""
 
+MAX_EVENT_KEYS = 32
+"""Most changed resources that one event names."""
 
-def decode_entry(entry: store_api.Entry) -> resources.Versioned | None:
-    """Decodes a store entry; None if it is no resource."""
-    kind, _, name = entry.key.removeprefix(PREFIX).partition("/")
-    if entry.value is None:
-        return resources.Versioned(None, kind, name, entry.revision)
-    try:
-        resource = msgspec.json.decode(entry.value, type=resources.AnyResource)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        _logger.error("entry {} is no resource: {}", entry.key, error)
-        return None
-    return resources.Versioned(resource, kind, name, entry.revision)
+STORE = "store"
+"""The source of entries that no peer told."""
 
 
 class Controller:
@@ -69,9 +44,27 @@
 
     Attributes:
         on_change: Called after each change of the configuration.
+        acceptance: Which changes a majority holds.
     """
 
-    __slots__ = ("_board", "_changed", "_outbox", "_store", "on_change")
+    __slots__ = (
+        "_board",
+        "_changed",
+        "_contact_s",
+        "_contacts",
+        "_copy",
+        "_link",
+        "_outbox",
+        "_recorded",
+        "_rng",
+        "_serving",
+        "_store",
+        "_turn",
+        "_unaccepted",
+        "_writing",
+        "acceptance",
+        "on_change",
+    )
 
     def __init__(
         self,
@@ -83,16 +76,26 @@
         self._board = board
         self._outbox = outbox
         self._store = store
+        self._copy = propagation.Copy()
+        self._link = store_link.StoreLink(board, self._copy, store)
+        self._contacts = contact.Contacts()
+        self._contact_s = float("-inf")
+        self._serving = serving.make(board)
         self._changed = asyncio.Event()
+        self._rng = random.Random(f"{board.settings.vm}/{board.incarnation}")
+        self._turn = 0
+        self._recorded = 0
+        self._unaccepted: list[events.ConfigurationAccepted] = []
+        self._writing: set[asyncio.Task[None]] = set()
+        self.acceptance = contact.Acceptance()
         self.on_change: Callable[[], None] | None = None
 
     async def run(self) -> None:
-        """Lists and watches the store, forever."""
-        while True:
-            after = await self._list()
-            while after is not None:
-                after = await self._watch(after)
-            await asyncio.sleep(RETRY_S)
+        """Follows the store and the peers, forever."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._run_watch())
+            group.create_task(self._run_confirmation())
+            group.create_task(self._run_ticks())
 
     async def wait_for_change(self, wait_s: float) -> None:
         """Waits until the configuration changes, or the time is over."""
@@ -102,145 +105,312 @@
         except TimeoutError:
             return
 
+    def select_since(self, after: int) -> propagation.Part:
+        """Selects the changes since a revision, or the whole."""
+        return self._copy.select_since(after)
+
     async def put(
-        self, resource: resources.AnyResource, expected: int
-    ) -> expression.Result[resources.Versioned, Refusal]:
-        """Writes a resource if its revision is the expected one."""
-        kind = str(type(resource).__struct_config__.tag)
-        result = await self._store.write(
-            make_key(kind, resource.name),
-            msgspec.json.encode(resource),
-            expected,
+        self,
+        resource: resources.AnyResource,
+        expected: int,
+        change_id: str = "",
+    ) -> expression.Result[resources.Versioned, changes.Refusal]:
+        """Writes a resource if its revision is the expected one.
+
+        Args:
+            resource: The resource, already valid.
+            expected: The revision that the operator saw; 0 for none.
+            change_id: Unique among all changes; one is made if it is empty.
+
+        Returns:
+            The stored resource, or why it is not stored.
+        """
+        kind = resources.get_kind(resource)
+        return await self._change(
+            changes.Change(
+                kind,
+                resource.name,
+                resource,
+                expected,
+                change_id or secrets.token_hex(16),
+            )
         )
-        return self._take_written(result, resource, kind, resource.name)
 
     async def delete(
         self, kind: str, name: str, expected: int
-    ) -> expression.Result[resources.Versioned, Refusal]:
+    ) -> expression.Result[resources.Versioned, changes.Refusal]:
         """Deletes a resource if its revision is the expected one."""
-        result = await self._store.delete(make_key(kind, name), expected)
-        return self._take_written(result, None, kind, name)
+        return await self._change(
+            changes.Change(kind, name, None, expected, "")
+        )
 
     def receive_request(
         self, sender: str, message: messages.ConfigurationRequest
     ) -> None:
         """Answers a peer that lacks entries."""
-        entries = tuple(
-            entry
-            for entry in self._board.configuration.entries.values()
-            if entry.revision > message.after
-        )
-        self._outbox.send(
-            sender,
-            messages.ConfigurationUpdate(
-                revision=self._board.configuration.revision,
-                after=message.after,
-                confirmed_age_ms=self._get_age_ms(),
-                entries=entries,
-            ),
-        )
+        if self._board.configuration.revision > 0:
+            self._send_since(message.after, [sender])
 
     def receive_update(
         self, sender: str, message: messages.ConfigurationUpdate
     ) -> None:
         """Takes entries from a peer."""
-        if message.after <= self._board.configuration.revision:
-            self._apply(message.entries, message.revision, sender)
-
-    def _take_written(
-        self,
-        result: expression.Result[store_api.Write, errors.Failure],
-        resource: resources.AnyResource | None,
-        kind: str,
-        name: str,
-    ) -> expression.Result[resources.Versioned, Refusal]:
-        """Applies a write that took effect; explains one that did not."""
+        part = propagation.Part(
+            message.after, message.revision, message.entries
+        )
+        self._bring_into_force(self._copy.take_part(part), sender)
+
+    async def _change(
+        self, change: changes.Change
+    ) -> expression.Result[resources.Versioned, changes.Refusal]:
+        """Makes a change to its end, even if the operator goes away."""
+        done: asyncio.Future[
+            expression.Result[resources.Versioned, changes.Refusal]
+        ] = asyncio.get_running_loop().create_future()
+
+        async def make() -> None:
+            result = await self._write(change)
+            if not done.done():
+                done.set_result(result)
+
+        task = asyncio.create_task(make())
+        self._writing.add(task)
+        task.add_done_callback(self._writing.discard)
+        return await done
+
+    async def _write(
+        self, change: changes.Change
+    ) -> expression.Result[resources.Versioned, changes.Refusal]:
+        if not await self._wait_for_contact():
+            failure = errors.Failure(
+                errors.Kind.STALE_CONFIGURATION, "no majority of the VMs"
+            )
+            return expression.Error(changes.Refusal(failure))
+        result = await changes.write(self._store, change)
         if result.is_error():
-            return expression.Error(Refusal(result.error))
-        match result.ok:
-            case store_api.Written(revision):
-                entry = resources.Versioned(resource, kind, name, revision)
-                self._apply([entry], revision, "store")
-                self._board.timeline.record(
-                    events.ConfigurationAccepted(
-                        resource_kind=kind, name=name, revision=revision
-                    ),
-                    asyncio.get_running_loop().time(),
+            return expression.Error(result.error)
+        before = self._board.configuration.revision
+        entry = resources.Versioned(
+            change.resource, change.kind, change.name, result.ok
+        )
+        if result.ok == 0:
+            # It is known to be gone, but not since which revision.
+            changed = await self._link.confirm()
+            entry = self._copy.configuration.entries.get(
+                (change.kind, change.name), entry
+            )
+        else:
+            changed = self._copy.apply_newer([entry])
+            self._bring_into_force(changed, STORE, before)
+            changed = await self._link.catch_up(entry.revision)
+        if entry.revision == 0:
+            failure = errors.Failure(errors.Kind.STORE_OUTCOME_UNKNOWN)
+            return expression.Error(changes.Refusal(failure))
+        self._unaccepted.append(
+            events.ConfigurationAccepted(
+                resource_kind=change.kind,
+                name=change.name,
+                revision=entry.revision,
+            )
+        )
+        if changed is not None:
+            self._bring_into_force(changed, STORE, before)
+        return expression.Ok(entry)
+
+    async def _wait_for_contact(self) -> bool:
+        """Waits a little for contact with a majority; tells if there is."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + CONTACT_WAIT_S
+        window_s = self._board.settings.confirm_ms / 1000
+        while True:
+            self._tick()
+            if self._contact_s + window_s > loop.time():
+                return True
+            if loop.time() >= until_s:
+                return False
+            await asyncio.sleep(self._board.settings.heartbeat_ms / 4000)
+
+    async def _run_watch(self) -> None:
+        """Holds the watch while this VM is one of those that do."""
+        while True:
+            changed = None
+            before = self._board.configuration.revision
+            if before > 0 and self._is_watcher():
+                changed = await self._link.watch(WATCH_S)
+            if changed is None:
+                await asyncio.sleep(RETRY_S * (0.5 + self._rng.random()))
+            else:
+                self._bring_into_force(changed, STORE, before)
+
+    async def _run_confirmation(self) -> None:
+        """Asks for the platform's confirmation when it is due.
+
+        A VM that has no configuration yet asks too, once or until it has.
+        """
+        failures = 0
+        while True:
+            before = self._board.configuration.revision
+            if before == 0 or self._is_confirmation_due():
+                changed = await self._link.confirm()
+                failures = 0 if changed is not None else failures + 1
+                if changed is not None:
+                    self._install()
+                    self._bring_into_force(changed, STORE, before)
+                self._tick()
+            wait_s = self._board.settings.heartbeat_ms / 1000
+            wait_s *= 2 ** min(failures, MAX_DOUBLINGS)
+            await asyncio.sleep(wait_s * (0.5 + self._rng.random()))
+
+    async def _run_ticks(self) -> None:
+        while True:
+            self._tick()
+            self._ask_for_missing()
+            await asyncio.sleep(self._board.settings.heartbeat_ms / 2000)
+
+    def _tick(self) -> None:
+        """Takes the acknowledgements in, and decides again what holds."""
+        board = self._board
+        view = self._make_view()
+        if view.revision == 0 and contact.may_recover(
+            view, self._copy.configuration.revision
+        ):
+            self._install()
+            self._bring_into_force(
+                list(self._copy.configuration.entries.values()), "peers"
+            )
+            view = self._make_view()
+        self._contact_s = self._contacts.update(view)
+        self.acceptance.update(view)
+        board.accepted_revision = self.acceptance.revision
+        if view.revision > 0:
+            board.confirmed_s = contact.compute_confirmed_s(
+                view, max(board.confirmed_s, self._link.confirmed_s)
+            )
+            board.work_until_s = contact.compute_work_until_s(
+                self._contact_s,
+                board.confirmed_s,
+                board.settings.confirm_ms / 1000,
+            )
+        self._record_accepted(view.now_s)
+        self._serving.update()
+        age_s = view.now_s - board.confirmed_s
+        board.metrics.set_gauge("configuration.age_ms", age_s * 1000)
+
+    def _make_view(self) -> contact.View:
+        members = self._board.members
+        own = self._board.settings.vm
+        return contact.View(
+            now_s=asyncio.get_running_loop().time(),
+            own=own,
+            revision=self._board.configuration.revision,
+            listed=members.keys(),
+            acknowledgements={
+                name: contact.Acknowledgement(
+                    member.acknowledged_s,
+                    member.acknowledged_revision,
+                    member.acknowledged_incarnation,
+                    member.acknowledged_confirmed_s,
                 )
-                return expression.Ok(entry)
-            case store_api.Conflicted(present):
-                failure = errors.Failure(errors.Kind.CONFLICT)
-                shown = None if present is None else decode_entry(present)
-                return expression.Error(Refusal(failure, shown))
+                for name, member in members.items()
+                if name != own
+            },
+        )
 
-    def _get_age_ms(self) -> float:
+    def _is_watcher(self) -> bool:
+        """Tells whether this VM should use the store now."""
+        board = self._board
+        own = board.settings.vm
+        live = [
+            name
+            for name, member in board.members.items()
+            if name != own and member.state is blackboard.MemberState.LIVE
+        ]
         now_s = asyncio.get_running_loop().time()
-        return (now_s - self._board.confirmed_s) * 1000
+        return watching.is_watcher(
+            watching.compute_rank(own, live),
+            len(live) + 1,
+            board.settings.watchers,
+            now_s - board.confirmed_s,
+            self._get_interval_s(now_s),
+        )
 
-    async def _list(self) -> int | None:
-        """Reads everything; the revision to watch from, None if it failed."""
-        begun_s = asyncio.get_running_loop().time()
-        result = await self._store.read_prefix(PREFIX)
-        if result.is_error():
-            return None
-        listing = result.ok
-        entries = [
-            decoded
-            for entry in listing.entries
-            if (decoded := decode_entry(entry)) is not None
+    def _get_interval_s(self, now_s: float) -> float:
+        """Returns the time between confirmations, in seconds."""
+        window_s = self._board.settings.confirm_ms / 1000
+        if now_s < self._contact_s + window_s / 2:
+            return watching.IDLE_S
+        return min(watching.NEEDED_S, window_s / 4)
+
+    def _is_confirmation_due(self) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        age_s = now_s - self._board.confirmed_s
+        return self._is_watcher() and age_s >= self._get_interval_s(now_s)
+
+    def _ask_for_missing(self) -> None:
+        """Asks one peer that shows a higher revision for what we lack."""
+        revision = self._copy.configuration.revision
+        ahead = [
+            name
+            for name, member in sorted(self._board.members.items())
+            if name != self._board.settings.vm
+            and max(member.revision, member.acknowledged_revision) > revision
         ]
-        listed = frozenset((entry.kind, entry.name) for entry in entries)
-        entries += propagation.make_tombstones(
-            self._board.configuration, listed, listing.revision
+        if ahead:
+            self._turn += 1
+            self._outbox.send(
+                ahead[self._turn % len(ahead)],
+                messages.ConfigurationRequest(after=revision),
+            )
+
+    def _send_since(self, after: int, receivers: Sequence[str]) -> None:
+        """Sends the changes since a revision."""
+        part = self._copy.select_since(after)
+        now_s = asyncio.get_running_loop().time()
+        message = messages.ConfigurationUpdate(
+            revision=part.revision,
+            after=part.after,
+            confirmed_age_ms=(now_s - self._board.confirmed_s) * 1000,
+            entries=part.entries,
         )
-        return self._take_listing(entries, listing.revision, begun_s)
+        for name in receivers:
+            self._outbox.send(name, message)
 
-    async def _watch(self, after: int) -> int | None:
-        """Waits for changes once; the revision to go on from."""
-        begun_s = asyncio.get_running_loop().time()
-        result = await self._store.watch(PREFIX, after, WATCH_S)
-        if result.is_error():
-            return None
-        entries = [
-            decoded
-            for entry in result.ok.entries
-            if (decoded := decode_entry(entry)) is not None
-        ]
-        return self._take_listing(entries, result.ok.revision, begun_s)
+    def _install(self) -> None:
+        """Begins to use the copy, once it is this VM's of its own right."""
+        self._board.configuration = self._copy.configuration
 
-    def _take_listing(
-        self,
-        entries: Sequence[resources.Versioned],
-        revision: int,
-        begun_s: float,
-    ) -> int:
-        """Applies what the store said; returns its revision."""
-        if revision >= self._board.configuration.revision:
-            self._board.confirmed_s = max(self._board.confirmed_s, begun_s)
-        self._apply(entries, revision, "store")
-        return revision
-
-    def _apply(
+    def _bring_into_force(
         self,
-        entries: Sequence[resources.Versioned],
-        revision: int,
+        changed: Sequence[resources.Versioned],
         source: str,
+        before: int | None = None,
     ) -> None:
-        """Brings newer entries into force and tells everybody here."""
-        configuration = self._board.configuration
-        first = configuration.revision == 0
-        changed = propagation.apply(configuration, entries, revision)
-        self._board.metrics.set_gauge(
-            "configuration.revision", configuration.revision
-        )
-        if first and self._board.serving is blackboard.Serving.STARTING:
-            self._board.serving = blackboard.Serving.READY
-        if not changed:
+        """Tells everybody here of changed entries, and the peers.
+
+        Args:
+            changed: The entries, already in the copy.
+            source: Who told us.
+            before: The revision from which on the peers are told; None if
+                they are not, since what a peer told us it tells them too.
+        """
+        board = self._board
+        if board.configuration is not self._copy.configuration:
+            return
+        revision = board.configuration.revision
+        board.metrics.set_gauge("configuration.revision", revision)
+        own = board.settings.vm
+        if before is not None and (changed or revision > before):
+            self._send_since(
+                before, [name for name in board.members if name != own]
+            )
+        if not changed and revision == self._recorded:
             return
+        self._recorded = revision
         self._record(changed, source)
         self._changed.set()
         self._changed = asyncio.Event()
-        if self.on_change is not None:
+        self._tick()
+        if changed and self.on_change is not None:
             self.on_change()
 
     def _record(
@@ -271,6 +441,17 @@
             asyncio.get_running_loop().time(),
         )
 
+    def _record_accepted(self, now_s: float) -> None:
+        """Records the changes made here that a majority holds by now."""
+        accepted = self.acceptance.revision
+        waiting = self._unaccepted
+        self._unaccepted = [
+            event for event in waiting if event.revision > accepted
+        ]
+        for event in waiting:
+            if event.revision <= accepted:
+                self._board.timeline.record(event, now_s)
+
 
 def make(
     board: blackboard.Blackboard,
--- a/src/azureramp/controllers/resource_api.py
+++ b/src/azureramp/controllers/resource_api.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from azureramp import blackboard, errors, events, resources
-from azureramp.controllers import answers
+from azureramp.controllers import answers, changes
 from azureramp.controllers import configuration as configuration_module
 from azureramp.ports.web import api as web_api
 
@@ -321,7 +321,7 @@
     return answers.make_error(errors.Failure(kind, detail))
 
 
-def _make_refusal(refusal: configuration_module.Refusal) -> web_api.Response:
+def _make_refusal(refusal: changes.Refusal) -> web_api.Response:
     return answers.make_error(refusal.failure, present=refusal.present)
 
 
--- a/src/azureramp/resources.py
+++ b/src/azureramp/resources.py
@@ -188,6 +188,11 @@
 }
 
 
+def get_kind(resource: AnyResource) -> str:
+    """Returns a resource's kind, a key of `KINDS`."""
+    return str(type(resource).__struct_config__.tag)
+
+
 class Versioned(msgspec.Struct, frozen=True):
     """A resource with the store's revision of its entry.
 
