Validate resources, tell how far a change has come, split what grew

A refusal names each field with a rule of a closed list, in both languages. Deleting what something refers to is refused. A dry run says what would be changed. Status tells stored, accepted (a majority holds it) or in force, on n of m, and which VMs lack it.

--- a/src/azureramp/cli/changing.py
+++ b/src/azureramp/cli/changing.py
@@ -11,7 +11,7 @@
 from azureramp import messages, resources
 from azureramp.cli import client as client_module
 from azureramp.cli import exits
-from azureramp.controllers import resource_api
+from azureramp.controllers import resource_answers
 
 POLL_S = 0.1
 """Time between two looks at who has a change in force, in seconds."""
@@ -25,7 +25,7 @@
     """Writes a resource."""
     kind = resources.get_kind(resource)
     result = await client.call(
-        resource_api.ChangeAnswer,
+        resource_answers.ChangeAnswer,
         "PUT",
         f"/v1/resources/{kind}/{resource.name}",
         {"expected": expected},
@@ -52,7 +52,7 @@
     shown = ""
     while True:
         result = await client.call(
-            resource_api.StatusAnswer,
+            resource_answers.StatusAnswer,
             "GET",
             "/v1/status",
             {"revision": revision},
--- a/src/azureramp/cli/delete.py
+++ b/src/azureramp/cli/delete.py
@@ -9,7 +9,7 @@
 from azureramp import resources
 from azureramp.cli import changing, exits, options, output, waiting
 from azureramp.cli import client as client_module
-from azureramp.controllers import resource_api
+from azureramp.controllers import resource_answers
 
 
 @click.command("delete")
@@ -49,7 +49,7 @@
             return output.print_error(present.error, common)
         revision = present.ok.revision
     result = await client.call(
-        resource_api.ChangeAnswer,
+        resource_answers.ChangeAnswer,
         "DELETE",
         f"/v1/resources/{kind}/{name}",
         {"expected": revision},
--- a/src/azureramp/cli/get.py
+++ b/src/azureramp/cli/get.py
@@ -9,7 +9,7 @@
 from azureramp import resources
 from azureramp.cli import client as client_module
 from azureramp.cli import exits, options, output
-from azureramp.controllers import resource_api
+from azureramp.controllers import resource_answers
 
 
 @click.command("get")
@@ -30,7 +30,7 @@
             return output.print_error(one.error, common)
         output.print_json(one.ok)
         return exits.Exit.OK
-    many = await client.call(resource_api.ListAnswer, "GET", path)
+    many = await client.call(resource_answers.ListAnswer, "GET", path)
     if many.is_error():
         return output.print_error(many.error, common)
     output.print_json(many.ok)
--- a/src/azureramp/cli/status.py
+++ b/src/azureramp/cli/status.py
@@ -8,7 +8,7 @@
 
 from azureramp.cli import client as client_module
 from azureramp.cli import exits, options, output
-from azureramp.controllers import resource_api
+from azureramp.controllers import resource_answers
 
 
 @click.command("status")
@@ -27,7 +27,7 @@
     client = client_module.Client(common)
     query = {} if revision is None else {"revision": revision}
     result = await client.call(
-        resource_api.StatusAnswer, "GET", "/v1/status", query
+        resource_answers.StatusAnswer, "GET", "/v1/status", query
     )
     if result.is_error():
         return output.print_error(result.error, common)
--- a/src/azureramp/cli/timeline.py
+++ b/src/azureramp/cli/timeline.py
@@ -11,7 +11,7 @@
 from azureramp import events
 from azureramp.cli import client as client_module
 from azureramp.cli import exits, options, output
-from azureramp.controllers import resource_api
+from azureramp.controllers import resource_answers
 
 
 @click.command("timeline")
@@ -31,7 +31,9 @@
 
 async def _run(common: options.Common, form: str) -> exits.Exit:
     client = client_module.Client(common)
-    status = await client.call(resource_api.StatusAnswer, "GET", "/v1/status")
+    status = await client.call(
+        resource_answers.StatusAnswer, "GET", "/v1/status"
+    )
     if status.is_error():
         return output.print_error(status.error, common)
     timelines = []
@@ -60,7 +62,10 @@
     after = 0
     while True:
         result = await client.call(
-            resource_api.TimelineAnswer, "GET", "/v1/timeline", {"after": after}
+            resource_answers.TimelineAnswer,
+            "GET",
+            "/v1/timeline",
+            {"after": after},
         )
         if result.is_error():
             return None
--- a/src/azureramp/cli/watch.py
+++ b/src/azureramp/cli/watch.py
@@ -8,7 +8,7 @@
 
 from azureramp.cli import client as client_module
 from azureramp.cli import exits, options, output
-from azureramp.controllers import resource_api
+from azureramp.controllers import resource_answers
 
 WAIT_MS = 20_000
 """How long a VM is asked to wait for a change, in milliseconds."""
@@ -40,7 +40,7 @@
     printed = 0
     while True:
         result = await client.call(
-            resource_api.ListAnswer,
+            resource_answers.ListAnswer,
             "GET",
             "/v1/watch",
             {"after": after, "wait_ms": WAIT_MS},
--- a/src/azureramp/controllers/answers.py
+++ b/src/azureramp/controllers/answers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 from typing import Any
 
 import msgspec
 
 from azureramp import errors, messages, resources, texts
+from azureramp.policy import validation
 from azureramp.ports.web import api as web_api
 
 RETRY_AFTER_MS_HEADER = "Azureramp-Retry-After-Ms"
@@ -30,6 +32,7 @@
     request_id: str = "",
     addresses: tuple[str, ...] = (),
     present: resources.Versioned | None = None,
+    problems: Sequence[validation.Problem] = (),
 ) -> web_api.Response:
     """Makes the response to a failure, from the table of kinds.
 
@@ -38,6 +41,7 @@
         request_id: The request, if one was admitted.
         addresses: Other entry VMs to use, `IP:port`.
         present: The state that a stale change ran into.
+        problems: What is wrong with a resource.
     """
     answer = failure.get_answer()
     text = texts.KINDS[failure.kind]
@@ -53,6 +57,7 @@
         request_id=request_id,
         addresses=addresses,
         present=present,
+        problems=tuple(_make_problem(problem) for problem in problems),
     )
     headers: tuple[tuple[str, str], ...] = ()
     if retry_after_ms > 0:
@@ -66,3 +71,14 @@
         headers=headers,
         closes=answer.retry is errors.Retry.OTHER_ADDRESS,
     )
+
+
+def _make_problem(problem: validation.Problem) -> messages.FieldProblem:
+    text = texts.RULES[problem.rule]
+    return messages.FieldProblem(
+        field=problem.field,
+        rule=problem.rule.value,
+        value=problem.value,
+        text_en=text.en,
+        text_hu=text.hu,
+    )
--- a/src/azureramp/controllers/configuration.py
+++ b/src/azureramp/controllers/configuration.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import secrets
 from collections.abc import Callable, Sequence
@@ -15,9 +16,9 @@
 import expression
 
 from azureramp import blackboard, errors, events, messages, resources
-from azureramp.controllers import changes, serving, store_link
+from azureramp.controllers import changes, majority, serving, store_link
 from azureramp.controllers import outbox as outbox_module
-from azureramp.policy import contact, propagation, watching
+from azureramp.policy import propagation
 from azureramp.ports.store import api as store_api
 
 WATCH_S = 5.0
@@ -36,7 +37,10 @@
 """Most changed resources that one event names."""
 
 STORE = "store"
-"""The source of entries that no peer told."""
+"""The source of entries that came from the store."""
+
+PEERS = "peers"
+"""The source of entries that a majority of peers told in an outage."""
 
 
 class Controller:
@@ -44,25 +48,21 @@
 
     Attributes:
         on_change: Called after each change of the configuration.
-        acceptance: Which changes a majority holds.
     """
 
     __slots__ = (
         "_board",
         "_changed",
-        "_contact_s",
-        "_contacts",
         "_copy",
         "_link",
+        "_majority",
         "_outbox",
         "_recorded",
         "_rng",
         "_serving",
         "_store",
         "_turn",
-        "_unaccepted",
         "_writing",
-        "acceptance",
         "on_change",
     )
 
@@ -78,16 +78,13 @@
         self._store = store
         self._copy = propagation.Copy()
         self._link = store_link.StoreLink(board, self._copy, store)
-        self._contacts = contact.Contacts()
-        self._contact_s = float("-inf")
+        self._majority = majority.Majority(board)
         self._serving = serving.make(board)
         self._changed = asyncio.Event()
         self._rng = random.Random(f"{board.settings.vm}/{board.incarnation}")
         self._turn = 0
         self._recorded = 0
-        self._unaccepted: list[events.ConfigurationAccepted] = []
         self._writing: set[asyncio.Task[None]] = set()
-        self.acceptance = contact.Acceptance()
         self.on_change: Callable[[], None] | None = None
 
     async def run(self) -> None:
@@ -97,13 +94,16 @@
             group.create_task(self._run_confirmation())
             group.create_task(self._run_ticks())
 
-    async def wait_for_change(self, wait_s: float) -> None:
-        """Waits until the configuration changes, or the time is over."""
-        try:
+    async def wait_beyond(self, revision: int, wait_s: float) -> None:
+        """Waits until a revision is passed, or the time is over."""
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
-                await self._changed.wait()
-        except TimeoutError:
-            return
+                while self._board.configuration.revision <= revision:
+                    await self._changed.wait()
+
+    def get_accepted_s(self, revision: int) -> float:
+        """Returns when a majority held a revision; infinity if it doesn't."""
+        return self._majority.acceptance.get_accepted_s(revision)
 
     def select_since(self, after: int) -> propagation.Part:
         """Selects the changes since a revision, or the whole."""
@@ -206,7 +206,7 @@
         if entry.revision == 0:
             failure = errors.Failure(errors.Kind.STORE_OUTCOME_UNKNOWN)
             return expression.Error(changes.Refusal(failure))
-        self._unaccepted.append(
+        self._majority.add_unaccepted(
             events.ConfigurationAccepted(
                 resource_kind=change.kind,
                 name=change.name,
@@ -221,10 +221,9 @@
         """Waits a little for contact with a majority; tells if there is."""
         loop = asyncio.get_running_loop()
         until_s = loop.time() + CONTACT_WAIT_S
-        window_s = self._board.settings.confirm_ms / 1000
         while True:
             self._tick()
-            if self._contact_s + window_s > loop.time():
+            if self._majority.has_contact():
                 return True
             if loop.time() >= until_s:
                 return False
@@ -235,7 +234,7 @@
         while True:
             changed = None
             before = self._board.configuration.revision
-            if before > 0 and self._is_watcher():
+            if before > 0 and self._majority.is_watcher():
                 changed = await self._link.watch(WATCH_S)
             if changed is None:
                 await asyncio.sleep(RETRY_S * (0.5 + self._rng.random()))
@@ -250,7 +249,7 @@
         failures = 0
         while True:
             before = self._board.configuration.revision
-            if before == 0 or self._is_confirmation_due():
+            if before == 0 or self._majority.is_confirmation_due():
                 changed = await self._link.confirm()
                 failures = 0 if changed is not None else failures + 1
                 if changed is not None:
@@ -269,82 +268,13 @@
 
     def _tick(self) -> None:
         """Takes the acknowledgements in, and decides again what holds."""
-        board = self._board
-        view = self._make_view()
-        if view.revision == 0 and contact.may_recover(
-            view, self._copy.configuration.revision
-        ):
+        copied = self._copy.configuration
+        starting = self._board.configuration.revision == 0
+        if starting and self._majority.may_recover(copied.revision):
             self._install()
-            self._bring_into_force(
-                list(self._copy.configuration.entries.values()), "peers"
-            )
-            view = self._make_view()
-        self._contact_s = self._contacts.update(view)
-        self.acceptance.update(view)
-        board.accepted_revision = self.acceptance.revision
-        if view.revision > 0:
-            board.confirmed_s = contact.compute_confirmed_s(
-                view, max(board.confirmed_s, self._link.confirmed_s)
-            )
-            board.work_until_s = contact.compute_work_until_s(
-                self._contact_s,
-                board.confirmed_s,
-                board.settings.confirm_ms / 1000,
-            )
-        self._record_accepted(view.now_s)
+            self._bring_into_force(list(copied.entries.values()), PEERS)
+        self._majority.update(self._link.confirmed_s)
         self._serving.update()
-        age_s = view.now_s - board.confirmed_s
-        board.metrics.set_gauge("configuration.age_ms", age_s * 1000)
-
-    def _make_view(self) -> contact.View:
-        members = self._board.members
-        own = self._board.settings.vm
-        return contact.View(
-            now_s=asyncio.get_running_loop().time(),
-            own=own,
-            revision=self._board.configuration.revision,
-            listed=members.keys(),
-            acknowledgements={
-                name: contact.Acknowledgement(
-                    member.acknowledged_s,
-                    member.acknowledged_revision,
-                    member.acknowledged_incarnation,
-                    member.acknowledged_confirmed_s,
-                )
-                for name, member in members.items()
-                if name != own
-            },
-        )
-
-    def _is_watcher(self) -> bool:
-        """Tells whether this VM should use the store now."""
-        board = self._board
-        own = board.settings.vm
-        live = [
-            name
-            for name, member in board.members.items()
-            if name != own and member.state is blackboard.MemberState.LIVE
-        ]
-        now_s = asyncio.get_running_loop().time()
-        return watching.is_watcher(
-            watching.compute_rank(own, live),
-            len(live) + 1,
-            board.settings.watchers,
-            now_s - board.confirmed_s,
-            self._get_interval_s(now_s),
-        )
-
-    def _get_interval_s(self, now_s: float) -> float:
-        """Returns the time between confirmations, in seconds."""
-        window_s = self._board.settings.confirm_ms / 1000
-        if now_s < self._contact_s + window_s / 2:
-            return watching.IDLE_S
-        return min(watching.NEEDED_S, window_s / 4)
-
-    def _is_confirmation_due(self) -> bool:
-        now_s = asyncio.get_running_loop().time()
-        age_s = now_s - self._board.confirmed_s
-        return self._is_watcher() and age_s >= self._get_interval_s(now_s)
 
     def _ask_for_missing(self) -> None:
         """Asks one peer that shows a higher revision for what we lack."""
@@ -441,17 +371,6 @@
             asyncio.get_running_loop().time(),
         )
 
-    def _record_accepted(self, now_s: float) -> None:
-        """Records the changes made here that a majority holds by now."""
-        accepted = self.acceptance.revision
-        waiting = self._unaccepted
-        self._unaccepted = [
-            event for event in waiting if event.revision > accepted
-        ]
-        for event in waiting:
-            if event.revision <= accepted:
-                self._board.timeline.record(event, now_s)
-
 
 def make(
     board: blackboard.Blackboard,
--- a/src/azureramp/controllers/resource_api.py
+++ b/src/azureramp/controllers/resource_api.py
@@ -2,115 +2,33 @@
 
 from __future__ import annotations
 
-import asyncio
 import hashlib
 import hmac
-import math
+from collections.abc import Sequence
 
 import msgspec
 
-from azureramp import blackboard, errors, events, resources
-from azureramp.controllers import answers, changes
+from azureramp import blackboard, errors, resources
+from azureramp.controllers import (
+    answers,
+    changes,
+    resource_answers,
+    vm_status,
+)
 from azureramp.controllers import configuration as configuration_module
+from azureramp.policy import validation
 from azureramp.ports.web import api as web_api
 
 RESOURCES = "/v1/resources/"
+WATCH = "/v1/watch"
 MAX_WAIT_MS = 30_000
+MAX_PROBLEMS = 50
+"""Most problems in one answer."""
+
 MAX_RECORDS = 5000
 """Most records in one timeline answer."""
 
 
-class ListAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """Resources of one kind, or the changes since a revision.
-
-    Attributes:
-        revision: The configuration revision that the answer reflects.
-        entries: The resources; deleted ones only among changes.
-    """
-
-    revision: int
-    entries: tuple[resources.Versioned, ...]
-
-
-class ChangeAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """The answer to a change.
-
-    Attributes:
-        state: `stored`, or `valid` for a dry run.
-        entry: The resource as it is now, or as it would be.
-    """
-
-    state: str
-    entry: resources.Versioned
-
-
-class MemberStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """A VM as another one sees it.
-
-    Attributes:
-        vm: Its name.
-        zone: Its availability zone.
-        address: `IP:port` of its HTTP interface.
-        state: What the answering VM thinks of it.
-        ready: True if it serves callers.
-        revision: Its configuration revision, as last heard.
-    """
-
-    vm: str
-    zone: str
-    address: str
-    state: str
-    ready: bool
-    revision: int
-
-
-class StatusAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """The state of a VM, and of the others as it sees them.
-
-    Attributes:
-        vm: The answering VM.
-        zone: Its availability zone.
-        serving: Whether it takes new work, a value of `blackboard.Serving`.
-        incarnation: Its process's start number.
-        revision: Its configuration revision.
-        confirmed_age_ms: How long ago the platform confirmed that, at most;
-            None if never.
-        running: Requests that run on it now.
-        asked_revision: The revision asked for, else `revision`.
-        in_force: How many VMs have that revision or a newer one in force.
-        listed: How many VMs there are.
-        members: The VMs, by name.
-    """
-
-    vm: str
-    zone: str
-    serving: str
-    incarnation: int
-    revision: int
-    confirmed_age_ms: float | None
-    running: int
-    asked_revision: int
-    in_force: int
-    listed: int
-    members: tuple[MemberStatus, ...]
-
-
-class TimelineAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """A part of a VM's timeline.
-
-    Attributes:
-        vm: The VM.
-        dropped: Records that it has dropped for want of room.
-        more: True if there are later records still.
-        records: The records, ascending by clock.
-    """
-
-    vm: str
-    dropped: int
-    more: bool
-    records: tuple[events.Record, ...]
-
-
 class ResourceApi:
     """Answers operators' requests."""
 
@@ -135,6 +53,10 @@
             return _refuse(errors.Kind.BAD_REQUEST, str(error))
 
     async def _route(self, request: web_api.Request) -> web_api.Response:
+        reads = request.path.startswith((RESOURCES, WATCH))
+        if reads and self._board.configuration.revision == 0:
+            # It would say that nothing is declared, and that is not true.
+            return _refuse(errors.Kind.STALE_CONFIGURATION, "starting")
         if request.path.startswith(RESOURCES):
             kind, _, name = request.path.removeprefix(RESOURCES).partition("/")
             return await self._handle_resource(request, kind, name)
@@ -185,7 +107,9 @@
         ]
         entries.sort(key=lambda entry: entry.name)
         return answers.make_ok(
-            ListAnswer(revision=configuration.revision, entries=tuple(entries))
+            resource_answers.ListAnswer(
+                revision=configuration.revision, entries=tuple(entries)
+            )
         )
 
     def _get(self, kind: str, name: str) -> web_api.Response:
@@ -201,100 +125,92 @@
             resource = msgspec.json.decode(
                 request.body, type=resources.AnyResource
             )
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
-            return _refuse(errors.Kind.INVALID_RESOURCE, str(error))
-        if not isinstance(resource, resources.KINDS[kind]):
-            return _refuse(
-                errors.Kind.INVALID_RESOURCE, f"kind: must be {kind!r}"
-            )
+        except msgspec.DecodeError as error:
+            return _refuse_problems([_explain(error)])
+        if resources.get_kind(resource) != kind:
+            return _refuse_problems([_make_mismatch("kind", kind)])
         if resource.name != name:
-            return _refuse(
-                errors.Kind.INVALID_RESOURCE, f"name: must be {name!r}"
-            )
+            return _refuse_problems([_make_mismatch("name", name)])
+        problems = validation.check(resource, self._board.configuration)
+        if problems:
+            return _refuse_problems(problems)
+        expected = _get_int(request, "expected", 0)
+        if _is_dry_run(request):
+            return self._try_out(kind, name, resource, expected)
         result = await self._configuration.put(
-            resource, _get_int(request, "expected", 0)
+            resource, expected, request.query.get("change_id", "")
         )
         if result.is_error():
             return _make_refusal(result.error)
-        return answers.make_ok(ChangeAnswer(state="stored", entry=result.ok))
+        return _make_stored(result.ok)
 
     async def _delete(
         self, request: web_api.Request, kind: str, name: str
     ) -> web_api.Response:
-        result = await self._configuration.delete(
-            kind, name, _get_int(request, "expected", 0)
+        problems = validation.check_deletion(
+            kind, name, self._board.configuration
         )
+        if problems:
+            return _refuse_problems(problems)
+        expected = _get_int(request, "expected", 0)
+        if _is_dry_run(request):
+            return self._try_out(kind, name, None, expected)
+        result = await self._configuration.delete(kind, name, expected)
         if result.is_error():
             return _make_refusal(result.error)
-        return answers.make_ok(ChangeAnswer(state="stored", entry=result.ok))
+        return _make_stored(result.ok)
+
+    def _try_out(
+        self,
+        kind: str,
+        name: str,
+        resource: resources.AnyResource | None,
+        expected: int,
+    ) -> web_api.Response:
+        """Says what a valid change would do, by what is in force here."""
+        before = self._board.configuration.entries.get((kind, name))
+        if before is not None and before.resource is None:
+            before = None
+        if (before.revision if before else 0) != expected:
+            failure = errors.Failure(errors.Kind.CONFLICT)
+            return answers.make_error(failure, present=before)
+        return answers.make_ok(
+            resource_answers.ChangeAnswer(
+                state=resource_answers.ChangeState.VALID,
+                entry=resources.Versioned(resource, kind, name, 0),
+                before=before,
+            )
+        )
 
     async def _watch(self, request: web_api.Request) -> web_api.Response:
         after = _get_int(request, "after", 0)
         wait_ms = min(_get_int(request, "wait_ms", 0), MAX_WAIT_MS)
-        if self._board.configuration.revision <= after:
-            await self._configuration.wait_for_change(wait_ms / 1000)
-        configuration = self._board.configuration
-        entries = [
-            entry
-            for entry in configuration.entries.values()
-            if entry.revision > after
-        ]
-        entries.sort(key=lambda entry: entry.revision)
+        await self._configuration.wait_beyond(after, wait_ms / 1000)
+        part = self._configuration.select_since(after)
+        entries = tuple(
+            entry for entry in part.entries if entry.revision <= part.revision
+        )
         return answers.make_ok(
-            ListAnswer(revision=configuration.revision, entries=tuple(entries))
+            resource_answers.ListAnswer(
+                revision=max(part.revision, after),
+                whole=part.after < after,
+                entries=entries,
+            )
         )
 
     def _get_status(self, request: web_api.Request) -> web_api.Response:
-        board = self._board
-        own = board.settings
-        age_s = asyncio.get_running_loop().time() - board.confirmed_s
-        members = [
-            MemberStatus(
-                vm=name,
-                zone=member.vm.zone,
-                address=member.vm.http_address,
-                state=member.state.value,
-                ready=member.ready,
-                revision=member.revision,
-            )
-            for name, member in sorted(board.members.items())
-            if name != own.vm
-        ]
-        members.append(
-            MemberStatus(
-                vm=own.vm,
-                zone=own.zone,
-                address=own.http_address,
-                state=blackboard.MemberState.LIVE.value,
-                ready=board.serving is blackboard.Serving.READY,
-                revision=board.configuration.revision,
-            )
-        )
-        members.sort(key=lambda member: member.vm)
-        asked = _get_int(request, "revision", board.configuration.revision)
+        asked = None
+        if "revision" in request.query:
+            asked = _get_int(request, "revision", 0)
         return answers.make_ok(
-            StatusAnswer(
-                vm=own.vm,
-                zone=own.zone,
-                serving=board.serving.value,
-                incarnation=board.incarnation,
-                revision=board.configuration.revision,
-                confirmed_age_ms=(
-                    age_s * 1000 if math.isfinite(age_s) else None
-                ),
-                running=board.running,
-                asked_revision=asked,
-                in_force=sum(member.revision >= asked for member in members),
-                listed=len(members),
-                members=tuple(members),
-            )
+            vm_status.make_status(self._board, self._configuration, asked)
         )
 
     def _get_timeline(self, request: web_api.Request) -> web_api.Response:
         timeline = self._board.timeline
         records = timeline.get_records(_get_int(request, "after", 0))
         return answers.make_ok(
-            TimelineAnswer(
+            resource_answers.TimelineAnswer(
                 vm=timeline.vm,
                 dropped=timeline.dropped,
                 more=len(records) > MAX_RECORDS,
@@ -317,6 +233,50 @@
     return int(text)
 
 
+def _is_dry_run(request: web_api.Request) -> bool:
+    """Reads whether the change is only to be checked.
+
+    Raises:
+        ValueError: It is neither 0 nor 1.
+    """
+    text = request.query.get("dry_run", "0")
+    if text not in ("0", "1"):
+        raise ValueError("dry_run: must be 0 or 1")
+    return text == "1"
+
+
+def _explain(error: msgspec.DecodeError) -> validation.Problem:
+    """Says which field could not be decoded."""
+    words, _, place = str(error).partition(" - at `$")
+    field = place.removesuffix("`").removeprefix(".") or "resource"
+    return validation.Problem(field, validation.Rule.TYPE, words)
+
+
+def _make_mismatch(field: str, wanted: str) -> validation.Problem:
+    return validation.Problem(field, validation.Rule.TYPE, f"must be {wanted}")
+
+
+def _refuse_problems(
+    problems: Sequence[validation.Problem],
+) -> web_api.Response:
+    detail = "; ".join(
+        f"{problem.field}: {problem.rule.value} {problem.value}".rstrip()
+        for problem in problems[:MAX_PROBLEMS]
+    )
+    return answers.make_error(
+        errors.Failure(errors.Kind.INVALID_RESOURCE, detail),
+        problems=problems[:MAX_PROBLEMS],
+    )
+
+
+def _make_stored(entry: resources.Versioned) -> web_api.Response:
+    return answers.make_ok(
+        resource_answers.ChangeAnswer(
+            state=resource_answers.ChangeState.STORED, entry=entry
+        )
+    )
+
+
 def _refuse(kind: errors.Kind, detail: str = "") -> web_api.Response:
     return answers.make_error(errors.Failure(kind, detail))
 
--- /dev/null
+++ b/src/azureramp/controllers/vm_status.py
@@ -0,0 +1,110 @@
+"""The state of a VM and of the others as it sees them, for operators."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+from azureramp import blackboard
+from azureramp.controllers import configuration as configuration_module
+from azureramp.controllers import resource_answers
+
+
+def make_status(
+    board: blackboard.Blackboard,
+    configuration: configuration_module.Controller,
+    asked: int | None,
+) -> resource_answers.StatusAnswer:
+    """Makes the answer.
+
+    Args:
+        board: The VM's state.
+        configuration: Its configuration controller.
+        asked: The revision whose progress is asked for; None for the VM's.
+    """
+    now_s = asyncio.get_running_loop().time()
+    own = board.settings
+    revision = board.configuration.revision
+    asked = revision if asked is None else asked
+    members = sorted(
+        (
+            *(
+                _make_member(member, now_s)
+                for name, member in board.members.items()
+                if name != own.vm
+            ),
+            _make_own(board),
+        ),
+        key=lambda member: member.vm,
+    )
+    without = tuple(member.vm for member in members if member.revision < asked)
+    return resource_answers.StatusAnswer(
+        vm=own.vm,
+        zone=own.zone,
+        serving=board.serving.value,
+        incarnation=board.incarnation,
+        revision=revision,
+        confirmed_age_ms=_to_age_ms(now_s - board.confirmed_s),
+        accepted_revision=board.accepted_revision,
+        running=board.running,
+        asked_revision=asked,
+        state=_decide_state(board, configuration, asked, bool(without)),
+        in_force=len(members) - len(without),
+        listed=len(members),
+        without=without,
+        members=tuple(members),
+    )
+
+
+def _decide_state(
+    board: blackboard.Blackboard,
+    configuration: configuration_module.Controller,
+    asked: int,
+    is_missing: bool,
+) -> resource_answers.ChangeState:
+    """Decides how far a revision has come.
+
+    A VM that lacks an accepted revision stops by itself within the window in
+    which it can still prove contact or confirmation. After that the change
+    is in force on every VM that takes work.
+    """
+    now_s = asyncio.get_running_loop().time()
+    window_s = board.settings.confirm_ms / 1000
+    accepted_s = configuration.get_accepted_s(asked)
+    if board.configuration.revision < asked:
+        return resource_answers.ChangeState.UNKNOWN
+    if math.isinf(accepted_s):
+        return resource_answers.ChangeState.STORED
+    if is_missing and now_s <= accepted_s + window_s:
+        return resource_answers.ChangeState.ACCEPTED
+    return resource_answers.ChangeState.IN_FORCE
+
+
+def _make_member(
+    member: blackboard.Member, now_s: float
+) -> resource_answers.MemberStatus:
+    return resource_answers.MemberStatus(
+        vm=member.vm.name,
+        zone=member.vm.zone,
+        address=member.vm.http_address,
+        state=member.state.value,
+        ready=member.ready,
+        revision=member.acknowledged_revision,
+        heard_age_ms=_to_age_ms(now_s - member.heard_s),
+    )
+
+
+def _make_own(board: blackboard.Blackboard) -> resource_answers.MemberStatus:
+    return resource_answers.MemberStatus(
+        vm=board.settings.vm,
+        zone=board.settings.zone,
+        address=board.settings.http_address,
+        state=blackboard.MemberState.LIVE.value,
+        ready=board.serving is blackboard.Serving.READY,
+        revision=board.configuration.revision,
+        heard_age_ms=0.0,
+    )
+
+
+def _to_age_ms(age_s: float) -> float | None:
+    return round(age_s * 1000, 3) if math.isfinite(age_s) else None
--- a/src/azureramp/messages.py
+++ b/src/azureramp/messages.py
@@ -372,6 +372,24 @@
     lifetime_ms: int
 
 
+class FieldProblem(msgspec.Struct, frozen=True, kw_only=True):
+    """One rule that one field of a resource breaks.
+
+    Attributes:
+        field: The field's path, such as `shards[1].low`.
+        rule: The rule's stable code.
+        value: The value that breaks it, or what it should be.
+        text_en: The rule in English.
+        text_hu: The rule in Hungarian.
+    """
+
+    field: str
+    rule: str
+    value: str
+    text_en: str
+    text_hu: str
+
+
 class ErrorAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """The body of every answer that is an error.
 
@@ -386,6 +404,7 @@
         request_id: The request, if one was admitted.
         addresses: Other entry VMs to use, `IP:port`.
         present: The state that a stale change ran into, if any.
+        problems: What is wrong with a resource, by field.
     """
 
     code: str
@@ -398,3 +417,4 @@
     request_id: str = ""
     addresses: tuple[str, ...] = ()
     present: resources.Versioned | None = None
+    problems: tuple[FieldProblem, ...] = ()
