--- a/src/azureramp/cli/changing.py
+++ b/src/azureramp/cli/changing.py
@@ -3,53 +3,77 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 
-import click
 import expression
 import msgspec
 
-from azureramp import messages, resources
+from azureramp import errors, messages, resources
 from azureramp.cli import client as client_module
-from azureramp.cli import exits
+from azureramp.cli import exits, output
 from azureramp.controllers import resource_answers
 
 POLL_S = 0.1
 """Time between two looks at who has a change in force, in seconds."""
 
+_Entry = expression.Result[resources.Versioned, messages.ErrorAnswer]
+
 
 async def put(
     client: client_module.Client,
     resource: resources.AnyResource,
     expected: int,
-) -> expression.Result[resources.Versioned, messages.ErrorAnswer]:
-    """Writes a resource."""
+) -> _Entry:
+    """Writes a resource if its revision is the expected one."""
     kind = resources.get_kind(resource)
     result = await client.call(
         resource_answers.ChangeAnswer,
         "PUT",
         f"/v1/resources/{kind}/{resource.name}",
-        {"expected": expected},
+        {"expected": expected, "change_id": secrets.token_hex(16)},
         msgspec.json.encode(resource),
     )
     return result.map(lambda answer: answer.entry)
 
 
+async def delete(
+    client: client_module.Client, kind: str, name: str, expected: int
+) -> _Entry:
+    """Deletes a resource if its revision is the expected one."""
+    result = await client.call(
+        resource_answers.ChangeAnswer,
+        "DELETE",
+        f"/v1/resources/{kind}/{name}",
+        {"expected": expected},
+    )
+    return result.map(lambda answer: answer.entry)
+
+
 async def get(
     client: client_module.Client, kind: str, name: str
-) -> expression.Result[resources.Versioned, messages.ErrorAnswer]:
-    """Reads a resource."""
-    return await client.call(
+) -> expression.Result[resources.Versioned | None, messages.ErrorAnswer]:
+    """Reads a resource; None if there is none."""
+    result = await client.call(
         resources.Versioned, "GET", f"/v1/resources/{kind}/{name}"
     )
+    if result.is_error():
+        if result.error.code == errors.Kind.NOT_FOUND.value:
+            return expression.Ok(None)
+        return expression.Error(result.error)
+    return expression.Ok(result.ok)
 
 
 async def wait_in_force(
     client: client_module.Client, revision: int, wait_s: float
 ) -> exits.Exit:
-    """Waits until every VM has a revision in force, and prints the steps."""
+    """Waits until a revision is in force, and prints each step.
+
+    Any VM may answer; one that does not have the revision yet says so, and
+    the tool asks again.
+    """
     loop = asyncio.get_running_loop()
     until_s = loop.time() + wait_s
-    shown = ""
+    shown: tuple[str, ...] = ()
     while True:
         result = await client.call(
             resource_answers.StatusAnswer,
@@ -59,21 +83,31 @@
         )
         if result.is_ok():
             status = result.ok
-            line = (
-                f"revision {revision}: in force on "
-                f"{status.in_force} of {status.listed}"
-            )
-            if line != shown:
-                click.echo(line)
-                shown = line
-            if status.in_force >= status.listed:
-                click.echo(f"revision {revision}: in force")
+            code = status.state.value
+            words = _describe(status)
+            if (code, *words) != shown:
+                output.print_state(code, client.common, *words)
+                shown = (code, *words)
+            if status.state is resource_answers.ChangeState.IN_FORCE:
                 return exits.Exit.OK
         if loop.time() >= until_s:
-            click.echo(
-                f"revision {revision}: stored, not in force everywhere after "
-                f"{wait_s:g} s",
+            output.print_state(
+                "not_in_force",
+                client.common,
+                f"revision={revision}",
+                f"wait_s={wait_s:g}",
                 err=True,
             )
             return exits.Exit.NOT_IN_FORCE
         await asyncio.sleep(POLL_S)
+
+
+def _describe(status: resource_answers.StatusAnswer) -> tuple[str, ...]:
+    """Returns the words that go with a status's state."""
+    words = [
+        f"revision={status.asked_revision}",
+        f"in_force_on={status.in_force}/{status.listed}",
+    ]
+    if status.without:
+        words.append(f"without={','.join(status.without)}")
+    return tuple(words)
--- a/src/azureramp/cli/client.py
+++ b/src/azureramp/cli/client.py
@@ -22,14 +22,16 @@
 
 
 def make_error_answer(
-    kind: errors.Kind, detail: str = ""
+    kind: errors.Kind,
+    detail: str = "",
+    ran: errors.Ran | None = None,
 ) -> messages.ErrorAnswer:
     """Makes the answer for a failure that the tool itself found."""
     answer = errors.ANSWERS[kind]
     text = texts.KINDS[kind]
     return messages.ErrorAnswer(
         code=kind.value,
-        ran=answer.ran.value,
+        ran=(ran or answer.ran).value,
         retry=answer.retry.value,
         retry_after_ms=answer.retry_after_ms,
         text_en=text.en,
@@ -62,6 +64,10 @@
     ) -> expression.Result[_T, messages.ErrorAnswer]:
         """Calls the first entry VM that takes the request.
 
+        A change whose answer was lost is sent to the next VM too: its
+        expected revision lets it take effect once only, and its id tells the
+        next VM that it did. If no VM settles it, the outcome is unknown.
+
         Args:
             answer: The type of the answer.
             method: The HTTP method.
@@ -77,23 +83,27 @@
         target = urllib.parse.quote(path)
         if query:
             target += "?" + urllib.parse.urlencode(query)
-        failure = make_error_answer(errors.Kind.CONNECTION_LOST)
+        failure = make_error_answer(
+            errors.Kind.CONNECTION_LOST, ran=errors.Ran.NOT_RUN
+        )
+        unsettled: messages.ErrorAnswer | None = None
         for address in self.common.addresses:
             result = await self._exchange(address, method, target, body, wait_s)
-            if result.is_error():
-                failure = result.error
-                if failure.ran == errors.Ran.UNKNOWN.value and method != "GET":
-                    break
-                continue
-            response = result.ok
-            if response.status < 300:
-                return expression.Ok(
-                    msgspec.json.decode(response.body, type=answer)
-                )
-            failure = _decode_error(response)
-            if failure.retry != errors.Retry.OTHER_ADDRESS.value:
+            if result.is_ok() and result.ok.status < 300:
+                return _decode(result.ok, answer)
+            failure = (
+                result.error if result.is_error() else _decode_error(result.ok)
+            )
+            if failure.ran == errors.Ran.UNKNOWN.value and method != "GET":
+                unsettled = failure
+            if not _is_for_others(failure):
                 break
-        return expression.Error(failure)
+        if unsettled is None:
+            return expression.Error(failure)
+        # A refusal of a later VM says "not run" of its own try only.
+        return expression.Error(
+            msgspec.structs.replace(unsettled, present=failure.present)
+        )
 
     async def _exchange(
         self,
@@ -106,11 +116,12 @@
         """Makes one exchange on a connection of its own."""
         connected = await connection.connect(address, CONNECT_S)
         if connected.is_error():
-            not_sent = make_error_answer(
-                errors.Kind.CONNECTION_LOST, connected.error.detail
-            )
             return expression.Error(
-                msgspec.structs.replace(not_sent, ran=errors.Ran.NOT_RUN.value)
+                make_error_answer(
+                    errors.Kind.CONNECTION_LOST,
+                    connected.error.detail,
+                    errors.Ran.NOT_RUN,
+                )
             )
         link = connected.ok
         headers = [
@@ -121,16 +132,18 @@
         try:
             async with asyncio.timeout(self.common.timeout_s + wait_s):
                 response = await link.exchange(method, target, headers, body)
-        except (
-            connection.BrokenError,
-            connection.UnsentError,
-            TimeoutError,
-        ) as error:
-            kind = (
-                errors.Kind.CONNECTION_LOST
-                if method == "GET"
-                else errors.Kind.STORE_OUTCOME_UNKNOWN
+        except connection.UnsentError as error:
+            return expression.Error(
+                make_error_answer(
+                    errors.Kind.CONNECTION_LOST,
+                    f"{address}: {error}",
+                    errors.Ran.NOT_RUN,
+                )
             )
+        except (connection.BrokenError, TimeoutError) as error:
+            kind = errors.Kind.CONNECTION_LOST
+            if method != "GET":
+                kind = errors.Kind.STORE_OUTCOME_UNKNOWN
             detail = f"{address}: {error or 'no answer in time'}"
             return expression.Error(make_error_answer(kind, detail))
         finally:
@@ -138,11 +151,36 @@
         return expression.Ok(response)
 
 
+def _is_for_others(failure: messages.ErrorAnswer) -> bool:
+    """Tells whether another VM may answer where this one failed."""
+    return failure.retry == errors.Retry.OTHER_ADDRESS.value or (
+        failure.code
+        in (
+            errors.Kind.CONNECTION_LOST.value,
+            errors.Kind.STORE_OUTCOME_UNKNOWN.value,
+            errors.Kind.STORE_UNAVAILABLE.value,
+            errors.Kind.INTERNAL.value,
+        )
+    )
+
+
+def _decode(
+    response: web_api.Response, answer: type[_T]
+) -> expression.Result[_T, messages.ErrorAnswer]:
+    """Reads an answer; a foreign one is told as a failure."""
+    try:
+        return expression.Ok(msgspec.json.decode(response.body, type=answer))
+    except msgspec.DecodeError as error:
+        return expression.Error(
+            make_error_answer(errors.Kind.INTERNAL, f"not understood: {error}")
+        )
+
+
 def _decode_error(response: web_api.Response) -> messages.ErrorAnswer:
     """Reads an error's answer; a foreign one is told by its status."""
     try:
         return msgspec.json.decode(response.body, type=messages.ErrorAnswer)
-    except (msgspec.DecodeError, msgspec.ValidationError):
+    except msgspec.DecodeError:
         return make_error_answer(
             errors.Kind.INTERNAL, f"HTTP status {response.status}"
         )
--- a/src/azureramp/cli/delete.py
+++ b/src/azureramp/cli/delete.py
@@ -6,10 +6,9 @@
 
 import click
 
-from azureramp import resources
+from azureramp import errors, resources
 from azureramp.cli import changing, exits, options, output, waiting
 from azureramp.cli import client as client_module
-from azureramp.controllers import resource_answers
 
 
 @click.command("delete")
@@ -31,33 +30,42 @@
     wait_ms: int,
 ) -> int:
     """Deletes the resource of a KIND with a NAME."""
-    return asyncio.run(_run(common, kind, name, revision, waits, wait_ms))
+    wait_s = wait_ms / 1000 if waits else None
+    return asyncio.run(run(common, kind, name, revision, wait_s))
 
 
-async def _run(
+async def run(
     common: options.Common,
     kind: str,
     name: str,
-    revision: int | None,
-    waits: bool,
-    wait_ms: int,
+    revision: int | None = None,
+    wait_s: float | None = None,
 ) -> exits.Exit:
+    """Deletes a resource.
+
+    Args:
+        common: What every command needs.
+        kind: The resource's kind.
+        name: The resource's name.
+        revision: The revision that it must have; None takes the present one.
+        wait_s: Longest wait until it is in force, in seconds; None ends once
+            it is stored.
+    """
     client = client_module.Client(common)
+    subject = f"{kind}/{name}"
     if revision is None:
-        present = await changing.get(client, kind, name)
-        if present.is_error():
-            return output.print_error(present.error, common)
-        revision = present.ok.revision
-    result = await client.call(
-        resource_answers.ChangeAnswer,
-        "DELETE",
-        f"/v1/resources/{kind}/{name}",
-        {"expected": revision},
-    )
+        found = await changing.get(client, kind, name)
+        if found.is_error():
+            return output.print_error(found.error, common, subject)
+        if found.ok is None:
+            missing = client_module.make_error_answer(errors.Kind.NOT_FOUND)
+            return output.print_error(missing, common, subject)
+        revision = found.ok.revision
+    result = await changing.delete(client, kind, name, revision)
     if result.is_error():
-        return output.print_error(result.error, common)
-    written = result.ok.entry.revision
-    click.echo(f"{kind}/{name}: deletion stored at revision {written}")
-    if waits:
-        return await changing.wait_in_force(client, written, wait_ms / 1000)
+        return output.print_error(result.error, common, subject)
+    written = result.ok.revision
+    output.print_state("stored", common, subject, f"revision={written}")
+    if wait_s is not None:
+        return await changing.wait_in_force(client, written, wait_s)
     return exits.Exit.OK
--- a/src/azureramp/cli/drain_zone.py
+++ b/src/azureramp/cli/drain_zone.py
@@ -19,4 +19,5 @@
 ) -> int:
     """Takes an availability zone out of service."""
     state = resources.ZoneState.OUT
-    return asyncio.run(zones.change(common, zone, state, waits, wait_ms))
+    wait_s = wait_ms / 1000 if waits else None
+    return asyncio.run(zones.change(common, zone, state, wait_s))
--- a/src/azureramp/cli/files.py
+++ b/src/azureramp/cli/files.py
@@ -12,6 +12,16 @@
 
 from azureramp import resources
 
+ORDER = (
+    resources.Zone,
+    resources.Service,
+    resources.BackendServer,
+    resources.ShardMap,
+    resources.Caller,
+    resources.Policy,
+)
+"""The kinds in an order in which each refers only to earlier ones."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Declared:
@@ -60,6 +70,11 @@
     return expression.Ok(declared)
 
 
+def get_order(resource: resources.AnyResource) -> int:
+    """Returns a resource's place in the order of writing."""
+    return ORDER.index(type(resource))
+
+
 def _convert(item: Any) -> Declared:
     """Makes a resource of a plain value.
 
--- a/src/azureramp/cli/get.py
+++ b/src/azureramp/cli/get.py
@@ -6,32 +6,55 @@
 
 import click
 
-from azureramp import resources
+from azureramp import errors, resources
+from azureramp.cli import changing, exits, options, output
 from azureramp.cli import client as client_module
-from azureramp.cli import exits, options, output
 from azureramp.controllers import resource_answers
 
 
 @click.command("get")
 @click.argument("kind", type=options.Choice(*resources.KINDS))
 @click.argument("name", default="")
+@click.option(
+    "--format",
+    "form",
+    type=options.Choice("yaml", "json"),
+    default="yaml",
+    show_default=True,
+    help="Form of the output; `apply` takes both.",
+)
 @options.add_common
-def command(common: options.Common, kind: str, name: str) -> int:
-    """Prints the resources of a KIND, or the one with a NAME, as JSON."""
-    return asyncio.run(_run(common, kind, name))
+def command(common: options.Common, kind: str, name: str, form: str) -> int:
+    """Prints the resources of a KIND, or the one with a NAME.
 
+    They are printed as `apply` takes them, with the revision that they have.
+    """
+    return asyncio.run(run(common, kind, name, form))
 
-async def _run(common: options.Common, kind: str, name: str) -> exits.Exit:
+
+async def run(
+    common: options.Common, kind: str, name: str = "", form: str = "yaml"
+) -> exits.Exit:
+    """Prints resources in a form, `yaml` or `json`."""
     client = client_module.Client(common)
-    path = f"/v1/resources/{kind}"
     if name:
-        one = await client.call(resources.Versioned, "GET", f"{path}/{name}")
-        if one.is_error():
-            return output.print_error(one.error, common)
-        output.print_json(one.ok)
-        return exits.Exit.OK
-    many = await client.call(resource_answers.ListAnswer, "GET", path)
-    if many.is_error():
-        return output.print_error(many.error, common)
-    output.print_json(many.ok)
+        found = await changing.get(client, kind, name)
+        if found.is_error():
+            return output.print_error(found.error, common)
+        if found.ok is None:
+            missing = client_module.make_error_answer(errors.Kind.NOT_FOUND)
+            return output.print_error(missing, common, f"{kind}/{name}")
+        entries = [found.ok]
+    else:
+        listed = await client.call(
+            resource_answers.ListAnswer, "GET", f"/v1/resources/{kind}"
+        )
+        if listed.is_error():
+            return output.print_error(listed.error, common)
+        entries = list(listed.ok.entries)
+    documents = [output.make_document(entry) for entry in entries]
+    if form == "json":
+        output.print_json(documents)
+    elif documents:
+        click.echo(output.format_yaml(documents), nl=False)
     return exits.Exit.OK
--- a/src/azureramp/cli/status.py
+++ b/src/azureramp/cli/status.py
@@ -15,15 +15,26 @@
 @click.option(
     "--revision",
     type=options.Number(1, 2**63 - 1),
-    help="Count the VMs that have at least this revision in force.",
+    help="Tell how far this revision has come.",
+)
+@click.option(
+    "--format",
+    "form",
+    type=options.Choice("text", "json"),
+    default="text",
+    show_default=True,
+    help="A line for each VM, or everything as JSON.",
 )
 @options.add_common
-def command(common: options.Common, revision: int | None) -> int:
-    """Prints the state of all VMs, as one of them sees it, as JSON."""
-    return asyncio.run(_run(common, revision))
+def command(common: options.Common, revision: int | None, form: str) -> int:
+    """Prints the state of all VMs, as one of them sees it."""
+    return asyncio.run(run(common, revision, form))
 
 
-async def _run(common: options.Common, revision: int | None) -> exits.Exit:
+async def run(
+    common: options.Common, revision: int | None = None, form: str = "text"
+) -> exits.Exit:
+    """Prints the state in a form, `text` or `json`."""
     client = client_module.Client(common)
     query = {} if revision is None else {"revision": revision}
     result = await client.call(
@@ -31,5 +42,31 @@
     )
     if result.is_error():
         return output.print_error(result.error, common)
-    output.print_json(result.ok)
+    status = result.ok
+    if form == "json":
+        output.print_json(status)
+        return exits.Exit.OK
+    output.print_state(
+        status.state.value,
+        common,
+        f"revision={status.asked_revision}",
+        f"in_force_on={status.in_force}/{status.listed}",
+    )
+    click.echo(
+        f"{status.vm} serving={status.serving} revision={status.revision} "
+        f"accepted={status.accepted_revision} "
+        f"confirmed_age_ms={_show(status.confirmed_age_ms)} "
+        f"running={status.running}"
+    )
+    for member in status.members:
+        click.echo(
+            f"  {member.vm} zone={member.zone} address={member.address} "
+            f"{member.state} {'ready' if member.ready else 'not_ready'} "
+            f"revision={member.revision} "
+            f"heard_age_ms={_show(member.heard_age_ms)}"
+        )
     return exits.Exit.OK
+
+
+def _show(age_ms: float | None) -> str:
+    return "never" if age_ms is None else f"{age_ms:.0f}"
--- a/src/azureramp/cli/watch.py
+++ b/src/azureramp/cli/watch.py
@@ -13,6 +13,9 @@
 WAIT_MS = 20_000
 """How long a VM is asked to wait for a change, in milliseconds."""
 
+RETRY_S = 0.5
+"""Time between tries while no VM answers, in seconds."""
+
 
 @click.command("watch")
 @click.option(
@@ -20,7 +23,7 @@
     type=options.Number(0, 2**63 - 1),
     default=0,
     show_default=True,
-    help="Go on from this revision; 0 prints what there is first.",
+    help="Go on after this revision; 0 prints what there is first.",
 )
 @click.option(
     "--count",
@@ -31,12 +34,22 @@
 )
 @options.add_common
 def command(common: options.Common, after: int, count: int) -> int:
-    """Prints each change as a line of JSON, as it comes into force."""
-    return asyncio.run(_run(common, after, count))
+    """Prints each change as a line of JSON, as it comes into force.
+
+    Each line holds the revision to go on after. A line `{"reset":R}` means
+    that not all changes up to R are known: everything there is follows, and
+    what does not follow was deleted.
+    """
+    return asyncio.run(run(common, after, count))
 
 
-async def _run(common: options.Common, after: int, count: int) -> exits.Exit:
+async def run(
+    common: options.Common, after: int = 0, count: int = 0
+) -> exits.Exit:
+    """Prints changes after a revision, until there were `count` of them."""
     client = client_module.Client(common)
+    loop = asyncio.get_running_loop()
+    answered_s = loop.time()
     printed = 0
     while True:
         result = await client.call(
@@ -47,7 +60,13 @@
             wait_s=WAIT_MS / 1000,
         )
         if result.is_error():
-            return output.print_error(result.error, common)
+            if loop.time() - answered_s > common.timeout_s:
+                return output.print_error(result.error, common)
+            await asyncio.sleep(RETRY_S)
+            continue
+        answered_s = loop.time()
+        if result.ok.whole:
+            click.echo(f'{{"reset":{result.ok.revision}}}')
         for entry in result.ok.entries:
             click.echo(output.format_entry(entry))
             printed += 1
--- a/src/azureramp/cli/zones.py
+++ b/src/azureramp/cli/zones.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import click
-
 from azureramp import errors, resources
 from azureramp.cli import changing, exits, options, output
 from azureramp.cli import client as client_module
@@ -15,28 +13,38 @@
     common: options.Common,
     name: str,
     state: resources.ZoneState,
-    waits: bool,
-    wait_ms: int,
+    wait_s: float | None = None,
 ) -> exits.Exit:
-    """Writes a zone's state, and waits until it is in force."""
+    """Writes a zone's state, and waits until it is in force.
+
+    Args:
+        common: What every command needs.
+        name: The zone, which must be declared: a misspelt one would look as
+            if it were out.
+        state: Its new state.
+        wait_s: Longest wait until it is in force, in seconds; None ends once
+            it is stored.
+    """
     client = client_module.Client(common)
-    present = await changing.get(client, KIND, name)
-    if present.is_error() and (
-        present.error.code != errors.Kind.NOT_FOUND.value
-        or state is resources.ZoneState.IN_SERVICE
-    ):
-        return output.print_error(present.error, common)
-    expected = 0 if present.is_error() else present.ok.revision
+    subject = f"{KIND}/{name}"
+    found = await changing.get(client, KIND, name)
+    if found.is_error():
+        return output.print_error(found.error, common, subject)
+    if found.ok is None:
+        missing = client_module.make_error_answer(errors.Kind.NOT_FOUND)
+        return output.print_error(missing, common, subject)
+    revision = found.ok.revision
     wanted = resources.Zone(name=name, state=state)
-    if present.is_ok() and present.ok.resource == wanted:
-        revision = expected
-        click.echo(f"{KIND}/{name}: already {state.value}")
+    if found.ok.resource == wanted:
+        output.print_state("unchanged", common, subject, state.value)
     else:
-        written = await changing.put(client, wanted, expected)
+        written = await changing.put(client, wanted, revision)
         if written.is_error():
-            return output.print_error(written.error, common)
+            return output.print_error(written.error, common, subject)
         revision = written.ok.revision
-        click.echo(f"{KIND}/{name}: {state.value}, stored at {revision}")
-    if waits:
-        return await changing.wait_in_force(client, revision, wait_ms / 1000)
+        output.print_state(
+            "stored", common, subject, state.value, f"revision={revision}"
+        )
+    if wait_s is not None:
+        return await changing.wait_in_force(client, revision, wait_s)
     return exits.Exit.OK
--- a/src/azureramp/controllers/answers.py
+++ b/src/azureramp/controllers/answers.py
@@ -43,28 +43,20 @@
         present: The state that a stale change ran into.
         problems: What is wrong with a resource.
     """
-    answer = failure.get_answer()
-    text = texts.KINDS[failure.kind]
-    retry_after_ms = failure.get_retry_after_ms()
-    body = messages.ErrorAnswer(
-        code=failure.kind.value,
-        ran=answer.ran.value,
-        retry=answer.retry.value,
-        retry_after_ms=retry_after_ms,
-        text_en=text.en,
-        text_hu=text.hu,
-        detail=failure.detail,
+    body = make_error_body(
+        failure,
         request_id=request_id,
         addresses=addresses,
         present=present,
-        problems=tuple(_make_problem(problem) for problem in problems),
+        problems=problems,
     )
     headers: tuple[tuple[str, str], ...] = ()
-    if retry_after_ms > 0:
+    if body.retry_after_ms > 0:
         headers = (
-            ("Retry-After", str(math.ceil(retry_after_ms / 1000))),
-            (RETRY_AFTER_MS_HEADER, str(retry_after_ms)),
+            ("Retry-After", str(math.ceil(body.retry_after_ms / 1000))),
+            (RETRY_AFTER_MS_HEADER, str(body.retry_after_ms)),
         )
+    answer = failure.get_answer()
     return web_api.Response(
         status=answer.status,
         body=msgspec.json.encode(body),
@@ -73,6 +65,32 @@
     )
 
 
+def make_error_body(
+    failure: errors.Failure,
+    *,
+    request_id: str = "",
+    addresses: tuple[str, ...] = (),
+    present: resources.Versioned | None = None,
+    problems: Sequence[validation.Problem] = (),
+) -> messages.ErrorAnswer:
+    """Makes the body of the response to a failure; see `make_error`."""
+    answer = failure.get_answer()
+    text = texts.KINDS[failure.kind]
+    return messages.ErrorAnswer(
+        code=failure.kind.value,
+        ran=answer.ran.value,
+        retry=answer.retry.value,
+        retry_after_ms=failure.get_retry_after_ms(),
+        text_en=text.en,
+        text_hu=text.hu,
+        detail=failure.detail,
+        request_id=request_id,
+        addresses=addresses,
+        present=present,
+        problems=tuple(_make_problem(problem) for problem in problems),
+    )
+
+
 def _make_problem(problem: validation.Problem) -> messages.FieldProblem:
     text = texts.RULES[problem.rule]
     return messages.FieldProblem(
--- /dev/null
+++ b/src/azureramp/controllers/dry_run.py
@@ -0,0 +1,63 @@
+"""What would become of changes, without making them."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from azureramp import errors, messages, resources
+from azureramp.controllers import answers, resource_answers
+from azureramp.policy import validation
+
+
+def check(
+    configuration: resources.Configuration,
+    asked: Sequence[resource_answers.Checked],
+) -> resource_answers.CheckAnswer:
+    """Checks resources as if they were written one after another.
+
+    Args:
+        configuration: What is in force.
+        asked: The resources, in the order of writing.
+    """
+    trial = resources.Configuration()
+    trial.revision = configuration.revision
+    trial.entries = dict(configuration.entries)
+    results = tuple(_check_one(trial, item) for item in asked)
+    return resource_answers.CheckAnswer(
+        revision=configuration.revision, results=results
+    )
+
+
+def _check_one(
+    trial: resources.Configuration, item: resource_answers.Checked
+) -> resource_answers.CheckResult:
+    """Checks one resource, and adds it to the trial if it is valid."""
+    resource = item.resource
+    kind = resources.get_kind(resource)
+    before = trial.entries.get((kind, resource.name))
+    if before is not None and before.resource is None:
+        before = None
+    entry = resources.Versioned(resource, kind, resource.name, 0)
+    error: messages.ErrorAnswer | None = None
+    problems = validation.check(resource, trial)
+    revision = before.revision if before else 0
+    if problems:
+        error = answers.make_error_body(
+            make_failure(problems), problems=problems
+        )
+    elif item.expected is not None and item.expected != revision:
+        error = answers.make_error_body(
+            errors.Failure(errors.Kind.CONFLICT), present=before
+        )
+    else:
+        trial.entries[(kind, resource.name)] = entry
+    return resource_answers.CheckResult(entry=entry, before=before, error=error)
+
+
+def make_failure(problems: Sequence[validation.Problem]) -> errors.Failure:
+    """Makes the failure of an invalid resource; all problems in one line."""
+    detail = "; ".join(
+        f"{problem.field}: {problem.rule.value} {problem.value}".rstrip()
+        for problem in problems
+    )
+    return errors.Failure(errors.Kind.INVALID_RESOURCE, detail)
--- a/src/azureramp/controllers/resource_answers.py
+++ b/src/azureramp/controllers/resource_answers.py
@@ -6,17 +6,16 @@
 
 import msgspec
 
-from azureramp import events, resources
+from azureramp import events, messages, resources
 
 
 class ChangeState(enum.Enum):
     """How far a change, and with it a revision, has come.
 
-    A change only ever goes from one state to the next. `VALID` is a dry
-    run's. `UNKNOWN` is what a VM says of a revision that it does not have.
+    A change only ever goes from one state to the next. `UNKNOWN` is what a
+    VM says of a revision that it does not have.
     """
 
-    VALID = "valid"
     UNKNOWN = "unknown"
     STORED = "stored"
     ACCEPTED = "accepted"
@@ -44,14 +43,60 @@
     """The answer to a change.
 
     Attributes:
-        state: `stored`, or `valid` for a dry run.
-        entry: The resource as it is now, or as it would be.
-        before: The resource in force before, in a dry run.
+        state: `stored`.
+        entry: The resource as it is now.
     """
 
     state: ChangeState
     entry: resources.Versioned
+
+
+class Checked(msgspec.Struct, frozen=True, kw_only=True):
+    """A resource to be checked.
+
+    Attributes:
+        resource: The resource.
+        expected: The revision that it must have now; None for any.
+    """
+
+    resource: resources.AnyResource
+    expected: int | None = None
+
+
+class CheckRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """Resources to be checked together; each may refer to earlier ones.
+
+    Attributes:
+        resources: The resources, in the order of writing.
+    """
+
+    resources: tuple[Checked, ...]
+
+
+class CheckResult(msgspec.Struct, frozen=True, kw_only=True):
+    """What would become of one resource.
+
+    Attributes:
+        entry: The resource as it would be, at revision 0.
+        before: As it is; None if there is none.
+        error: Why it would be refused; None if it would not.
+    """
+
+    entry: resources.Versioned
     before: resources.Versioned | None = None
+    error: messages.ErrorAnswer | None = None
+
+
+class CheckAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer to a dry run.
+
+    Attributes:
+        revision: The configuration revision that it was checked against.
+        results: One for each resource.
+    """
+
+    revision: int
+    results: tuple[CheckResult, ...]
 
 
 class MemberStatus(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/azureramp/controllers/resource_api.py
+++ b/src/azureramp/controllers/resource_api.py
@@ -12,6 +12,7 @@
 from azureramp.controllers import (
     answers,
     changes,
+    dry_run,
     resource_answers,
     vm_status,
 )
@@ -19,6 +20,7 @@
 from azureramp.policy import validation
 from azureramp.ports.web import api as web_api
 
+CHECK = "/v1/resources"
 RESOURCES = "/v1/resources/"
 WATCH = "/v1/watch"
 MAX_WAIT_MS = 30_000
@@ -53,10 +55,12 @@
             return _refuse(errors.Kind.BAD_REQUEST, str(error))
 
     async def _route(self, request: web_api.Request) -> web_api.Response:
-        reads = request.path.startswith((RESOURCES, WATCH))
+        reads = request.path.startswith((CHECK, WATCH))
         if reads and self._board.configuration.revision == 0:
             # It would say that nothing is declared, and that is not true.
             return _refuse(errors.Kind.STALE_CONFIGURATION, "starting")
+        if request.path == CHECK and request.method == "POST":
+            return self._check(request)
         if request.path.startswith(RESOURCES):
             kind, _, name = request.path.removeprefix(RESOURCES).partition("/")
             return await self._handle_resource(request, kind, name)
@@ -135,8 +139,6 @@
         if problems:
             return _refuse_problems(problems)
         expected = _get_int(request, "expected", 0)
-        if _is_dry_run(request):
-            return self._try_out(kind, name, resource, expected)
         result = await self._configuration.put(
             resource, expected, request.query.get("change_id", "")
         )
@@ -153,33 +155,20 @@
         if problems:
             return _refuse_problems(problems)
         expected = _get_int(request, "expected", 0)
-        if _is_dry_run(request):
-            return self._try_out(kind, name, None, expected)
         result = await self._configuration.delete(kind, name, expected)
         if result.is_error():
             return _make_refusal(result.error)
         return _make_stored(result.ok)
 
-    def _try_out(
-        self,
-        kind: str,
-        name: str,
-        resource: resources.AnyResource | None,
-        expected: int,
-    ) -> web_api.Response:
-        """Says what a valid change would do, by what is in force here."""
-        before = self._board.configuration.entries.get((kind, name))
-        if before is not None and before.resource is None:
-            before = None
-        if (before.revision if before else 0) != expected:
-            failure = errors.Failure(errors.Kind.CONFLICT)
-            return answers.make_error(failure, present=before)
-        return answers.make_ok(
-            resource_answers.ChangeAnswer(
-                state=resource_answers.ChangeState.VALID,
-                entry=resources.Versioned(resource, kind, name, 0),
-                before=before,
+    def _check(self, request: web_api.Request) -> web_api.Response:
+        try:
+            asked = msgspec.json.decode(
+                request.body, type=resource_answers.CheckRequest
             )
+        except msgspec.DecodeError as error:
+            return _refuse_problems([_explain(error)])
+        return answers.make_ok(
+            dry_run.check(self._board.configuration, asked.resources)
         )
 
     async def _watch(self, request: web_api.Request) -> web_api.Response:
@@ -233,18 +222,6 @@
     return int(text)
 
 
-def _is_dry_run(request: web_api.Request) -> bool:
-    """Reads whether the change is only to be checked.
-
-    Raises:
-        ValueError: It is neither 0 nor 1.
-    """
-    text = request.query.get("dry_run", "0")
-    if text not in ("0", "1"):
-        raise ValueError("dry_run: must be 0 or 1")
-    return text == "1"
-
-
 def _explain(error: msgspec.DecodeError) -> validation.Problem:
     """Says which field could not be decoded."""
     words, _, place = str(error).partition(" - at `$")
@@ -259,13 +236,8 @@
 def _refuse_problems(
     problems: Sequence[validation.Problem],
 ) -> web_api.Response:
-    detail = "; ".join(
-        f"{problem.field}: {problem.rule.value} {problem.value}".rstrip()
-        for problem in problems[:MAX_PROBLEMS]
-    )
     return answers.make_error(
-        errors.Failure(errors.Kind.INVALID_RESOURCE, detail),
-        problems=problems[:MAX_PROBLEMS],
+        dry_run.make_failure(problems), problems=problems[:MAX_PROBLEMS]
     )
 
 
--- a/src/azureramp/texts.py
+++ b/src/azureramp/texts.py
@@ -201,3 +201,42 @@
         "Csak egy házirend van; a neve:",
     ),
 }
+
+
+TOOL: dict[str, Text] = {
+    "unchanged": Text("It is already so.", "Már így van."),
+    "valid": Text(
+        "It is valid; nothing was changed.",
+        "Érvényes; semmi sem változott.",
+    ),
+    "stored": Text("The change is stored.", "A változás el van tárolva."),
+    "unknown": Text(
+        "The VM asked does not have it yet.",
+        "A megkérdezett VM-nél még nincs meg.",
+    ),
+    "accepted": Text(
+        "A majority of the VMs has it; it can't be lost any more.",
+        "A VM-ek többségénél megvan; már nem veszhet el.",
+    ),
+    "in_force": Text(
+        "It is in force on every VM that takes work.",
+        "Minden munkát fogadó VM-en életbe lépett.",
+    ),
+    "not_in_force": Text(
+        "The change is stored, but was not in force in time.",
+        "A változás el van tárolva, de nem lépett időben életbe.",
+    ),
+    "no_answer": Text(
+        "These VMs did not answer, their events are missing:",
+        "Ezek a VM-ek nem válaszoltak, az eseményeik hiányoznak:",
+    ),
+    "dropped": Text(
+        "This VM has dropped earlier events for want of room:",
+        "Ez a VM helyhiány miatt korábbi eseményeket eldobott:",
+    ),
+    "reset": Text(
+        "Not all changes since then are known; everything follows.",
+        "Az azóta történt változások nem mind ismertek; minden következik.",
+    ),
+}
+"""What the operators' tool says, by code."""
