Let heartbeats claim searchers by name, and tell the lists known

A lease for a whole VM says nothing of which searchers it covers: two VMs whose views differ could both hold one. With the claims in the heartbeat the acknowledgements of a majority settle each searcher by itself.

--- a/src/azureramp/messages.py
+++ b/src/azureramp/messages.py
@@ -166,6 +166,10 @@
             revision is its newest, at most; infinity if never.
         lease_ms: The heartbeat lease asked for, in milliseconds; 0 for none.
         searchers: The states of the searchers that it owns.
+        claims: The identities (see `policy.leases`) of the searchers that it
+            asks a lease for.
+        lists: The hashes of the VM lists that it has read of late.
+        suspects: The listed VMs that it does not hear.
     """
 
     sequence: int
@@ -175,6 +179,9 @@
     confirmed_age_ms: float
     lease_ms: float
     searchers: tuple[SearcherState, ...] = ()
+    claims: tuple[int, ...] = ()
+    lists: tuple[int, ...] = ()
+    suspects: tuple[str, ...] = ()
 
 
 class HeartbeatAck(Message, frozen=True, kw_only=True, tag="heartbeat_ack"):
@@ -185,11 +192,16 @@
         granted: True if the answerer promises to see no other owner of the
             sender's searchers before the lease has run out.
         revision: The answerer's configuration revision.
+        refused: The claims that it does not grant, since it has promised
+            these searchers to another VM or incarnation.
+        lists: The hashes of the VM lists that it has read of late.
     """
 
     sequence: int
     granted: bool
     revision: int
+    refused: tuple[int, ...] = ()
+    lists: tuple[int, ...] = ()
 
 
 class ConfigurationRequest(
