Settle the lease of each searcher by a majority of the lists read

The first lease was one of a whole VM: two VMs whose views of the owners differed could both hold one and both send to the same cold searcher. Now each heartbeat claims searchers, each voter promises a searcher to one process, and the majority is one of every list read within a window. Silence makes a VM suspect; it is gone once most of those heard miss it too. An own pause, seen by the late timer, is not counted as silence of the others.

--- a/src/azureramp/controllers/membership.py
+++ b/src/azureramp/controllers/membership.py
@@ -1,4 +1,4 @@
-"""Who is there: heartbeats, the VM list, the lease, and who owns what."""
+"""Heartbeats: what each VM tells of itself, and hears of the others."""
 
 from __future__ import annotations
 
@@ -8,14 +8,14 @@
 
 import logbook
 
-from azureramp import blackboard, events, messages, resources
+from azureramp import blackboard, messages
+from azureramp.controllers import members as members_module
 from azureramp.controllers import outbox as outbox_module
-from azureramp.policy import ownership
+from azureramp.controllers import ownership
+from azureramp.policy import leases
+from azureramp.policy import membership as policy
 from azureramp.ports.vmlist import api as vmlist_api
 
-LIST_S = 1.0
-"""Time between reads of the VM list, in seconds."""
-
 _logger = logbook.Logger("azureramp.membership")
 
 
@@ -23,16 +23,16 @@
     """Keeps this VM's view of the others.
 
     Attributes:
-        on_owners: Called after the owners changed.
+        on_owners: Called after the owners or the times to start changed.
     """
 
     __slots__ = (
-        "_acks",
         "_board",
-        "_leaving",
+        "_members",
         "_outbox",
-        "_sent_s",
+        "_ownership",
         "_sequence",
+        "_stale",
         "_started_s",
         "_vmlist",
         "on_owners",
@@ -48,237 +48,178 @@
         self._board = board
         self._outbox = outbox
         self._vmlist = vmlist
-        self._sequence = 0
-        self._sent_s: dict[int, float] = {}
-        self._acks: dict[str, float] = {}
-        self._leaving = False
+        self._members = members_module.Members(board)
+        self._ownership: ownership.Ownership | None = None
         self._started_s = math.inf
+        self._sequence = 0
+        self._stale = False
         self.on_owners: Callable[[], None] | None = None
 
     def announce_leaving(self) -> None:
         """Tells the other VMs that this one goes."""
-        self._leaving = True
+        self._members.leaving = True
+        self.update()
         self._beat()
 
     def receive_envelope(self, sender: str, incarnation: int) -> None:
         """Notes that a VM is heard; see `inbox.Receivers`."""
-        member = self._board.members.get(sender)
-        if member is None or incarnation < member.incarnation:
-            return
-        member.heard_s = asyncio.get_running_loop().time()
-        if incarnation != member.incarnation:
-            member.incarnation = incarnation
-            self._acks.pop(sender, None)
+        self._stale = not self._members.hear(sender, incarnation)
 
     def receive_heartbeat(
         self, sender: str, message: messages.Heartbeat
     ) -> None:
         """Takes a heartbeat and acknowledges it."""
         member = self._board.members.get(sender)
-        if member is None:
+        if member is None or self._stale:
             return
-        now_s = asyncio.get_running_loop().time()
-        settings = self._board.settings
-        member.ready = message.ready
-        member.revision = message.revision
-        member.confirmed_s = now_s - message.confirmed_age_ms / 1000
-        member.searchers = message.searchers
-        state = blackboard.MemberState.LIVE
-        if message.leaving:
-            state = blackboard.MemberState.LEAVING
-        self._mark(member, state)
-        granted = (
-            message.lease_ms > 0
-            and message.lease_ms <= settings.lease_ms
-            and now_s >= self._started_s + settings.lease_ms / 1000
-        )
-        if granted:
-            member.may_own_until_s = now_s + message.lease_ms / 1000
-        self._outbox.send(
-            sender,
-            messages.HeartbeatAck(
-                sequence=message.sequence,
-                granted=granted,
-                revision=self._board.configuration.revision,
-            ),
-        )
+        state = member.state
+        self._members.take_heartbeat(member, message)
+        self._members.judge()
+        self._acknowledge(sender, member, message)
+        if member.state is not state:
+            self.update()
 
     def receive_heartbeat_ack(
         self, sender: str, message: messages.HeartbeatAck
     ) -> None:
         """Counts an acknowledgement towards the lease."""
-        sent_s = self._sent_s.get(message.sequence)
-        if sent_s is None or not message.granted:
-            return
-        self._acks[sender] = max(self._acks.get(sender, -math.inf), sent_s)
-        self._update_lease()
+        if not self._stale and self._ownership is not None:
+            self._ownership.record_ack(sender, message, _now_s())
 
     async def run(self) -> None:
         """Reads the list and sends heartbeats, forever."""
-        loop = asyncio.get_running_loop()
-        self._started_s = loop.time()
-        interval_s = self._board.settings.heartbeat_ms / 1000
-        next_list_s = loop.time()
-        while True:
-            if loop.time() >= next_list_s:
-                next_list_s = loop.time() + LIST_S
-                await self._read_list()
-            self._beat()
-            self.update()
-            await asyncio.sleep(interval_s)
+        self._start(_now_s())
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._read_lists())
+            group.create_task(self._beat_on())
 
     def update(self) -> None:
-        """Marks silent members, and computes the owners again."""
-        now_s = asyncio.get_running_loop().time()
-        silence_s = self._board.settings.suspect_ms / 1000
-        for name, member in self._board.members.items():
-            if name == self._board.settings.vm:
-                continue
-            heard = member.state is blackboard.MemberState.LIVE
-            if heard and now_s - member.heard_s > silence_s:
-                self._mark(member, blackboard.MemberState.SUSPECT)
-        self._update_owners(now_s)
-
-    async def _read_list(self) -> None:
-        """Reads the VM list into the members."""
-        result = await self._vmlist.read()
-        if result.is_error():
-            _logger.info("the VM list can't be read: {}", result.error)
+        """Judges the members and computes the owners again."""
+        if self._ownership is None:
             return
-        listed = {vm.name: vm for vm in result.ok}
-        members = self._board.members
-        for name, vm in listed.items():
-            if name in members:
-                members[name].vm = vm
-            else:
-                members[name] = blackboard.Member(vm)
-        now_s = asyncio.get_running_loop().time()
-        silence_s = self._board.settings.suspect_ms / 1000
-        for name in list(members):
-            silent = now_s - members[name].heard_s > silence_s
-            if name not in listed and silent:
-                del members[name]
-                self._acks.pop(name, None)
-        self._mark_own()
-
-    def _mark_own(self) -> None:
-        """Writes this VM's own entry."""
-        own = self._board.members.get(self._board.settings.vm)
-        if own is None:
+        now_s = _now_s()
+        self._members.judge()
+        if not self._knows_enough(now_s):
             return
-        own.heard_s = asyncio.get_running_loop().time()
-        own.incarnation = self._board.incarnation
-        own.ready = self._board.serving is blackboard.Serving.READY
-        own.revision = self._board.configuration.revision
-        own.confirmed_s = self._board.confirmed_s
-        state = blackboard.MemberState.LIVE
-        if self._leaving:
-            state = blackboard.MemberState.LEAVING
-        self._mark(own, state)
+        candidates = self._members.get_candidates()
+        changed = self._ownership.update_owners(candidates, now_s)
+        self._ownership.update_lease(now_s)
+        if changed:
+            self._beat()
+
+    def _start(self, now_s: float) -> None:
+        """Begins, promising nothing for one lease length."""
+        self._started_s = now_s
+        self._ownership = ownership.Ownership(self._board, now_s)
+        self._ownership.on_owners = self._call_on_owners
+
+    def _call_on_owners(self) -> None:
+        if self.on_owners is not None:
+            self.on_owners()
+
+    def _knows_enough(self, now_s: float) -> bool:
+        """Tells whether this process has had time to hear the others.
+
+        One that has just begun has heard nobody yet, and would take itself
+        for the owner of everything.
+        """
+        if now_s >= self._started_s + self._board.settings.suspect_ms / 1000:
+            return True
+        return bool(self._board.members) and all(
+            member.state is not blackboard.MemberState.LISTED
+            for member in self._board.members.values()
+        )
+
+    async def _read_lists(self) -> None:
+        """Reads the VM list, forever."""
+        while True:
+            result = await self._vmlist.read()
+            if result.is_ok():
+                self._take_list({vm.name: vm for vm in result.ok})
+            else:
+                _logger.info("the VM list can't be read: {}", result.error)
+            await asyncio.sleep(ownership.READ_LIST_S)
+
+    def _take_list(self, listed: dict[str, vmlist_api.Vm]) -> None:
+        """Brings the members and the majorities up to a VM list."""
+        if self._ownership is not None and listed:
+            self._ownership.window.record(listed, _now_s())
+        self._members.take_list(listed)
+        self.update()
+
+    async def _beat_on(self) -> None:
+        """Sends heartbeats, forever."""
+        interval_s = self._board.settings.heartbeat_ms / 1000
+        while True:
+            self.update()
+            self._beat()
+            expected_s = _now_s() + interval_s
+            await asyncio.sleep(interval_s)
+            pause_s = policy.compute_pause(expected_s, _now_s(), interval_s)
+            if pause_s > 0.0:
+                self._members.excuse(pause_s)
 
     def _beat(self) -> None:
-        """Sends a heartbeat to every other VM."""
-        now_s = asyncio.get_running_loop().time()
-        board = self._board
-        self._mark_own()
+        """Sends a heartbeat to every other VM, and grants this VM's own."""
+        if self._ownership is None:
+            return
+        now_s = _now_s()
         self._sequence += 1
-        self._sent_s[self._sequence] = now_s
-        lease_s = board.settings.lease_ms / 1000
-        for sequence in list(self._sent_s):
-            if self._sent_s[sequence] < now_s - lease_s:
-                del self._sent_s[sequence]
-        heartbeat = messages.Heartbeat(
+        heartbeat = self._make_heartbeat(self._ownership, now_s)
+        self._ownership.lease.record_sent(self._sequence, now_s)
+        own = self._board.settings.vm
+        for name in self._board.members:
+            if name != own:
+                self._outbox.send(name, heartbeat)
+        if not self._members.leaving:
+            holder = leases.Holder(own, self._board.incarnation)
+            ack = self._ownership.grant(holder, heartbeat, now_s)
+            self._ownership.record_ack(own, ack, now_s)
+
+    def _make_heartbeat(
+        self, owning: ownership.Ownership, now_s: float
+    ) -> messages.Heartbeat:
+        """Makes the next heartbeat."""
+        board = self._board
+        return messages.Heartbeat(
             sequence=self._sequence,
-            leaving=self._leaving,
+            leaving=self._members.leaving,
             ready=board.serving is blackboard.Serving.READY,
             revision=board.configuration.revision,
             confirmed_age_ms=(now_s - board.confirmed_s) * 1000,
             lease_ms=board.settings.lease_ms,
             searchers=tuple(board.owned.values()),
+            claims=tuple(owning.lease.get_claims()),
+            lists=owning.window.get_hashes(),
+            suspects=self._members.get_unheard(),
         )
-        for name in board.members:
-            if name != board.settings.vm:
-                self._outbox.send(name, heartbeat)
-        self._acks[board.settings.vm] = now_s
-        self._update_lease()
 
-    def _update_lease(self) -> None:
-        """Computes the lease from the acknowledgements of a majority."""
-        members = self._board.members
-        majority = len(members) // 2 + 1
-        times = sorted(
-            (self._acks[name] for name in members if name in self._acks),
-            reverse=True,
-        )
-        if len(times) >= majority > 0:
-            lease_s = self._board.settings.lease_ms / 1000
-            self._board.lease_until_s = times[majority - 1] + lease_s
-
-    def _update_owners(self, now_s: float) -> None:
-        """Computes the owners, and from when on this VM may start."""
-        board = self._board
-        own = board.settings.vm
-        zones_out = frozenset(
-            name
-            for name, zone in board.configuration.get_zones().items()
-            if zone.state is resources.ZoneState.OUT
-        )
-        searchers = {
-            searcher.name: server.zone
-            for server in board.configuration.get_backend_servers().values()
-            for searcher in server.searchers
-        }
-        candidates = [
-            ownership.Candidate(name, member.vm.zone)
-            for name, member in board.members.items()
-            if member.state is blackboard.MemberState.LIVE
-            and (member.revision > 0 or name == own)
-        ]
-        owners = ownership.choose_owners(searchers, candidates, zones_out)
-        if owners == board.owners:
+    def _acknowledge(
+        self,
+        sender: str,
+        member: blackboard.Member,
+        message: messages.Heartbeat,
+    ) -> None:
+        """Answers a heartbeat; a VM that leaves promises nothing more."""
+        if self._ownership is None:
             return
-        may_start_s = {}
-        for searcher, owner in owners.items():
-            if owner != own:
-                continue
-            may_start_s[searcher] = board.may_start_s.get(
-                searcher, self._compute_start_s(searcher, now_s)
+        now_s = _now_s()
+        if self._members.leaving:
+            ack = messages.HeartbeatAck(
+                sequence=message.sequence,
+                granted=False,
+                revision=self._board.configuration.revision,
             )
-        board.may_start_s = may_start_s
-        board.owners = owners
-        if self.on_owners is not None:
-            self.on_owners()
+        else:
+            holder = leases.Holder(sender, member.incarnation)
+            ack = self._ownership.grant(holder, message, now_s)
+        if ack.granted:
+            member.may_own_until_s = now_s + message.lease_ms / 1000
+        self._outbox.send(sender, ack)
 
-    def _compute_start_s(self, searcher: str, now_s: float) -> float:
-        """Computes when any other VM's lease must have run out."""
-        others = [
-            member.may_own_until_s
-            for name, member in self._board.members.items()
-            if name != self._board.settings.vm
-        ]
-        settings = self._board.settings
-        first_s = self._started_s + settings.lease_ms / 1000
-        previous = self._board.owners.get(searcher)
-        old = self._board.members.get(previous or "")
-        if old is not None:
-            return max(now_s, first_s, old.may_own_until_s)
-        return max([now_s, first_s, *others])
 
-    def _mark(
-        self, member: blackboard.Member, state: blackboard.MemberState
-    ) -> None:
-        """Changes a member's state, and records it."""
-        if member.state is state:
-            return
-        member.state = state
-        self._board.timeline.record(
-            events.MemberChanged(
-                vm=member.vm.name,
-                incarnation=member.incarnation,
-                state=state.value,
-            ),
-            asyncio.get_running_loop().time(),
-        )
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
 
 
 def make(
--- /dev/null
+++ b/src/azureramp/policy/lists.py
@@ -0,0 +1,89 @@
+"""The VM lists that a VM has read of late, and the majorities of them.
+
+Two VMs that have read different lists could each find a majority of its own
+list, with no VM in common. So a majority here is one of every list read
+within the window, and a voter counts only if all lists that it has read are
+known to the claimant. See docs/design/leases.md for the bound.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Collection, Iterable, Mapping
+
+import xxhash
+
+
+def compute_hash(names: Iterable[str]) -> int:
+    """Computes a list's hash, the same on every VM."""
+    return xxhash.xxh3_64_intdigest("\0".join(sorted(names)).encode())
+
+
+@dataclasses.dataclass(slots=True)
+class ReadList:
+    """One list.
+
+    Attributes:
+        names: The names of its VMs.
+        read_s: When it was last read, on this VM's clock.
+    """
+
+    names: frozenset[str]
+    read_s: float
+
+
+class ListWindow:
+    """The lists read within the window, the newest always among them."""
+
+    __slots__ = ("_lists", "_newest", "_window_s")
+
+    def __init__(self, window_s: float) -> None:
+        """Makes a window that holds no list.
+
+        Args:
+            window_s: How long an earlier list still counts, in seconds.
+        """
+        self._window_s = window_s
+        self._lists: dict[int, ReadList] = {}
+        self._newest = 0
+
+    def record(self, names: Collection[str], now_s: float) -> None:
+        """Takes a list that was just read."""
+        self._newest = compute_hash(names)
+        self._lists[self._newest] = ReadList(frozenset(names), now_s)
+        self.expire(now_s)
+
+    def expire(self, now_s: float) -> None:
+        """Drops the lists that were last read before the window."""
+        self._lists = {
+            number: entry
+            for number, entry in self._lists.items()
+            if number == self._newest or entry.read_s > now_s - self._window_s
+        }
+
+    def get_hashes(self) -> tuple[int, ...]:
+        """Returns the hashes of the lists in the window, ascending."""
+        return tuple(sorted(self._lists))
+
+    def knows(self, hashes: Iterable[int]) -> bool:
+        """Tells whether all these lists are in the window."""
+        return all(number in self._lists for number in hashes)
+
+    def compute_agreed(self, times: Mapping[str, float]) -> float | None:
+        """Computes since when a majority of every list agrees.
+
+        Args:
+            times: For each VM that agrees, the newest time of which it does.
+
+        Returns:
+            The latest time that a majority of each list reaches; None if
+            some list has no majority, or no list was read.
+        """
+        agreed_s: list[float] = []
+        for entry in self._lists.values():
+            majority = len(entry.names) // 2 + 1
+            reached = [times[name] for name in entry.names if name in times]
+            if len(reached) < majority:
+                return None
+            agreed_s.append(sorted(reached, reverse=True)[majority - 1])
+        return min(agreed_s, default=None)
