Start without a grant only after a lease length without a majority

Whole VMs in memory showed it: at a start of all VMs nobody grants for one lease length, each VM took that for no majority, started at once without a lease, and the first answers were short.

--- a/src/azureramp/controllers/membership.py
+++ b/src/azureramp/controllers/membership.py
@@ -108,7 +108,13 @@
             self._beat()
 
     def _start(self, now_s: float) -> None:
-        """Begins, promising nothing for one lease length."""
+        """Begins, promising nothing for one lease length.
+
+        When `run` is called again after a bug, the promises already made
+        must hold, so the state is kept.
+        """
+        if self._ownership is not None:
+            return
         self._started_s = now_s
         self._ownership = ownership.Ownership(self._board, now_s)
         self._ownership.on_owners = self._call_on_owners
--- a/src/azureramp/controllers/ownership.py
+++ b/src/azureramp/controllers/ownership.py
@@ -100,12 +100,9 @@
             return False
         own = board.settings.vm
         mine = [name for name, owner in owners.items() if owner == own]
-        alone_from_s = max(
-            (member.may_own_until_s for member in board.members.values()),
-            default=now_s,
-        )
+        alone_s = now_s + board.settings.lease_ms / 1000
         self._alone_from_s = {
-            name: self._alone_from_s.get(name, alone_from_s) for name in mine
+            name: self._alone_from_s.get(name, alone_s) for name in mine
         }
         board.may_start_s = {
             name: board.may_start_s.get(name, math.inf) for name in mine
@@ -124,6 +121,11 @@
         of those on which this VM has started: a searcher that another VM was
         granted while this one was paused ends it for all, until the views
         agree again.
+
+        A searcher starts once a majority has granted it. Where there is no
+        majority at all, it starts after a lease length, by when any other
+        VM's lease has run out: warm searchers then go on, and cold ones wait,
+        as the lease has not begun.
         """
         board = self._board
         contact_until_s = self.lease.compute_contact_until_s(self.window)
