--- a/tests/policy/test_leases.py
+++ b/tests/policy/test_leases.py
@@ -117,7 +117,7 @@
 
 
 def test_no_two_vms_hold_one_searcher() -> None:
-    stateful.run_state_machine_as_test(Machine, settings=SETTINGS)  # type: ignore[no-untyped-call]
+    stateful.run_state_machine_as_test(Machine, settings=SETTINGS)
 
 
 class RestartedVoter(lease_model.Cell):
@@ -159,4 +159,4 @@
     machine = type(broken.__name__, (Machine,), {"cell_type": broken})
 
     with pytest.raises(AssertionError):
-        stateful.run_state_machine_as_test(machine, settings=SETTINGS)  # type: ignore[no-untyped-call]
+        stateful.run_state_machine_as_test(machine, settings=SETTINGS)
