--- a/src/azureramp/controllers/membership.py
+++ b/src/azureramp/controllers/membership.py
@@ -28,6 +28,7 @@
 
     __slots__ = (
         "_board",
+        "_due_s",
         "_members",
         "_outbox",
         "_ownership",
@@ -51,6 +52,7 @@
         self._members = members_module.Members(board)
         self._ownership: ownership.Ownership | None = None
         self._started_s = math.inf
+        self._due_s = math.inf
         self._sequence = 0
         self._stale = False
         self.on_owners: Callable[[], None] | None = None
@@ -63,6 +65,7 @@
 
     def receive_envelope(self, sender: str, incarnation: int) -> None:
         """Notes that a VM is heard; see `inbox.Receivers`."""
+        self._notice_pause()
         self._stale = not self._members.hear(sender, incarnation)
 
     def receive_heartbeat(
@@ -73,6 +76,9 @@
         if member is None or self._stale:
             return
         state = member.state
+        if self._ownership is not None:
+            for names in message.lists:
+                self._ownership.window.inherit(names, _now_s())
         self._members.take_heartbeat(member, message)
         self._members.judge()
         self._acknowledge(sender, member, message)
@@ -98,6 +104,7 @@
         if self._ownership is None:
             return
         now_s = _now_s()
+        self._notice_pause()
         self._members.judge()
         if not self._knows_enough(now_s):
             return
@@ -159,11 +166,21 @@
         while True:
             self.update()
             self._beat()
-            expected_s = _now_s() + interval_s
+            self._due_s = _now_s() + interval_s
             await asyncio.sleep(interval_s)
-            pause_s = policy.compute_pause(expected_s, _now_s(), interval_s)
-            if pause_s > 0.0:
-                self._members.excuse(pause_s)
+
+    def _notice_pause(self) -> None:
+        """Excuses the others' silence by an own pause, before any judging.
+
+        Whatever the process does first when it goes on comes here: the timer
+        of the heartbeat need not be the first to fire.
+        """
+        now_s = _now_s()
+        interval_s = self._board.settings.heartbeat_ms / 1000
+        pause_s = policy.compute_pause(self._due_s, now_s, interval_s)
+        if pause_s > 0.0:
+            self._members.excuse(pause_s)
+            self._due_s = now_s
 
     def _beat(self) -> None:
         """Sends a heartbeat to every other VM, and grants this VM's own."""
@@ -196,7 +213,7 @@
             lease_ms=board.settings.lease_ms,
             searchers=tuple(board.owned.values()),
             claims=tuple(owning.lease.get_claims()),
-            lists=owning.window.get_hashes(),
+            lists=owning.get_lists_to_tell(),
             suspects=self._members.get_unheard(),
         )
 
--- a/src/azureramp/controllers/ownership.py
+++ b/src/azureramp/controllers/ownership.py
@@ -76,6 +76,11 @@
         if waits or self._board.lease_until_s <= now_s:
             self.update_lease(now_s)
 
+    def get_lists_to_tell(self) -> tuple[tuple[str, ...], ...]:
+        """Returns the lists read of late, if they were several."""
+        read = self.window.get_own()
+        return read if len(read) > 1 else ()
+
     def update_owners(
         self, candidates: Sequence[ownership.Candidate], now_s: float
     ) -> bool:
--- a/src/azureramp/messages.py
+++ b/src/azureramp/messages.py
@@ -168,7 +168,8 @@
         searchers: The states of the searchers that it owns.
         claims: The identities (see `policy.leases`) of the searchers that it
             asks a lease for.
-        lists: The hashes of the VM lists that it has read of late.
+        lists: The names in the VM lists that it has read of late, if they
+            were several.
         suspects: The listed VMs that it does not hear.
     """
 
@@ -180,7 +181,7 @@
     lease_ms: float
     searchers: tuple[SearcherState, ...] = ()
     claims: tuple[int, ...] = ()
-    lists: tuple[int, ...] = ()
+    lists: tuple[tuple[str, ...], ...] = ()
     suspects: tuple[str, ...] = ()
 
 
--- a/src/azureramp/policy/lists.py
+++ b/src/azureramp/policy/lists.py
@@ -13,6 +13,10 @@
 
 import xxhash
 
+MAX_LISTS = 16
+"""Most lists that a window holds by inheritance; further ones are not known,
+so that the voters who know them don't count."""
+
 
 def compute_hash(names: Iterable[str]) -> int:
     """Computes a list's hash, the same on every VM."""
@@ -26,10 +30,12 @@
     Attributes:
         names: The names of its VMs.
         read_s: When it was last read, on this VM's clock.
+        inherited: True if a peer told of it, and this VM has not read it.
     """
 
     names: frozenset[str]
     read_s: float
+    inherited: bool = False
 
 
 class ListWindow:
@@ -53,6 +59,28 @@
         self._lists[self._newest] = ReadList(frozenset(names), now_s)
         self.expire(now_s)
 
+    def inherit(self, names: Collection[str], now_s: float) -> None:
+        """Takes a list that a peer has read of late.
+
+        A VM that has just begun has read the newest list only. Without the
+        earlier ones it would find a majority that has nothing in common with
+        that of a VM which still goes by one of them.
+        """
+        number = compute_hash(names)
+        known = self._lists.get(number)
+        if known is None and len(self._lists) < MAX_LISTS:
+            self._lists[number] = ReadList(frozenset(names), now_s, True)
+        elif known is not None and known.inherited:
+            known.read_s = now_s
+
+    def get_own(self) -> tuple[tuple[str, ...], ...]:
+        """Returns the names in the lists that this VM itself has read."""
+        return tuple(
+            tuple(sorted(entry.names))
+            for entry in self._lists.values()
+            if not entry.inherited
+        )
+
     def expire(self, now_s: float) -> None:
         """Drops the lists that were last read before the window."""
         self._lists = {
--- a/tests/controllers/test_membership.py
+++ b/tests/controllers/test_membership.py
@@ -1,42 +1,263 @@
-"""The membership controller."""
+"""The membership controllers of a few VMs, over links with faults."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
-import async_solipsism
+import pytest
 
+from azureramp import blackboard, events, messages
 from azureramp.ports.peers import memory
+from azureramp_standins import virtual
 from tests.controllers import vms
 
-CONFIGURATION = vms.make_configuration(("s1", "z1"), ("s2", "z2"), ("s3", "z3"))
+CONFIGURATION = vms.make_configuration(
+    *((f"s{number}", f"z{number % 3}") for number in range(12))
+)
+SETTLE_S = 4.0
+"""From the start until leases and owners are settled, in seconds."""
 
 
-def test_vms_agree_on_owners_and_hold_a_lease_after_a_start() -> None:
-    async def run() -> None:
-        listed = [vms.make_vm(f"vm{n}", f"z{n % 3 + 1}") for n in range(4)]
-        listing = vms.ListFake(*listed)
-        network = memory.Network()
-        nodes = [vms.Node(network, vm, listing, CONFIGURATION) for vm in listed]
-        for node in nodes:
-            await node.start()
-        await asyncio.sleep(5.0)
-        now_s = asyncio.get_running_loop().time()
-        owners = nodes[0].board.owners
-        assert len(owners) == 6
-        assert owners["s2-a"] == "vm1"
-        for node in nodes:
-            assert node.board.owners == owners
-            assert node.board.lease_until_s > now_s
-            assert set(node.board.may_start_s) == {
-                searcher
-                for searcher, owner in owners.items()
-                if owner == node.board.settings.vm
-            }
-            assert all(at <= now_s for at in node.board.may_start_s.values())
-        for node in nodes:
+class Cell:
+    """Five VMs in three zones."""
+
+    def __init__(self) -> None:
+        self.listed = [vms.make_vm(f"vm{n}", f"z{n % 3}") for n in range(5)]
+        self.listing = vms.ListFake(*self.listed)
+        self.network = memory.Network()
+        self.nodes: dict[str, vms.Node] = {}
+
+    async def start(self, name: str, incarnation: int = 1) -> vms.Node:
+        entry = next(vm for vm in self.listed if vm.name == name)
+        node = vms.Node(
+            self.network, entry, self.listing, CONFIGURATION, incarnation
+        )
+        self.nodes[name] = node
+        await node.start()
+        return node
+
+    def get_boards(self, *but: str) -> list[blackboard.Blackboard]:
+        return [n.board for name, n in self.nodes.items() if name not in but]
+
+    def count_changes(self, since_s: float) -> int:
+        """Counts the changed views of members since a time."""
+        return sum(
+            isinstance(record.event, events.MemberChanged)
+            and record.monotonic_s >= since_s
+            for board in self.get_boards()
+            for record in board.timeline.get_records()
+        )
+
+
+def run(test: Callable[[Cell], Awaitable[None]]) -> None:
+    """Starts a cell, lets it settle, and runs a test on it."""
+
+    async def body() -> None:
+        cell = Cell()
+        for vm in cell.listed:
+            await cell.start(vm.name)
+        await asyncio.sleep(SETTLE_S)
+        await test(cell)
+        for node in cell.nodes.values():
             await node.stop()
 
-    loop = async_solipsism.EventLoop()
-    loop.run_until_complete(run())
-    loop.close()
+    virtual.run(body())
+
+
+def now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def assert_agreed(boards: list[blackboard.Blackboard]) -> dict[str, str]:
+    """All see the same owners, each holds a lease and may start on its own."""
+    owners = boards[0].owners
+    assert len(owners) == 24
+    for board in boards:
+        own = board.settings.vm
+        assert board.owners == owners
+        assert board.lease_until_s > now_s()
+        assert board.may_start_s.keys() == {
+            name for name, vm in owners.items() if vm == own
+        }
+        assert all(at <= now_s() for at in board.may_start_s.values())
+    return owners
+
+
+def test_vms_agree_on_owners_in_the_searchers_zone_after_a_start() -> None:
+    async def test(cell: Cell) -> None:
+        owners = assert_agreed(cell.get_boards())
+        zones = {vm.name: vm.zone for vm in cell.listed}
+        for searcher, vm in owners.items():
+            number = int(searcher[1:].partition("-")[0])
+            assert zones[vm] == f"z{number % 3}"
+
+    run(test)
+
+
+def test_a_lost_heartbeat_or_two_changes_nothing() -> None:
+    """For 0.6 s every heartbeat is lost, as when a switch reboots.
+
+    A VM that acted on a missing one would move searchers to and fro, and
+    each move costs a cold ramp's wait.
+    """
+
+    async def test(cell: Cell) -> None:
+        began_s = now_s()
+        cell.network.faults.loss = 1.0
+        await asyncio.sleep(0.6)
+        cell.network.faults.loss = 0.0
+        await asyncio.sleep(3.0)
+        assert cell.count_changes(began_s) == 0
+        assert_agreed(cell.get_boards())
+
+    run(test)
+
+
+def test_a_killed_vms_searchers_move_once_its_lease_has_ended() -> None:
+    """A host fails, and its searchers get no work until others own them.
+
+    The new owner may start only after the dead one's lease has ended, and
+    all the others must come to the same owners.
+    """
+
+    async def test(cell: Cell) -> None:
+        node = cell.nodes.pop("vm0")
+        lost = set(node.board.may_start_s)
+        await node.stop()
+        lease_end_s = node.board.lease_until_s
+        await asyncio.sleep(3.0)
+        owners = assert_agreed(cell.get_boards())
+        assert lost
+        assert "vm0" not in owners.values()
+        starts = [
+            at
+            for board in cell.get_boards()
+            for name, at in board.may_start_s.items()
+            if name in lost
+        ]
+        assert len(starts) == len(lost)
+        assert min(starts) >= lease_end_s
+        assert max(starts) <= lease_end_s + 1.0
+
+    run(test)
+
+
+def test_an_own_pause_declares_nobody_dead() -> None:
+    """The processes stand still for ten seconds, as in a live migration.
+
+    When one goes on, everybody's last heartbeat is ten seconds old, and its
+    timer fires before it reads what waits in its sockets.
+    """
+
+    async def test(cell: Cell) -> None:
+        began_s = now_s()
+        asyncio.get_running_loop()._selector.clock.advance(10.0)  # type: ignore[attr-defined]
+        await asyncio.sleep(3.0)
+        assert cell.count_changes(began_s) == 0
+        assert_agreed(cell.get_boards())
+
+    run(test)
+
+
+def test_a_cut_link_between_two_vms_moves_no_searcher() -> None:
+    """Two VMs lose each other, and all others hear both.
+
+    If each took the other for dead, both would claim the same searchers.
+    """
+
+    async def test(cell: Cell) -> None:
+        before = assert_agreed(cell.get_boards())
+        cell.network.faults.cut = {("vm0", "vm3"), ("vm3", "vm0")}
+        await asyncio.sleep(5.0)
+        assert assert_agreed(cell.get_boards()) == before
+        member = cell.nodes["vm0"].board.members["vm3"]
+        assert member.state is blackboard.MemberState.SUSPECT
+
+    run(test)
+
+
+def test_without_a_majority_there_is_no_lease_but_searchers_have_owners() -> (
+    None
+):
+    """A VM is cut off from all others.
+
+    It can't know what they do with its searchers, so cold ones must wait,
+    while warm ones go on.
+    """
+
+    async def test(cell: Cell) -> None:
+        others = [vm.name for vm in cell.listed if vm.name != "vm0"]
+        cell.network.faults.cut = {
+            pair for vm in others for pair in (("vm0", vm), (vm, "vm0"))
+        }
+        await asyncio.sleep(5.0)
+        board = cell.nodes["vm0"].board
+        assert board.lease_until_s < now_s()
+        assert set(board.owners.values()) == {"vm0"}
+        assert all(at <= now_s() for at in board.may_start_s.values())
+        owners = assert_agreed(cell.get_boards("vm0"))
+        assert "vm0" not in owners.values()
+
+    run(test)
+
+
+def test_a_restarted_vm_is_not_taken_for_its_earlier_process() -> None:
+    """A VM is replaced under its name and address.
+
+    A heartbeat of the old process, late on its way, says that it leaves; it
+    must not take the new one out of service.
+    """
+
+    async def test(cell: Cell) -> None:
+        await cell.nodes.pop("vm0").stop()
+        await cell.start("vm0", incarnation=2)
+        await asyncio.sleep(SETTLE_S)
+        before = assert_agreed(cell.get_boards())
+        late = messages.Heartbeat(
+            sequence=10_000,
+            leaving=True,
+            ready=False,
+            revision=0,
+            confirmed_age_ms=0.0,
+            lease_ms=1500.0,
+        )
+        envelope = messages.Envelope("vm0", 1, 0, (late,))
+        for vm in ("vm1", "vm2", "vm3", "vm4"):
+            cell.nodes[vm].receive(envelope)
+        await asyncio.sleep(0.1)
+        member = cell.nodes["vm1"].board.members["vm0"]
+        assert (member.incarnation, member.ready) == (2, True)
+        assert member.state is blackboard.MemberState.LIVE
+        assert assert_agreed(cell.get_boards()) == before
+
+    run(test)
+
+
+def test_a_leaving_vm_gives_its_searchers_up_within_a_beat() -> None:
+    async def test(cell: Cell) -> None:
+        cell.nodes["vm0"].membership.announce_leaving()
+        await asyncio.sleep(0.05)
+        for board in cell.get_boards():
+            assert "vm0" not in board.owners.values()
+            state = board.members["vm0"].state
+            assert state is blackboard.MemberState.LEAVING
+
+    run(test)
+
+
+@pytest.mark.parametrize("change", ["shrinks", "fails"])
+def test_a_list_that_lags_or_fails_drops_nobody_who_is_heard(
+    change: str,
+) -> None:
+    async def test(cell: Cell) -> None:
+        began_s = now_s()
+        if change == "shrinks":
+            cell.listing.vms = cell.listing.vms[1:]
+        else:
+            cell.listing.down = True
+        await asyncio.sleep(5.0)
+        assert cell.count_changes(began_s) == 0
+        assert_agreed(cell.get_boards())
+
+    run(test)
--- a/tests/controllers/vms.py
+++ b/tests/controllers/vms.py
@@ -106,9 +106,12 @@
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        await self.port.start(self._inbox.receive)
+        await self.port.start(self.receive)
         self._task = asyncio.create_task(self.membership.run())
 
+    def receive(self, envelope: messages.Envelope) -> None:
+        self._inbox.receive(envelope)
+
     async def stop(self) -> None:
         assert self._task is not None
         self._task.cancel()
--- a/tests/policy/lease_model.py
+++ b/tests/policy/lease_model.py
@@ -26,6 +26,7 @@
     holder: leases.Holder
     sequence: int
     claims: frozenset[int]
+    lists: tuple[tuple[str, ...], ...]
 
 
 @dataclasses.dataclass(slots=True)
@@ -126,7 +127,11 @@
         node.lease.record_sent(node.sequence, self.clock(node))
         for target in self.nodes:
             beat = Beat(
-                target, node.holder, node.sequence, node.lease.get_claims()
+                target,
+                node.holder,
+                node.sequence,
+                node.lease.get_claims(),
+                node.window.get_own(),
             )
             if target in reached or target == name:
                 ack = self.receive_beat(beat)
@@ -141,6 +146,8 @@
         node = self.nodes.get(beat.target)
         if node is None or node.paused:
             return None
+        for names in beat.lists:
+            node.window.inherit(names, self.clock(node))
         refused = node.promises.grant(
             beat.holder, beat.claims, LEASE_S, self.clock(node)
         )
--- /dev/null
+++ b/tests/policy/test_membership.py
@@ -0,0 +1,92 @@
+"""Who is taken for live, and who for an owner."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from azureramp.policy import membership
+
+NOW_S = 100.0
+SUSPECT_S = 1.0
+LIVE = membership.Sighting(NOW_S - 0.2)
+SILENT = membership.Sighting(NOW_S - 1.5)
+
+
+def blaming(*names: str) -> membership.Sighting:
+    return membership.Sighting(NOW_S - 0.2, suspects=frozenset(names))
+
+
+@pytest.mark.parametrize(
+    ("sightings", "standing"),
+    [
+        pytest.param([LIVE], "live", id="heard"),
+        pytest.param(
+            [membership.Sighting(NOW_S - 0.6)], "live", id="two beats missing"
+        ),
+        pytest.param([membership.Sighting(-math.inf)], "listed", id="never"),
+        pytest.param(
+            [membership.Sighting(NOW_S, leaving=True)], "leaving", id="leaving"
+        ),
+        pytest.param([SILENT, LIVE, LIVE], "suspect", id="only we miss it"),
+        pytest.param(
+            [SILENT, blaming("x"), LIVE], "gone", id="most miss it too"
+        ),
+        pytest.param(
+            [SILENT, blaming("x"), LIVE, LIVE, LIVE],
+            "suspect",
+            id="few miss it",
+        ),
+        pytest.param([SILENT, SILENT, SILENT], "gone", id="we hear nobody"),
+        pytest.param(
+            [membership.Sighting(NOW_S - 1.5, leaving=True), LIVE, LIVE],
+            "gone",
+            id="left and now silent",
+        ),
+    ],
+)
+def test_a_vm_is_judged_by_what_most_hear(
+    sightings: list[membership.Sighting], standing: str
+) -> None:
+    named = dict(zip("xabcd", sightings, strict=False))
+
+    judged = membership.judge(named, NOW_S, SUSPECT_S)
+
+    assert judged["x"].value == standing
+
+
+@pytest.mark.parametrize(
+    ("standing", "leaving", "promised_s", "expected"),
+    [
+        (membership.Standing.LIVE, False, 0.0, True),
+        (membership.Standing.SUSPECT, False, 0.0, True),
+        (membership.Standing.GONE, False, NOW_S + 0.1, True),
+        (membership.Standing.GONE, False, NOW_S, False),
+        (membership.Standing.GONE, True, NOW_S + 0.1, False),
+        (membership.Standing.LEAVING, True, NOW_S + 0.1, False),
+        (membership.Standing.LISTED, False, NOW_S + 0.1, False),
+    ],
+)
+def test_an_owner_stays_one_until_its_lease_must_have_ended(
+    standing: membership.Standing,
+    leaving: bool,
+    promised_s: float,
+    expected: bool,
+) -> None:
+    sighting = membership.Sighting(
+        NOW_S, leaving=leaving, may_own_until_s=promised_s
+    )
+
+    assert membership.may_own(standing, sighting, NOW_S) is expected
+
+
+@pytest.mark.parametrize(
+    ("late_s", "pause_s"), [(0.0, 0.0), (0.25, 0.0), (0.3, 0.3), (60.0, 60.0)]
+)
+def test_a_timer_later_than_its_interval_shows_an_own_pause(
+    late_s: float, pause_s: float
+) -> None:
+    paused_s = membership.compute_pause(NOW_S, NOW_S + late_s, 0.25)
+
+    assert paused_s == pytest.approx(pause_s)
