--- a/src/azureramp/messages.py
+++ b/src/azureramp/messages.py
@@ -168,6 +168,11 @@
             revision is its newest, at most; infinity if never.
         lease_ms: The heartbeat lease asked for, in milliseconds; 0 for none.
         searchers: The states of the searchers that it owns.
+        claims: The identities (see `policy.leases`) of the searchers that it
+            asks a lease for.
+        lists: The names in the VM lists that it has read of late, if they
+            were several.
+        suspects: The listed VMs that it does not hear.
     """
 
     sequence: int
@@ -177,6 +182,9 @@
     confirmed_age_ms: float
     lease_ms: float
     searchers: tuple[SearcherState, ...] = ()
+    claims: tuple[int, ...] = ()
+    lists: tuple[tuple[str, ...], ...] = ()
+    suspects: tuple[str, ...] = ()
 
 
 class HeartbeatAck(Message, frozen=True, kw_only=True, tag="heartbeat_ack"):
@@ -190,6 +198,9 @@
             of its own right, so that it counts towards no majority.
         confirmed_age_ms: As in a heartbeat, of the answerer.
         incarnation: The answerer's incarnation.
+        refused: The claims that it does not grant, since it has promised
+            these searchers to another VM or incarnation.
+        lists: The hashes of the VM lists that it has read of late.
     """
 
     sequence: int
@@ -197,6 +208,8 @@
     revision: int
     confirmed_age_ms: float = math.inf
     incarnation: int = 0
+    refused: tuple[int, ...] = ()
+    lists: tuple[int, ...] = ()
 
 
 class ConfigurationRequest(
