Refuse to write once a change may be missing here

A process that was paused or cut off could still send to a zone whose leaving was accepted meanwhile: the searchers' owner now looks at work_until_s right before the first byte, as it does at the lease.

--- a/src/azureramp/controllers/dispatch_rules.py
+++ b/src/azureramp/controllers/dispatch_rules.py
@@ -140,6 +140,11 @@
             return Refused(errors.Failure(errors.Kind.NOT_OWNER))
         if owned.place.refusal is not None:
             return Refused(errors.Failure(owned.place.refusal))
+        # A zone may have been taken out while this process was paused or cut
+        # off; past this time a change may be accepted that is missing here.
+        if _now_s() >= self._board.work_until_s:
+            kind = errors.Kind.STALE_CONFIGURATION
+            return Refused(errors.Failure(kind))
         suspicion = self._poisoning.get_refusal(part, owned)
         if suspicion is not None:
             return Refused(suspicion)
--- a/src/azureramp_standins/demo.py
+++ b/src/azureramp_standins/demo.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import datetime
 import pathlib
 import sys
 import tempfile
@@ -114,27 +115,25 @@
     return set(codes) == {"complete"} and last < 3.0
 
 
+def read_utc(text: str) -> float:
+    """Reads a time of the timeline, in seconds since 1970."""
+    return datetime.datetime.fromisoformat(text).timestamp()
+
+
 def find_last_work(running: deployment.Deployment) -> float:
     """Returns when the last work reached the zone, after the acceptance."""
     printed = running.run_tool("timeline", "--format", "json")
-    records = [
-        record
-        for record in map(msgspec.json.decode, printed.splitlines())
-        if "event" in record
-    ]
-    accepted_s = max(
-        record["at_s"]
-        for record in records
-        if record["event"]["event"] == "configuration.accepted"
-        and record["event"]["name"] == ZONE_OUT
-    )
-    worked_s = [
-        record["at_s"]
-        for record in records
-        if record["event"]["event"] == "part.dispatched"
-        and record["event"]["zone"] == ZONE_OUT
-    ]
-    return float(max(worked_s) - accepted_s)
+    accepted_s: list[float] = []
+    worked_s: list[float] = []
+    for line in map(msgspec.json.decode, printed.splitlines()):
+        match line:
+            case {"event": "configuration.accepted", "name": name, "at": at}:
+                if name == ZONE_OUT:
+                    accepted_s.append(read_utc(at))
+            case {"event": "part.dispatched", "zone": zone, "at": at}:
+                if zone == ZONE_OUT:
+                    worked_s.append(read_utc(at))
+    return max(worked_s) - max(accepted_s)
 
 
 async def show_grant(
