--- a/src/azureramp/invariants/answers.py
+++ b/src/azureramp/invariants/answers.py
@@ -17,6 +17,9 @@
     """Every answer reflects one snapshot of the index."""
     merged = _collect_merged(past)
     for record, answer in _get_answers(past):
+        if answer.code != "ok":
+            # A refusal has no version, whatever arrived before it.
+            continue
         for part in merged.get(answer.request_id, ()):
             if part.version != answer.version:
                 yield history.Violation(
--- a/src/azureramp_standins/matrix/faults.py
+++ b/src/azureramp_standins/matrix/faults.py
@@ -37,7 +37,7 @@
         running = [
             name
             for name, vm in self.deployment.vms.items()
-            if vm.daemon is not None
+            if vm.daemon is not None and not vm.stopping
         ]
         return self.moment.vm if self.moment.vm in running else running[0]
 
