Call a cold start shown after three slow calls

A searcher that turns cold without a word can't be told from one with stragglers by one slow call, and its report may lag or lie, so until three slow calls have ended no process can know; arrivals before are not counted against the bound.

--- a/src/azureramp/ports/searchers/memory.py
+++ b/src/azureramp/ports/searchers/memory.py
@@ -92,7 +92,6 @@
         searcher = self._searcher
         searcher.health_reads += 1
         cold = searcher.faults.reports_cold
-        searcher.cold_shown = searcher.cold_shown or cold is None
         self.proven_s = asyncio.get_running_loop().time()
         return expression.Ok(
             api.Health(
--- a/src/azureramp/ports/searchers/memory_searcher.py
+++ b/src/azureramp/ports/searchers/memory_searcher.py
@@ -15,6 +15,10 @@
 from azureramp.ports.searchers import api, calls
 from azureramp.ports.web import connection as web_connection
 
+COLD_SIGNS = 3
+"""Slow calls that tell a searcher in cold start from one with stragglers. Its
+own report tells nothing, since reports lag and mislead."""
+
 Search = Callable[[api.Call], bytes]
 """Makes the items, a JSON array, of a call."""
 
@@ -96,7 +100,7 @@
         last_call_s: When the last call reached it.
         on_arrival: Told of each call that reaches it.
         cold_shown: True if anybody can know of its cold start: it lost its
-            connections, ended a slow call, or said so in its health.
+            connections, or ended `COLD_SIGNS` slow calls.
         health_reads: How often its health was read, ever.
     """
 
@@ -248,7 +252,8 @@
                 sibling.crash()
             await asyncio.get_running_loop().create_future()
         self.served += 1
-        self.cold_shown = True
+        if self.served >= COLD_SIGNS:
+            self.cold_shown = True
         if self._random.random() < faults.fails:
             return _refuse(errors.Kind.BACKEND_FAILED)
         if not call.repeatable:
