Write the outcomes of requests in groups, and bound the pace of claims

Nothing that keeps a request from a second run rests on it. Claims stay one record a key: a log of segments shares claims too, but every VM would hold all records of the retention in memory (the trial is scripts/grouped_trial.py; the figures go on the design page).

A fault found on the way: two claims of one key on one VM, both with lost replies, shared one release, so that the first could land and block the key for good. Releases are now kept by nonce.

The pace of new records is bounded by the VM's share of the store's writes, since everybody refused in an outage comes back within seconds of its end.

--- /dev/null
+++ b/scripts/grouped_trial.py
@@ -0,0 +1,144 @@
+"""A trial: idempotency records in shared log segments, for measuring only.
+
+Each bucket is a log. A VM appends its waiting changes as one segment, by
+create-if-absent on the log's next number; a change counts only if the key's
+version is the expected one when the log is read in order. So the safety rests
+on compare-and-swap alone. docs/design/idempotency.md tells why it lost.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import zlib
+
+import expression
+import msgspec
+
+from azureramp import errors
+from azureramp.ports.store import api
+
+PREFIX = "/azureramp/idempotency/log/"
+
+
+class Change(msgspec.Struct, frozen=True, array_like=True):
+    """One compare-and-swap of one key, within a segment."""
+
+    key: str
+    value: bytes
+    expected: int
+
+
+class Segment(msgspec.Struct, frozen=True, array_like=True):
+    """What one VM appended at once."""
+
+    nonce: str
+    changes: tuple[Change, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class Bucket:
+    """One VM's view of one log."""
+
+    tail: int = 1
+    revision: int = 0
+    entries: dict[str, api.Entry] = dataclasses.field(default_factory=dict)
+    waiting: list[tuple[Change, asyncio.Future[api.Write]]] = dataclasses.field(
+        default_factory=list
+    )
+    flusher: asyncio.Task[None] | None = None
+
+
+class GroupedStore:
+    """Offers `write` per key over segment logs."""
+
+    def __init__(
+        self, store: api.Store, vm: str, buckets: int, linger_s: float
+    ) -> None:
+        """Makes a view of empty logs."""
+        self._store = store
+        self._vm = vm
+        self._buckets = [Bucket() for _ in range(buckets)]
+        self._linger_s = linger_s
+        self._number = 0
+        self.segments = 0
+
+    async def grant_lease(
+        self, ttl_s: float
+    ) -> expression.Result[str, errors.Failure]:
+        """Passes on."""
+        return await self._store.grant_lease(ttl_s)
+
+    async def write(
+        self, key: str, value: bytes, expected: int, lease: str = ""
+    ) -> expression.Result[api.Write, errors.Failure]:
+        """Appends a change and returns what became of it."""
+        number = zlib.crc32(key.encode()) % len(self._buckets)
+        bucket = self._buckets[number]
+        done: asyncio.Future[api.Write] = (
+            asyncio.get_running_loop().create_future()
+        )
+        bucket.waiting.append((Change(key, value, expected), done))
+        if bucket.flusher is None or bucket.flusher.done():
+            bucket.flusher = asyncio.ensure_future(
+                self._flush(number, bucket, lease)
+            )
+        return expression.Ok(await done)
+
+    def count_entries(self) -> int:
+        """Returns how many records this VM keeps in memory."""
+        return sum(len(bucket.entries) for bucket in self._buckets)
+
+    async def _flush(self, number: int, bucket: Bucket, lease: str) -> None:
+        """Appends what waits, until nothing does."""
+        prefix = f"{PREFIX}{number:03d}/"
+        while bucket.waiting:
+            await asyncio.sleep(self._linger_s)
+            batch, bucket.waiting = bucket.waiting, []
+            self._number += 1
+            segment = Segment(
+                f"{self._vm}.{self._number}",
+                tuple(change for change, _ in batch),
+            )
+            data = msgspec.msgpack.encode(segment)
+            while True:
+                # Read first: most segments are other VMs', so an append at
+                # the cached tail would mostly be a wasted write.
+                listing = (
+                    await self._store.watch(prefix, bucket.revision, 0.0)
+                ).ok
+                for entry in listing.entries:
+                    self._apply(bucket, entry.value or b"")
+                bucket.revision = listing.revision
+                written = (
+                    await self._store.write(
+                        f"{prefix}{bucket.tail:012d}", data, api.CREATE, lease
+                    )
+                ).ok
+                if isinstance(written, api.Written):
+                    self.segments += 1
+                    break
+            bucket.revision = max(bucket.revision, written.revision)
+            for (_, done), outcome in zip(
+                batch, self._apply(bucket, data), strict=True
+            ):
+                if not done.done():
+                    done.set_result(outcome)
+
+    def _apply(self, bucket: Bucket, data: bytes) -> list[api.Write]:
+        """Applies the segment at the tail, in order."""
+        segment = msgspec.msgpack.decode(data, type=Segment)
+        outcomes: list[api.Write] = []
+        for place, change in enumerate(segment.changes):
+            present = bucket.entries.get(change.key)
+            version = present.revision if present else api.CREATE
+            if version != change.expected:
+                outcomes.append(api.Conflicted(present))
+                continue
+            version = bucket.tail << 16 | place
+            bucket.entries[change.key] = api.Entry(
+                change.key, change.value, version
+            )
+            outcomes.append(api.Written(version))
+        bucket.tail += 1
+        return outcomes
--- a/src/azureramp/controllers/idempotency.py
+++ b/src/azureramp/controllers/idempotency.py
@@ -8,8 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
-import dataclasses
 import random
 
 import expression
@@ -17,20 +15,19 @@
 from azureramp import blackboard, errors, events
 from azureramp.controllers import (
     record_claimer,
-    record_saver,
+    record_memory,
+    record_outcomes,
+    record_releases,
     record_writer,
 )
-from azureramp.policy import idempotency
+from azureramp.policy import idempotency, record_bounds
 from azureramp.ports.store import api
 
-FINISH_S = 0.25
+FINISH_S = 0.15
 """Longest time that an answer waits for its record, in seconds."""
 
-MAX_REMEMBERED = 1000
-"""How many outcomes this VM replays without asking the store."""
-
-MAX_HELD = 5000
-"""Most claims that this VM holds at once."""
+SPREAD_MS = (500, 2500)
+"""How the refused are spread, so that they don't come back together."""
 
 NOT_RUN_DETAIL = (
     "this attempt did not run; an earlier one with the same key may have, so "
@@ -38,42 +35,8 @@
 )
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Claimed:
-    """The right to dispatch one request, once.
-
-    Attributes:
-        store_key: The record's key in the store.
-        idempotency_key: The caller's key.
-        record: The claim as written.
-        revision: The store revision that wrote it.
-        may_dispatch_until_s: No byte may go to a backend server after this
-            time, on the loop's clock. Check it right before the write: a
-            holder that was paused wakes with a claim that others may have
-            given up as unknown meanwhile.
-    """
-
-    store_key: str
-    idempotency_key: str
-    record: idempotency.Record
-    revision: int
-    may_dispatch_until_s: float
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Recorded:
-    """The outcome of an earlier run.
-
-    Attributes:
-        request_id: The request that ran.
-        result: The backend server's result, JSON; `null` if it was not kept.
-        whole: False if the result was too large to be kept.
-    """
-
-    request_id: str
-    result: bytes
-    whole: bool = True
-
+Claimed = record_memory.Claimed
+Recorded = record_memory.Recorded
 
 Answer = expression.Result[Claimed | Recorded, errors.Failure]
 
@@ -84,12 +47,13 @@
     __slots__ = (
         "_board",
         "_claimer",
-        "_held",
+        "_memory",
         "_number",
+        "_outcomes",
+        "_pace",
         "_quota",
-        "_remembered",
+        "_releases",
         "_rng",
-        "_saver",
         "_writer",
     )
 
@@ -103,14 +67,20 @@
         self._board = board
         self._rng = rng
         self._writer = record_writer.RecordWriter(store, rng)
-        self._saver = record_saver.RecordSaver(self._writer)
-        self._claimer = record_claimer.RecordClaimer(self._writer, self._saver)
-        self._quota = idempotency.Quota()
-        self._number = 0
-        self._held: dict[str, Claimed] = {}
-        self._remembered: collections.OrderedDict[str, idempotency.Record] = (
-            collections.OrderedDict()
+        self._releases = record_releases.RecordReleases(self._writer)
+        self._claimer = record_claimer.RecordClaimer(
+            self._writer, self._releases
+        )
+        self._outcomes = record_outcomes.RecordOutcomes(
+            self._writer,
+            board.metrics,
+            f"{board.settings.vm}.{board.incarnation}"
+            f".{rng.getrandbits(64):016x}",
         )
+        self._pace = record_bounds.Pace()
+        self._quota = record_bounds.Quota()
+        self._number = 0
+        self._memory = record_memory.RecordMemory()
 
     async def claim(
         self, caller: str, key: str, request_hash: int, request_id: str
@@ -132,19 +102,26 @@
             `STORE_UNAVAILABLE`.
         """
         now_s = asyncio.get_running_loop().time()
-        claim = self._make_claim(request_hash, request_id)
         store_key = idempotency.make_store_key(caller, key)
-        known = self._look_up(store_key, claim)
+        known = self._memory.look_up(store_key, request_hash)
         if known is not None:
             return self._answer(key, known)
+        if self._writer.get_wait_s() > 0:
+            return expression.Error(self._make_unavailable())
         refusal = self._check_room(now_s)
         if refusal is not None:
             return expression.Error(refusal)
         if not self._writer.may_call():
             return expression.Error(self._make_unavailable())
-        outcome = await self._claimer.claim(store_key, claim)
+        claim = self._make_claim(request_hash, request_id)
+        outcome = None
+        try:
+            outcome = await self._claimer.claim(store_key, claim)
+        finally:
+            if not isinstance(outcome, int):
+                self._quota.give_back(0)
+                self._outcomes.close_claim(claim.group)
         if not isinstance(outcome, int):
-            self._quota.give_back(0)
             return self._answer(key, outcome)
         until_s = now_s + idempotency.DISPATCH_S
         claimed = Claimed(store_key, key, claim, outcome, until_s)
@@ -154,41 +131,45 @@
             # This process was paused while it claimed.
             self.release(claimed)
             return expression.Error(self._make_unavailable())
-        self._held[store_key] = claimed
+        self._memory.hold(claimed)
         return expression.Ok(claimed)
 
     async def finish(self, claimed: Claimed, result: bytes) -> None:
         """Records the outcome; waits for it for a short time only."""
-        whole = len(result) <= idempotency.MAX_RESULT_BYTES
-        record = idempotency.change(
-            claimed.record,
-            idempotency.State.FINISHED,
-            result if whole else b"null",
-            whole,
-        )
-        self._quota.give_back(len(record.result))
-        self._record(claimed.idempotency_key, record, "finished")
-        await self._save(claimed, record)
+        outcome = idempotency.make_finished(result)
+        self._quota.give_back(len(outcome.result))
+        self._record(claimed.idempotency_key, claimed.record, "finished")
+        await self._save(claimed, outcome)
 
     async def mark_unknown(self, claimed: Claimed) -> None:
         """Records that the request may have run."""
-        record = idempotency.change(claimed.record, idempotency.State.UNKNOWN)
-        self._record(claimed.idempotency_key, record, "unknown")
-        await self._save(claimed, record)
+        outcome = idempotency.Outcome(state=idempotency.State.UNKNOWN)
+        self._quota.give_back(0)
+        self._record(claimed.idempotency_key, claimed.record, "unknown")
+        await self._save(claimed, outcome)
 
     def release(self, claimed: Claimed) -> None:
         """Gives a claim back, in the background; only if nothing ran."""
         record = idempotency.change(claimed.record, idempotency.State.RELEASED)
-        self._held.pop(claimed.store_key, None)
+        self._memory.drop(claimed)
         self._quota.give_back(0)
-        self._saver.add(
-            record_saver.Save(claimed.store_key, record, claimed.revision)
+        self._releases.add(
+            record_releases.Release(claimed.store_key, record, claimed.revision)
         )
+        self._outcomes.close_claim(record.group)
         self._record(claimed.idempotency_key, record, "released")
 
     async def run(self) -> None:
         """Writes what the store has not taken yet, for ever."""
-        await self._saver.run()
+        tasks = [
+            asyncio.ensure_future(self._releases.run()),
+            asyncio.ensure_future(self._outcomes.run()),
+        ]
+        try:
+            await asyncio.gather(*tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
 
     async def drain(self, limit_s: float) -> None:
         """Waits until everything is written, or for the limit.
@@ -197,12 +178,13 @@
         told that the outcome is unknown, which is true as far as the store
         can tell.
         """
-        self._saver.hurried = True
-        waiting = list(self._saver.waiting.values())
+        self._releases.hurried = True
+        waiting = [each.done for each in self._releases.waiting.values()]
+        waiting += self._outcomes.get_waiting()
         try:
             async with asyncio.timeout(limit_s):
-                for save in waiting:
-                    await save.done.wait()
+                for done in waiting:
+                    await done.wait()
         except TimeoutError:
             return
 
@@ -219,39 +201,29 @@
             request_hash=request_hash,
             request_id=request_id,
             vm=vm,
+            group=self._outcomes.name_group(),
         )
 
-    def _look_up(
-        self, store_key: str, claim: idempotency.Record
-    ) -> idempotency.Record | errors.Failure | None:
-        """Finds what this VM knows of a key without asking the store."""
-        held = self._held.get(store_key)
-        record = held.record if held else self._remembered.get(store_key)
-        if record is None:
-            return None
-        match idempotency.judge(record, claim, 0.0):
-            case idempotency.Replay(record=known):
-                return known
-            case idempotency.Refuse(kind=kind):
-                return errors.Failure(kind)
-        return None
-
     def _check_room(self, now_s: float) -> errors.Failure | None:
         """Refuses a claim that would pass a bound."""
-        for store_key, held in list(self._held.items()):
-            if now_s < held.may_dispatch_until_s + idempotency.UNKNOWN_S:
-                break
-            del self._held[store_key]
-        if len(self._held) >= MAX_HELD:
+        if self._memory.is_full(now_s):
             return errors.Failure(errors.Kind.OVERLOADED, "too many claims")
-        wait_s = self._quota.take(now_s, len(self._board.members))
-        if not wait_s:
-            return None
-        return errors.Failure(
-            errors.Kind.OVERLOADED,
-            "the records' share of the store is used up",
-            int(wait_s * 1000),
-        )
+        vms = len(self._board.members)
+        wait_s = self._pace.take(now_s, vms)
+        if wait_s:
+            return errors.Failure(
+                errors.Kind.OVERLOADED,
+                "the records' share of the store's writes is used up",
+                int(wait_s * 1000) + self._rng.randrange(*SPREAD_MS),
+            )
+        wait_s = self._quota.take(now_s, vms)
+        if wait_s:
+            return errors.Failure(
+                errors.Kind.OVERLOADED,
+                "the records' share of the store's room is used up",
+                int(wait_s * 1000),
+            )
+        return None
 
     def _answer(
         self, key: str, known: idempotency.Record | errors.Failure
@@ -270,24 +242,22 @@
     def _make_unavailable(self) -> errors.Failure:
         """Refuses a claim since the store can't be asked."""
         wait_ms = int(self._writer.get_wait_s() * 1000)
-        # Spread, so that the refused don't come back together.
-        wait_ms += self._rng.randrange(500, 2500)
+        wait_ms += self._rng.randrange(*SPREAD_MS)
         return errors.Failure(
             errors.Kind.STORE_UNAVAILABLE, NOT_RUN_DETAIL, wait_ms
         )
 
-    async def _save(self, claimed: Claimed, record: idempotency.Record) -> None:
-        """Saves a record, and waits for a short time until it is settled."""
-        self._remembered[claimed.store_key] = record
-        self._remembered.move_to_end(claimed.store_key)
-        while len(self._remembered) > MAX_REMEMBERED:
-            self._remembered.popitem(last=False)
-        self._held.pop(claimed.store_key, None)
-        save = record_saver.Save(claimed.store_key, record, claimed.revision)
-        self._saver.add(save)
+    async def _save(
+        self, claimed: Claimed, outcome: idempotency.Outcome
+    ) -> None:
+        """Saves an outcome, and waits for a short time until it is settled."""
+        self._memory.remember(claimed, outcome)
+        done = self._outcomes.add(claimed.record, outcome)
+        if outcome.state is idempotency.State.FINISHED:
+            self._outcomes.close_claim(claimed.record.group)
         try:
             async with asyncio.timeout(FINISH_S):
-                await save.done.wait()
+                await done.wait()
         except TimeoutError:
             return
 
--- a/src/azureramp/controllers/record_claimer.py
+++ b/src/azureramp/controllers/record_claimer.py
@@ -5,8 +5,8 @@
 import asyncio
 
 from azureramp import errors
-from azureramp.controllers import record_saver, record_writer
-from azureramp.policy import idempotency
+from azureramp.controllers import record_releases, record_writer
+from azureramp.policy import idempotency, record_bounds
 from azureramp.ports.store import api
 
 ATTEMPTS = 5
@@ -36,22 +36,22 @@
     claim. Until then the key is blocked for others, but never dispatched.
     """
 
-    __slots__ = ("_saver", "_sightings", "_writer")
+    __slots__ = ("_releases", "_sightings", "_writer")
 
     def __init__(
         self,
         writer: record_writer.RecordWriter,
-        saver: record_saver.RecordSaver,
+        releases: record_releases.RecordReleases,
     ) -> None:
         """Makes a claimer.
 
         Args:
             writer: Writes the claims.
-            saver: Writes the releases.
+            releases: Writes the releases.
         """
         self._writer = writer
-        self._saver = saver
-        self._sightings = idempotency.Sightings()
+        self._releases = releases
+        self._sightings = record_bounds.Sightings()
 
     async def claim(self, store_key: str, claim: idempotency.Record) -> Outcome:
         """Writes a claim until the store has settled it.
@@ -66,6 +66,7 @@
         expected = api.CREATE
         may_land = False
         until_s = asyncio.get_running_loop().time() + CLAIM_S
+        data = idempotency.encode(claim)
         try:
             for _ in range(ATTEMPTS):
                 left_s = until_s - asyncio.get_running_loop().time()
@@ -73,7 +74,7 @@
                     break
                 might_land, may_land = may_land, True
                 result = await self._writer.write(
-                    store_key, claim, expected, min(left_s, ATTEMPT_S)
+                    store_key, data, expected, min(left_s, ATTEMPT_S)
                 )
                 if result.is_error():
                     kind = result.error.kind
@@ -102,8 +103,8 @@
             # Also when the caller went away in the middle of a write.
             if may_land:
                 released = idempotency.change(claim, idempotency.State.RELEASED)
-                self._saver.add(
-                    record_saver.Save(store_key, released, expected)
+                self._releases.add(
+                    record_releases.Release(store_key, released, expected)
                 )
 
     async def _judge(
@@ -118,20 +119,40 @@
         """
         record = idempotency.decode(present.value or b"")
         if record is None:
-            return idempotency.judge(None, claim, 0.0)
+            return idempotency.judge(None, claim.nonce, claim.request_hash, 0.0)
+        verdict = idempotency.judge(
+            record, claim.nonce, claim.request_hash, 0.0
+        )
+        if not isinstance(verdict, idempotency.Refuse):
+            return verdict
+        if verdict.kind is errors.Kind.KEY_REUSED:
+            return verdict
+        outcomes = await self._writer.read_group(record.group, ATTEMPT_S)
+        if outcomes is None:
+            return verdict
+        record = idempotency.complete(record, outcomes.get(record.nonce))
         now_s = asyncio.get_running_loop().time()
         age_s = self._sightings.get_age_s(record.nonce, now_s)
-        verdict = idempotency.judge(record, claim, age_s)
-        if not (
-            isinstance(verdict, idempotency.Refuse)
-            and verdict.kind is errors.Kind.OUTCOME_UNKNOWN
-            and record.state is idempotency.State.CLAIMED
+        verdict = idempotency.judge(
+            record, claim.nonce, claim.request_hash, age_s
+        )
+        if (
+            record.state is idempotency.State.CLAIMED
+            and age_s >= idempotency.UNKNOWN_S
+            and not await self._record_unknown(present, record)
         ):
-            return verdict
+            return idempotency.Refuse(errors.Kind.IN_PROGRESS)
+        return verdict
+
+    async def _record_unknown(
+        self, present: api.Entry, record: idempotency.Record
+    ) -> bool:
+        """Records that a claim's outcome is unknown; False if it can't."""
         unknown = idempotency.change(record, idempotency.State.UNKNOWN)
         written = await self._writer.write(
-            present.key, unknown, present.revision, ATTEMPT_S
+            present.key,
+            idempotency.encode(unknown),
+            present.revision,
+            ATTEMPT_S,
         )
-        if written.is_ok() and isinstance(written.ok, api.Written):
-            return verdict
-        return idempotency.Refuse(errors.Kind.IN_PROGRESS)
+        return written.is_ok() and isinstance(written.ok, api.Written)
--- a/src/azureramp/controllers/record_saver.py
+++ b/src/azureramp/controllers/record_releases.py
@@ -1,9 +1,9 @@
-"""Writes the end of idempotency records, again and again until it is settled.
+"""Releases idempotency records, again and again until it is settled.
 
-A holder's last word on its record (finished, unknown or released) must reach
-the store even if the store is down now. Saves wait here in memory. One that
-failed is overdue: overdue ones are written at a bounded rate, so that the
-return of the service does not meet all that piled up on all VMs at once.
+A release must reach the store even if the store is down now. Releases wait
+here in memory. One that failed is overdue: overdue ones are written at a
+bounded rate, so that the return of the service does not meet all that piled
+up on all VMs at once.
 """
 
 from __future__ import annotations
@@ -18,21 +18,18 @@
 from azureramp.ports.store import api
 
 MAX_WAITING = 10_000
-"""Most saves that wait; the oldest is given up past this."""
+"""Most releases that wait; the oldest is given up past this."""
 
 PARALLEL = 16
-"""Most saves under way at once."""
-
-LEAST_WAIT_S = 0.001
-"""Shortest wait for the next look, in seconds, so that time goes on."""
+"""Most releases under way at once."""
 
 OVERDUE_PER_S = 20.0
-"""How many overdue saves a VM writes in a second."""
+"""How many overdue releases a VM writes in a second."""
 
 
 @dataclasses.dataclass(slots=True)
-class Save:
-    """One holder's last word.
+class Release:
+    """One claim that is given back.
 
     Attributes:
         store_key: The record's key in the store.
@@ -49,13 +46,13 @@
     done: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
 
-class RecordSaver:
-    """The saves that wait, and the task that writes them.
+class RecordReleases:
+    """The releases that wait, and the task that writes them.
 
     Attributes:
-        given_up: Saves that were given up for want of room.
+        given_up: Releases that were given up for want of room.
         hurried: True to write overdue ones at once, since this VM leaves.
-        waiting: The saves by store key, oldest first.
+        waiting: The releases by nonce, oldest first.
     """
 
     __slots__ = (
@@ -69,7 +66,7 @@
     )
 
     def __init__(self, writer: record_writer.RecordWriter) -> None:
-        """Makes a saver with nothing to save.
+        """Makes it with nothing to release.
 
         Args:
             writer: Writes the records.
@@ -80,20 +77,17 @@
         self._overdue_from_s = 0.0
         self.given_up = 0
         self.hurried = False
-        self.waiting: collections.OrderedDict[str, Save] = (
+        self.waiting: collections.OrderedDict[str, Release] = (
             collections.OrderedDict()
         )
 
-    def add(self, save: Save) -> None:
-        """Takes a save; it replaces an earlier one for the same key.
+    def add(self, release: Release) -> None:
+        """Takes a release.
 
-        Only the key's present claim can have a last word, so the earlier
-        one is either of the same claim or of one that can't land any more.
+        Releases of one key are kept apart by their claims' nonces: two
+        claims of this VM may both be on their way, and either may land.
         """
-        replaced = self.waiting.pop(save.store_key, None)
-        if replaced is not None:
-            replaced.done.set()
-        self.waiting[save.store_key] = save
+        self.waiting[release.record.nonce] = release
         while len(self.waiting) > MAX_WAITING:
             _, dropped = self.waiting.popitem(last=False)
             dropped.done.set()
@@ -101,13 +95,13 @@
         self._wake.set()
 
     async def run(self) -> None:
-        """Writes the saves, for ever."""
+        """Writes the releases, for ever."""
         try:
             while True:
                 self._wake.clear()
                 wait_s = self._start_some()
                 if wait_s is not None:
-                    wait_s = max(wait_s, LEAST_WAIT_S)
+                    wait_s = max(wait_s, record_writer.LEAST_WAIT_S)
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(wait_s):
                         await self._wake.wait()
@@ -119,61 +113,62 @@
         """Starts what may be started.
 
         Returns:
-            The time until more may be, in seconds; None if only a new save
+            The time until more may be, in seconds; None if only a new release
             or the end of a running one can change anything.
         """
         now_s = asyncio.get_running_loop().time()
         later_s = max(self._overdue_from_s - now_s, 0.0)
         skipped = False
-        for save in list(self.waiting.values()):
+        for release in list(self.waiting.values()):
             if len(self._running) >= PARALLEL:
                 return None
-            if save.store_key in self._running:
+            if release.record.nonce in self._running:
                 continue
-            if save.overdue and later_s > 0 and not self.hurried:
+            if release.overdue and later_s > 0 and not self.hurried:
                 skipped = True
                 continue
             if not self._writer.may_call():
                 return self._writer.get_wait_s()
-            if save.overdue:
+            if release.overdue:
                 later_s = 1 / OVERDUE_PER_S
                 self._overdue_from_s = now_s + later_s
-            task = asyncio.ensure_future(self._try(save))
-            self._running[save.store_key] = task
+            task = asyncio.ensure_future(self._try(release))
+            self._running[release.record.nonce] = task
         return later_s if skipped else None
 
-    async def _try(self, save: Save) -> None:
-        """Makes one attempt to settle a save."""
+    async def _try(self, release: Release) -> None:
+        """Makes one attempt to settle a release."""
         try:
             result = await self._writer.write(
-                save.store_key, save.record, save.expected
+                release.store_key,
+                idempotency.encode(release.record),
+                release.expected,
             )
             if result.is_error():
-                save.overdue = True
+                release.overdue = True
                 return
             match result.ok:
                 case api.Written():
-                    self._settle(save)
+                    self._settle(release)
                 case api.Conflicted(present=present):
-                    self._meet(save, present)
+                    self._meet(release, present)
         finally:
-            del self._running[save.store_key]
+            del self._running[release.record.nonce]
             self._wake.set()
 
-    def _meet(self, save: Save, present: api.Entry | None) -> None:
+    def _meet(self, release: Release, present: api.Entry | None) -> None:
         """Goes on after a conflict: over the claim, or not at all."""
         if present is not None:
             record = idempotency.decode(present.value or b"")
-            if idempotency.may_replace(record, save.record):
-                save.expected = present.revision
+            if idempotency.may_release(record, release.record):
+                release.expected = present.revision
                 return
         # Nothing of this claim stands there, and nothing can land any more:
         # another write has taken the revision that its own one named. If the
         # key is gone, its retention has ended.
-        self._settle(save)
+        self._settle(release)
 
-    def _settle(self, save: Save) -> None:
-        """Ends a save."""
-        if self.waiting.get(save.store_key) is save:
-            del self.waiting[save.store_key]
-        save.done.set()
+    def _settle(self, release: Release) -> None:
+        """Ends a release."""
+        self.waiting.pop(release.record.nonce, None)
+        release.done.set()
--- a/src/azureramp/controllers/record_writer.py
+++ b/src/azureramp/controllers/record_writer.py
@@ -8,12 +8,15 @@
 import expression
 
 from azureramp import errors
-from azureramp.policy import backoff, idempotency
+from azureramp.policy import backoff, idempotency, record_bounds
 from azureramp.ports.store import api
 
 CALL_S = 2.0
 """Longest time that a call of the store takes, in seconds."""
 
+LEAST_WAIT_S = 0.001
+"""Shortest wait before the next look, in seconds, so that time goes on."""
+
 
 class RecordWriter:
     """One VM's way to the records.
@@ -56,15 +59,15 @@
     async def write(
         self,
         store_key: str,
-        record: idempotency.Record,
+        data: bytes,
         expected: int,
         attempt_s: float = CALL_S,
     ) -> expression.Result[api.Write, errors.Failure]:
-        """Writes a record over a revision.
+        """Writes a value over a revision.
 
         Args:
-            store_key: The record's key in the store.
-            record: The record.
+            store_key: The key in the store.
+            data: The value.
             expected: The revision that it replaces, or `api.CREATE`.
             attempt_s: Longest wait for the reply, in seconds.
 
@@ -80,7 +83,6 @@
                     errors.Kind.STORE_UNAVAILABLE, lease.error.detail
                 )
             )
-        data = idempotency.encode(record)
         try:
             async with asyncio.timeout(attempt_s):
                 result = await self._store.write(
@@ -104,6 +106,29 @@
             errors.Failure(errors.Kind.STORE_UNAVAILABLE, result.error.detail)
         )
 
+    async def read_group(
+        self, name: str, attempt_s: float
+    ) -> idempotency.Outcomes | None:
+        """Reads the outcomes of a group; None if they can't be had now.
+
+        The read may answer from the past and miss an outcome, never invent
+        one.
+        """
+        key = idempotency.GROUP_PREFIX + name
+        try:
+            async with asyncio.timeout(attempt_s):
+                result = await self._store.read(key)
+        except TimeoutError:
+            self._record_failure()
+            return None
+        if result.is_error():
+            self._record_failure()
+            return None
+        self.backoff.record_success()
+        if result.ok is None or result.ok.value is None:
+            return {}
+        return idempotency.decode_group(result.ok.value)
+
     async def _get_lease(self) -> expression.Result[str, errors.Failure]:
         """Gets the lease whose end deletes the records written now.
 
@@ -116,11 +141,11 @@
             if self._lease and now_s < self._lease_until_s:
                 return expression.Ok(self._lease)
             granted = await self._store.grant_lease(
-                idempotency.RETENTION_S + idempotency.WINDOW_S
+                record_bounds.RETENTION_S + record_bounds.WINDOW_S
             )
             if granted.is_ok():
                 self._lease = granted.ok
-                self._lease_until_s = now_s + idempotency.WINDOW_S
+                self._lease_until_s = now_s + record_bounds.WINDOW_S
             return granted
 
     def _record_failure(self) -> None:
--- a/tests/controllers/test_idempotency.py
+++ b/tests/controllers/test_idempotency.py
@@ -13,9 +13,9 @@
 
 from azureramp import blackboard, errors, events, metrics, settings
 from azureramp.controllers import idempotency
-from azureramp.policy import backoff
+from azureramp.policy import backoff, record_bounds
 from azureramp.policy import idempotency as policy
-from azureramp.ports.store import memory
+from azureramp.ports.store import counting, memory
 from azureramp.ports.store import state as store_state
 
 Outcome = idempotency.Claimed | idempotency.Recorded | errors.Kind
@@ -362,9 +362,9 @@
         first, second = make_two()
         await first.records.finish(await first.claim_right(), b"7")
 
-        await asyncio.sleep(policy.RETENTION_S - 1.0)
+        await asyncio.sleep(record_bounds.RETENTION_S - 1.0)
         assert await second.claim_done() == b"7"
-        await asyncio.sleep(2 * policy.WINDOW_S)
+        await asyncio.sleep(2 * record_bounds.WINDOW_S)
         await second.claim_right()
 
     run(go())
@@ -382,13 +382,13 @@
     run(go())
 
 
-@mock.patch.object(policy, "MAX_STORED_BYTES", 20_000_000)
+@mock.patch.object(record_bounds, "MAX_STORED_BYTES", 20_000_000)
 def test_records_past_the_size_bound_are_refused_until_the_next_window() -> (
     None
 ):
     async def go() -> None:
         first, _ = make_two()
-        share = policy.get_share_bytes(0)
+        share = record_bounds.get_share_bytes(0)
         taken = 0
         while True:
             result = await first.records.claim("office", f"{taken}", 1, "r")
@@ -398,9 +398,130 @@
             await first.records.finish(result.ok, b"7")
             taken += 1
         assert result.error.kind is errors.Kind.OVERLOADED
-        assert 0.9 * share < taken * (policy.OVERHEAD_BYTES + 4) < share
+        assert 0.9 * share < taken * (record_bounds.OVERHEAD_BYTES + 4) < share
 
         await asyncio.sleep(result.error.get_retry_after_ms() / 1000 + 0.01)
         await first.claim_right("next")
 
     run(go())
+
+
+def test_both_claims_of_one_key_on_their_way_are_released() -> None:
+    """A VM loses two claims of one key, and the first one lands late.
+
+    The second claim's release must not take the place of the first's, or
+    the key stays blocked by a request that was refused as not run.
+    """
+
+    async def go() -> None:
+        first, second = make_two()
+        await first.claim_right("other")
+        first.store.faults.late_s = 9.0
+        assert await first.claim() is errors.Kind.STORE_UNAVAILABLE
+        first.store.faults = memory.Faults(lost_requests=1000)
+        for _ in range(9):
+            await first.claim()
+            await asyncio.sleep(1.0)
+        first.store.faults = memory.Faults()
+        await asyncio.sleep(20.0)
+
+        await second.claim_right()
+
+    run(go())
+
+
+def test_outcomes_that_come_up_together_share_a_write() -> None:
+    async def go() -> None:
+        first, second = make_two()
+        claims = [await first.claim_right(f"{n}") for n in range(40)]
+        before = first.store.state.revision
+
+        first.store.faults.lost_replies = 1
+        await asyncio.gather(
+            *(first.records.finish(claimed, b"7") for claimed in claims)
+        )
+        await asyncio.sleep(1.0)
+
+        assert first.store.state.revision - before <= 3
+        for number in range(40):
+            assert await second.claim_done(f"{number}") == b"7"
+
+    run(go())
+
+
+def test_a_retry_costs_one_write_and_one_read() -> None:
+    async def go() -> None:
+        first, second = make_two()
+        second.records = idempotency.make(
+            second.board,
+            counting.CountingStore(second.store, second.board.metrics),
+            random.Random(2),
+        )
+        await second.claim_right("other")
+        second.board.metrics.counts.clear()
+        await first.records.finish(await first.claim_right(), b"7")
+
+        await second.claim_done()
+        counts = second.board.metrics.counts
+        assert counts["store.writes"] == counts["store.reads"] == 1
+
+    run(go())
+
+
+@pytest.mark.parametrize("faults", [{"down": True}, {"past": 9}])
+def test_an_outcome_that_cannot_be_read_is_not_called_unknown(
+    faults: dict[str, Any],
+) -> None:
+    """A grant has run, and the VM that is asked can't see its outcome yet.
+
+    Its read fails, or answers from before the outcome was saved. That must
+    not be told as `unknown`, let alone recorded, while the truth is there.
+    """
+
+    async def go() -> None:
+        first, second = make_two()
+        await first.records.finish(await first.claim_right(), b"7")
+        second.store.faults.delay_s = 0.1
+        claiming = asyncio.ensure_future(second.claim())
+        await asyncio.sleep(0.12)
+        second.store.faults = memory.Faults(**faults)
+        assert await claiming is errors.Kind.IN_PROGRESS
+
+        second.store.faults = memory.Faults()
+        await asyncio.sleep(policy.UNKNOWN_S)
+        assert await second.claim_done() == b"7"
+
+    run(go())
+
+
+def test_claims_that_come_back_together_are_paced() -> None:
+    async def go() -> None:
+        first, _ = make_two()
+        share = int(record_bounds.RECORDS_PER_S)
+        kinds = [await first.claim(f"{n}") for n in range(share + 9)]
+
+        assert kinds.count(errors.Kind.OVERLOADED) == 9
+        await asyncio.sleep(0.5)
+        for number in range(share // 2):
+            await first.claim_right(f"later-{number}")
+
+    run(go())
+
+
+def test_a_record_takes_no_more_room_than_the_quota_counts() -> None:
+    async def go() -> None:
+        state = store_state.State()
+        vm = Vm("v" * 40, state)
+        result = b"[" + b"7" * (policy.MAX_RESULT_BYTES - 2) + b"]"
+        for number in range(5):
+            key = f"{number}" * 200
+            answer = await vm.records.claim("o" * 40, key, 2**64 - 1, "r" * 36)
+            assert isinstance(answer.ok, idempotency.Claimed)
+            await vm.records.finish(answer.ok, result)
+        stored = sum(
+            len(entry.key) + len(entry.value or b"")
+            for entry in state.list("/azureramp/idempotency/").entries
+        )
+        assert stored <= 5 * record_bounds.MAX_RECORD_BYTES
+
+    run(go())
--- a/tests/controllers/test_idempotency_machine.py
+++ b/tests/controllers/test_idempotency_machine.py
@@ -21,7 +21,7 @@
 from hypothesis import strategies as st
 
 from azureramp import blackboard, errors, events, metrics, settings
-from azureramp.controllers import idempotency, record_claimer, record_saver
+from azureramp.controllers import idempotency, record_claimer, record_releases
 from azureramp.policy import idempotency as policy
 from azureramp.ports.store import memory
 from azureramp.ports.store import state as store_state
@@ -83,7 +83,7 @@
     Attributes:
         ran: True once it was dispatched.
         ended: True once its holder has said its last word.
-        released: True if that word was that nothing ran.
+        finished: True if that word was its outcome.
         result: What `claim` returned.
     """
 
@@ -94,7 +94,7 @@
     task: asyncio.Task[idempotency.Answer]
     ran: bool = False
     ended: bool = False
-    released: bool = False
+    finished: bool = False
     checked: bool = False
     result: idempotency.Answer | None = None
 
@@ -250,7 +250,7 @@
         claimed = attempt.get_claimed()
         assert claimed is not None
         attempt.ended = True
-        attempt.released = not attempt.ran
+        attempt.finished = attempt.ran and known
 
         async def go() -> None:
             records = attempt.vm.records
@@ -316,7 +316,11 @@
         async def go() -> idempotency.Answer:
             fresh = Vm(VMS, 1, self.state)
             try:
-                return await fresh.records.claim("office", key, 1, "last")
+                runs = self.runs[key]
+                request_hash = runs[0].request_hash if runs else 1
+                return await fresh.records.claim(
+                    "office", key, request_hash, "last"
+                )
             finally:
                 fresh.task.cancel()
 
@@ -333,6 +337,8 @@
                 result.ok, idempotency.Claimed
             )
             assert not claimed, "a second run"
+            if runs[0].finished and runs[0].vm.alive:
+                assert result.is_ok(), "a recorded outcome is not told"
             if not result.is_ok():
                 kind = result.error.kind
                 assert kind is not errors.Kind.STORE_UNAVAILABLE
@@ -357,22 +363,22 @@
 
 
 def judge_with_takeover(
-    record: policy.Record | None, claim: policy.Record, age_s: float
+    record: policy.Record | None, nonce: str, request_hash: int, age_s: float
 ) -> policy.Verdict:
     """Takes over a claim that has been known for long, as if it never ran."""
-    verdict = JUDGE(record, claim, age_s)
+    verdict = JUDGE(record, nonce, request_hash, age_s)
     if verdict == policy.Refuse(errors.Kind.OUTCOME_UNKNOWN):
         return policy.Free()
     return verdict
 
 
 def judge_without_state(
-    record: policy.Record | None, claim: policy.Record, age_s: float
+    record: policy.Record | None, nonce: str, request_hash: int, age_s: float
 ) -> policy.Verdict:
     """Replays a recorded outcome of any claim, run or not."""
     if record is not None and record.state is policy.State.CLAIMED:
         return policy.Replay(record)
-    return JUDGE(record, claim, age_s)
+    return JUDGE(record, nonce, request_hash, age_s)
 
 
 def replace_anything(
@@ -382,8 +388,8 @@
     return True
 
 
-def take_nothing(self: record_saver.RecordSaver, save: Any) -> None:
-    """Forgets every last word."""
+def take_nothing(self: record_releases.RecordReleases, release: Any) -> None:
+    """Forgets every release."""
 
 
 async def believe_claim(
@@ -464,10 +470,10 @@
         policy, "judge", judge_without_state, send_twice,
     ),
     "a late word overwrites another claim": (
-        policy, "may_replace", replace_anything, release_late,
+        policy, "may_release", replace_anything, release_late,
     ),
     "a claim that may land is not released": (
-        record_saver.RecordSaver, "add", take_nothing, land_late,
+        record_releases.RecordReleases, "add", take_nothing, land_late,
     ),
     "an outcome is called unknown too early": (
         policy, "UNKNOWN_S", 5.0, resend_soon,
@@ -505,7 +511,7 @@
 
 def test_the_machine_finds_a_broken_guard_by_itself() -> None:
     with (
-        mock.patch.object(policy, "may_replace", replace_anything),
+        mock.patch.object(policy, "may_release", replace_anything),
         pytest.raises(AssertionError),
     ):
         stateful.run_state_machine_as_test(
