Take nonces from the system's entropy

The daemon seeds its random numbers by VM and incarnation. A replaced VM whose clock is behind can repeat both, and would then take the old process's claim for its own and run the request again; the new test does that and failed before.

--- a/src/azureramp/controllers/idempotency.py
+++ b/src/azureramp/controllers/idempotency.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import random
+import secrets
 
 import expression
 
@@ -51,6 +52,7 @@
         "_number",
         "_outcomes",
         "_pace",
+        "_process",
         "_quota",
         "_releases",
         "_rng",
@@ -66,6 +68,10 @@
         """Makes the records of one VM; see `make`."""
         self._board = board
         self._rng = rng
+        # Two processes with one nonce would both believe that they hold the
+        # claim of either. So it comes from the system's entropy: incarnation
+        # numbers come from clocks, and seeds from incarnations.
+        self._process = f"{board.settings.vm}.{secrets.token_hex(12)}"
         self._writer = record_writer.RecordWriter(store, rng)
         self._releases = record_releases.RecordReleases(self._writer)
         self._claimer = record_claimer.RecordClaimer(
@@ -74,8 +80,7 @@
         self._outcomes = record_outcomes.RecordOutcomes(
             self._writer,
             board.metrics,
-            f"{board.settings.vm}.{board.incarnation}"
-            f".{rng.getrandbits(64):016x}",
+            self._process,
         )
         self._pace = record_bounds.Pace()
         self._quota = record_bounds.Quota()
@@ -193,14 +198,12 @@
     ) -> idempotency.Record:
         """Makes a claim's record with a nonce that no other one has."""
         self._number += 1
-        vm = self._board.settings.vm
         return idempotency.Record(
             state=idempotency.State.CLAIMED,
-            nonce=f"{vm}.{self._board.incarnation}.{self._number}."
-            f"{self._rng.getrandbits(64):016x}",
+            nonce=f"{self._process}.{self._number}",
             request_hash=request_hash,
             request_id=request_id,
-            vm=vm,
+            vm=self._board.settings.vm,
             group=self._outcomes.name_group(),
         )
 
@@ -278,6 +281,6 @@
     Args:
         board: The process's state.
         store: The platform's key-value service.
-        rng: Draws nonces and waits.
+        rng: Draws waits.
     """
     return Records(board, store, rng)
--- a/tests/controllers/test_idempotency.py
+++ b/tests/controllers/test_idempotency.py
@@ -525,3 +525,20 @@
         assert stored <= 5 * record_bounds.MAX_RECORD_BYTES
 
     run(go())
+
+
+def test_two_processes_with_the_same_seed_never_share_a_nonce() -> None:
+    """A VM is replaced, and the new one's clock is behind.
+
+    It gets the old one's incarnation and draws the same random numbers. A
+    claim of the old one must not be taken for its own.
+    """
+
+    async def go() -> None:
+        state = store_state.State()
+        first, again = Vm("one", state), Vm("one", state)
+
+        await first.claim_right()
+        assert await again.claim() is errors.Kind.IN_PROGRESS
+
+    run(go())
