--- a/src/azureramp/controllers/answers.py
+++ b/src/azureramp/controllers/answers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 from typing import Any
 
 import msgspec
 
 from azureramp import errors, messages, resources, texts
+from azureramp.policy import validation
 from azureramp.ports.web import api as web_api
 
 RETRY_AFTER_MS_HEADER = "Azureramp-Retry-After-Ms"
@@ -30,6 +32,7 @@
     request_id: str = "",
     addresses: tuple[str, ...] = (),
     present: resources.Versioned | None = None,
+    problems: Sequence[validation.Problem] = (),
 ) -> web_api.Response:
     """Makes the response to a failure, from the table of kinds.
 
@@ -38,31 +41,62 @@
         request_id: The request, if one was admitted.
         addresses: Other entry VMs to use, `IP:port`.
         present: The state that a stale change ran into.
+        problems: What is wrong with a resource.
     """
-    answer = failure.get_answer()
-    text = texts.KINDS[failure.kind]
-    retry_after_ms = failure.get_retry_after_ms()
-    body = messages.ErrorAnswer(
-        code=failure.kind.value,
-        ran=answer.ran.value,
-        retry=answer.retry.value,
-        retry_after_ms=retry_after_ms,
-        text_en=text.en,
-        text_hu=text.hu,
-        detail=failure.detail,
+    body = make_error_body(
+        failure,
         request_id=request_id,
         addresses=addresses,
         present=present,
+        problems=problems,
     )
     headers: tuple[tuple[str, str], ...] = ()
-    if retry_after_ms > 0:
+    if body.retry_after_ms > 0:
         headers = (
-            ("Retry-After", str(math.ceil(retry_after_ms / 1000))),
-            (RETRY_AFTER_MS_HEADER, str(retry_after_ms)),
+            ("Retry-After", str(math.ceil(body.retry_after_ms / 1000))),
+            (RETRY_AFTER_MS_HEADER, str(body.retry_after_ms)),
         )
+    answer = failure.get_answer()
     return web_api.Response(
         status=answer.status,
         body=msgspec.json.encode(body),
         headers=headers,
         closes=answer.retry is errors.Retry.OTHER_ADDRESS,
     )
+
+
+def make_error_body(
+    failure: errors.Failure,
+    *,
+    request_id: str = "",
+    addresses: tuple[str, ...] = (),
+    present: resources.Versioned | None = None,
+    problems: Sequence[validation.Problem] = (),
+) -> messages.ErrorAnswer:
+    """Makes the body of the response to a failure; see `make_error`."""
+    answer = failure.get_answer()
+    text = texts.KINDS[failure.kind]
+    return messages.ErrorAnswer(
+        code=failure.kind.value,
+        ran=answer.ran.value,
+        retry=answer.retry.value,
+        retry_after_ms=failure.get_retry_after_ms(),
+        text_en=text.en,
+        text_hu=text.hu,
+        detail=failure.detail,
+        request_id=request_id,
+        addresses=addresses,
+        present=present,
+        problems=tuple(_make_problem(problem) for problem in problems),
+    )
+
+
+def _make_problem(problem: validation.Problem) -> messages.FieldProblem:
+    text = texts.RULES[problem.rule]
+    return messages.FieldProblem(
+        field=problem.field,
+        rule=problem.rule.value,
+        value=problem.value,
+        text_en=text.en,
+        text_hu=text.hu,
+    )
--- a/src/azureramp/messages.py
+++ b/src/azureramp/messages.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from azureramp import resources
@@ -166,6 +168,11 @@
             revision is its newest, at most; infinity if never.
         lease_ms: The heartbeat lease asked for, in milliseconds; 0 for none.
         searchers: The states of the searchers that it owns.
+        claims: The identities (see `policy.leases`) of the searchers that it
+            asks a lease for.
+        lists: The names in the VM lists that it has read of late, if they
+            were several.
+        suspects: The listed VMs that it does not hear.
     """
 
     sequence: int
@@ -175,6 +182,9 @@
     confirmed_age_ms: float
     lease_ms: float
     searchers: tuple[SearcherState, ...] = ()
+    claims: tuple[int, ...] = ()
+    lists: tuple[tuple[str, ...], ...] = ()
+    suspects: tuple[str, ...] = ()
 
 
 class HeartbeatAck(Message, frozen=True, kw_only=True, tag="heartbeat_ack"):
@@ -184,12 +194,22 @@
         sequence: The heartbeat's sequence.
         granted: True if the answerer promises to see no other owner of the
             sender's searchers before the lease has run out.
-        revision: The answerer's configuration revision.
+        revision: The answerer's configuration revision; 0 while it has none
+            of its own right, so that it counts towards no majority.
+        confirmed_age_ms: As in a heartbeat, of the answerer.
+        incarnation: The answerer's incarnation.
+        refused: The claims that it does not grant, since it has promised
+            these searchers to another VM or incarnation.
+        lists: The hashes of the VM lists that it has read of late.
     """
 
     sequence: int
     granted: bool
     revision: int
+    confirmed_age_ms: float = math.inf
+    incarnation: int = 0
+    refused: tuple[int, ...] = ()
+    lists: tuple[int, ...] = ()
 
 
 class ConfigurationRequest(
@@ -233,6 +253,8 @@
             many free until `HandoffDone`, or until the old lease ran out.
         limit: The cold ramp's limit.
         service_ms: The median service time, in milliseconds.
+        running_ms: The longest time that what still runs may take, in
+            milliseconds: each call ends at its deadline.
     """
 
     searcher: str
@@ -240,6 +262,7 @@
     in_use: int
     limit: int
     service_ms: float
+    running_ms: float = 0.0
 
 
 class HandoffDone(Message, frozen=True, kw_only=True, tag="handoff_done"):
@@ -365,6 +388,24 @@
     lifetime_ms: int
 
 
+class FieldProblem(msgspec.Struct, frozen=True, kw_only=True):
+    """One rule that one field of a resource breaks.
+
+    Attributes:
+        field: The field's path, such as `shards[1].low`.
+        rule: The rule's stable code.
+        value: The value that breaks it, or what it should be.
+        text_en: The rule in English.
+        text_hu: The rule in Hungarian.
+    """
+
+    field: str
+    rule: str
+    value: str
+    text_en: str
+    text_hu: str
+
+
 class ErrorAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """The body of every answer that is an error.
 
@@ -379,6 +420,7 @@
         request_id: The request, if one was admitted.
         addresses: Other entry VMs to use, `IP:port`.
         present: The state that a stale change ran into, if any.
+        problems: What is wrong with a resource, by field.
     """
 
     code: str
@@ -391,3 +433,4 @@
     request_id: str = ""
     addresses: tuple[str, ...] = ()
     present: resources.Versioned | None = None
+    problems: tuple[FieldProblem, ...] = ()
