Bound the crashes of a poison request, and let innocent ones off

A suspect's sub-requests run one at a time on each owner, and those under way elsewhere are taken back when the first of them crashes. Weighed and left out: running every request that nobody has seen first on one shard alone.

--- a/src/azureramp/controllers/owner.py
+++ b/src/azureramp/controllers/owner.py
@@ -80,6 +80,7 @@
             self._prober,
             replies.Replies(outbox),
         )
+        self._poisoning.on_charged = self._runner.isolate
         self._runner.on_released = self._handoffs.end_part
         self._once: once.Once[tuple[str, int]] = once.Once(ONCE_S, MAX_ONCE)
         self._changes = ownership_changes.OwnershipChanges(
--- a/src/azureramp/controllers/part_runner.py
+++ b/src/azureramp/controllers/part_runner.py
@@ -100,6 +100,7 @@
         if part.sent and not part.batch.repeatable:
             return
         part.unwanted = True
+        part.again = False
         if part.task is not None:
             part.task.cancel()
             return
@@ -109,6 +110,25 @@
         owned.queue.remove(part)
         self.fail(part, errors.Failure(errors.Kind.CANCELLED))
 
+    def isolate(self, fingerprint: int, server: str) -> None:
+        """Stops a request that became a suspect, to run it alone.
+
+        Its sub-requests run side by side on many servers when the first of
+        them crashes. Those that haven't crashed theirs yet are taken back
+        and go on one at a time; so an innocent request, that was only in
+        flight beside a poison one, loses some time and nothing else.
+        """
+        for owned, part in tuple(self._holdings.parts.values()):
+            if (
+                part.batch.fingerprint == fingerprint
+                and part.task is not None
+                and part.batch.repeatable
+                and not part.alone
+                and owned.place.server.name != server
+            ):
+                part.again = True
+                part.task.cancel()
+
     def pump(self, owned: OwnedSearcher) -> None:
         """Starts as many sub-requests as there is room for."""
         now_s = _now_s()
@@ -183,7 +203,6 @@
                 await self._end(owned, part, result)
                 ended = True
         except asyncio.CancelledError:
-            part.again = False
             self._take_unanswered(owned, part)
         except Exception:
             # A fault of this program must not hold a slot for good.
--- a/src/azureramp/controllers/poisoning.py
+++ b/src/azureramp/controllers/poisoning.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import dataclasses
+from collections.abc import Callable
 
 import expression
 
@@ -46,8 +47,8 @@
 
     Attributes:
         trials: Which requests are on trial.
-        tries_new: True if also requests that nobody has seen crash run first
-            on one searcher alone.
+        on_charged: Called with each fingerprint that a crash was blamed on,
+            and the server that crashed.
     """
 
     __slots__ = (
@@ -60,8 +61,8 @@
         "_outbox",
         "_port",
         "_repeated_s",
+        "on_charged",
         "trials",
-        "tries_new",
     )
 
     def __init__(
@@ -74,7 +75,7 @@
     ) -> None:
         """Makes it without any suspect."""
         self.trials = trials.Trials()
-        self.tries_new = False
+        self.on_charged: Callable[[int, str], None] = _ignore
         self._board = board
         self._outbox = outbox
         self._port = port
@@ -94,11 +95,7 @@
 
     def needs_trial(self, part: Part) -> bool:
         """Tells whether a sub-request may only run as the one of its sort."""
-        if part.batch.isolated or self.is_suspect(part):
-            return True
-        return self.tries_new and not self.trials.is_proven(
-            part.batch.fingerprint, _now_s()
-        )
+        return part.batch.isolated or self.is_suspect(part)
 
     def get_refusal(
         self, part: Part, owned: OwnedSearcher
@@ -125,9 +122,7 @@
 
     def succeed(self, part: Part) -> None:
         """Takes a success, which clears a suspect."""
-        fingerprint = part.batch.fingerprint
-        self.trials.prove(fingerprint, _now_s())
-        self._board.blame.clear(fingerprint)
+        self._board.blame.clear(part.batch.fingerprint)
 
     def give_up(self, owned: OwnedSearcher, part: Part) -> None:
         """Remembers a call that ended without a reply."""
@@ -256,7 +251,6 @@
         if not is_new:
             return
         for fingerprint in notice.fingerprints:
-            self.trials.forget(fingerprint)
             self._board.timeline.record(
                 events.FingerprintBlamed(
                     server=notice.server,
@@ -267,6 +261,8 @@
                 ),
                 now_s,
             )
+            if blame.crashes(fingerprint, now_s) > 0:
+                self.on_charged(fingerprint, notice.server)
 
     def _tell(self, notice: messages.CrashNotice) -> None:
         """Sends a notice to every other VM."""
@@ -285,6 +281,10 @@
         return self._holdings.get_sent(server) | given_up
 
 
+def _ignore(fingerprint: int, server: str) -> None:
+    """Does nothing."""
+
+
 def _now_s() -> float:
     """Reads the loop's clock, in seconds."""
     return asyncio.get_running_loop().time()
--- a/src/azureramp/policy/poison.py
+++ b/src/azureramp/policy/poison.py
@@ -37,6 +37,10 @@
 MAX_FINGERPRINTS = 32
 """Most fingerprints remembered of one crash."""
 
+ADOPT_MS = 1000
+"""A told quarantine is taken over if it lasts so much longer than the known
+one, in milliseconds; else the time on the way would make it creep."""
+
 MAX_ADOPTED = 1024
 """Most quarantines remembered that were learnt from other VMs."""
 
@@ -162,7 +166,7 @@
             now_s: The time.
         """
         self._forget(now_s)
-        if self.quarantined_ms(fingerprint, now_s) >= left_ms:
+        if self.quarantined_ms(fingerprint, now_s) + ADOPT_MS >= left_ms:
             return
         if len(self._adopted_s) < MAX_ADOPTED:
             self._adopted_s[fingerprint] = now_s + left_ms / 1000
--- a/src/azureramp/policy/trials.py
+++ b/src/azureramp/policy/trials.py
@@ -1,39 +1,23 @@
-"""First runs: a request that may be poison runs once at a time on a VM.
+"""Trials: a suspect request runs once at a time on a VM.
 
 One query fans out to many shards, and each server that runs a poison request
 crashes. So the sub-requests of a suspect request run one after another on
-each owner, until one of them succeeds: then it is no poison and the others
-go together. This bounds the crashes by the number of owners, however wide the
-query is and however often its caller sends it at once.
+each owner, until one of them succeeds: then it is no suspect any more and the
+others go together. This bounds its crashes by the number of owners, however
+wide the query is and however often its caller sends it at once.
 """
 
 from __future__ import annotations
 
-import collections
-
-MAX_PROVEN = 16_384
-"""Most requests remembered to have succeeded."""
-
-PROVEN_S = 600.0
-"""How long a success is remembered, in seconds."""
-
 
 class Trials:
-    """Which requests are on trial on this VM."""
+    """Which requests are on trial on this VM: at most one sub-request each."""
 
-    __slots__ = ("_proven", "_running")
+    __slots__ = ("_running",)
 
     def __init__(self) -> None:
         """Makes it with nothing on trial."""
         self._running: dict[int, tuple[str, int]] = {}
-        self._proven: collections.OrderedDict[int, float] = (
-            collections.OrderedDict()
-        )
-
-    def is_proven(self, fingerprint: int, now_s: float) -> bool:
-        """Tells whether a request is known to succeed."""
-        proven_s = self._proven.get(fingerprint)
-        return proven_s is not None and now_s - proven_s <= PROVEN_S
 
     def try_begin(self, fingerprint: int, key: tuple[str, int]) -> bool:
         """Begins a trial unless one of the same request runs.
@@ -50,14 +34,3 @@
             return False
         del self._running[fingerprint]
         return True
-
-    def prove(self, fingerprint: int, now_s: float) -> None:
-        """Remembers that a request succeeded."""
-        self._proven[fingerprint] = now_s
-        self._proven.move_to_end(fingerprint)
-        if len(self._proven) > MAX_PROVEN:
-            self._proven.popitem(last=False)
-
-    def forget(self, fingerprint: int) -> None:
-        """Forgets a success, after a crash."""
-        self._proven.pop(fingerprint, None)
