Hedge what runs long, not what waits long

Cause: a coordinator sees only the time from sending to result. At 80 % load with 1 % stragglers most of that is the queue's, so hedges at its 95th percentile went from one queue into another.

An empty hedge budget now stays empty, so that the baseline without hedges has none.

--- a/src/azureramp/controllers/attempts.py
+++ b/src/azureramp/controllers/attempts.py
@@ -8,7 +8,7 @@
 
 from azureramp import blackboard, errors, events, messages, resources
 from azureramp.controllers import dispatching, searcher_view
-from azureramp.policy import assembly, outcomes, snapshots
+from azureramp.policy import assembly, hedging, outcomes, snapshots
 
 
 class Attempts:
@@ -138,7 +138,7 @@
                 took_ms = (now_s - attempt.sent_s) * 1000
                 self.tally.add_merged(taken, took_ms)
                 self.dispatcher.measured.finish(
-                    self.header.index, attempt, now_s
+                    self.get_place(attempt), attempt, now_s
                 )
                 self._record_ended(attempt, "ok", True)
                 self.cancel(taken.losers)
@@ -161,7 +161,9 @@
         cancelled = [one for one in attempts if self.state.remove(one)]
         for attempt in cancelled:
             self.tally.ran = True
-            self.dispatcher.measured.abandon(self.header.index, attempt, now_s)
+            self.dispatcher.measured.abandon(
+                self.get_place(attempt), attempt, now_s
+            )
             self._record_ended(attempt, errors.Kind.CANCELLED.value, False)
         if cancelled:
             self.dispatcher.cancel(self.header.request_id, cancelled)
@@ -182,6 +184,11 @@
         for attempt in state.merged:
             self._record_ended(attempt, "ok", True)
 
+    def get_place(self, attempt: assembly.Attempt) -> hedging.Place:
+        """Returns where an attempt's time counts."""
+        header = self.header
+        return hedging.Place(header.index, attempt.shard.name, header.priority)
+
     def _end_failed(self, failed: assembly.Failed) -> None:
         """Takes account of a failure."""
         now_s = asyncio.get_running_loop().time()
--- a/src/azureramp/controllers/coordinator.py
+++ b/src/azureramp/controllers/coordinator.py
@@ -80,6 +80,10 @@
         """Takes results of sub-requests from an owner."""
         self._dispatcher.receive_results(sender, results)
 
+    def receive_late(self, sender: str, late: messages.PartsLate) -> None:
+        """Takes an owner's notice of sub-requests that run long."""
+        self._dispatcher.receive_late(sender, late)
+
     async def execute(
         self, request: execution.Execute
     ) -> expression.Result[messages.ExecuteAnswer, errors.Failure]:
@@ -148,7 +152,7 @@
             outcome = await running.run()
         finally:
             self._dispatcher.measured.running -= 1
-        self._gate.observe(admitted, running.get_tally())
+        self._gate.observe(admitted, running.tally)
         if isinstance(outcome, errors.Failure):
             return expression.Error(outcome)
         took_s = asyncio.get_running_loop().time() - started_s
--- a/src/azureramp/controllers/dispatching.py
+++ b/src/azureramp/controllers/dispatching.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Collection, Iterable
+from typing import Protocol
 
 from azureramp import blackboard, events, messages, resources
 from azureramp.controllers import measurements as measurements_module
@@ -12,7 +13,17 @@
 from azureramp.controllers import searcher_view
 from azureramp.policy import assembly, deadlines, topology
 
-Receiver = Callable[[messages.PartResult], None]
+
+class Receiver(Protocol):
+    """A running request, as far as its owners' messages concern it."""
+
+    def receive(self, result: messages.PartResult) -> None:
+        """Takes one sub-request's result."""
+        ...
+
+    def receive_late(self, part: int) -> None:
+        """Learns that a sub-request runs for unusually long."""
+        ...
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -91,7 +102,15 @@
         if receiver is None:
             return
         for result in results.results:
-            receiver(result)
+            receiver.receive(result)
+
+    def receive_late(self, sender: str, late: messages.PartsLate) -> None:
+        """Takes an owner's notice of sub-requests that run long."""
+        receiver = self._receivers.get(late.request_id)
+        if receiver is None:
+            return
+        for part in late.parts:
+            receiver.receive_late(part)
 
     def choose(
         self,
--- a/src/azureramp/controllers/gathering.py
+++ b/src/azureramp/controllers/gathering.py
@@ -27,6 +27,9 @@
     Results and timers change its state at once, with no task of their own,
     so that the answer leaves in the same turn of the loop in which the last
     needed result came.
+
+    Attributes:
+        tally: How its parts went.
     """
 
     __slots__ = (
@@ -41,6 +44,7 @@
         "_permits",
         "_snapshot",
         "_watch",
+        "tally",
     )
 
     def __init__(
@@ -61,7 +65,7 @@
             header: What all sub-requests share.
             snapshot: The pinned version.
             permits: Tells which shards the service may query.
-            minimum_coverage: The least coverage that the caller takes.
+            minimum_coverage: The least that the caller takes.
             on_pinned: Called with each version that is pinned later.
         """
         self._on_pinned = on_pinned
@@ -80,10 +84,7 @@
         )
         self._watch = lateness.Watch(board, self._attempts, self._take_lost)
         self._finished = asyncio.get_running_loop().create_future()
-
-    def get_tally(self) -> outcomes.Tally:
-        """Returns how the parts went."""
-        return self._attempts.tally
+        self.tally = self._attempts.tally
 
     async def run(self) -> coverage.Ledger | errors.Failure:
         """Sends, gathers, and returns once there is a final answer.
@@ -94,7 +95,7 @@
             What is held of one version; or why there is no answer.
         """
         header = self._attempts.header
-        self._dispatcher.register(header.request_id, self.receive)
+        self._dispatcher.register(header.request_id, self)
         loop = asyncio.get_running_loop()
         timer = loop.call_at(header.answer_s, self._finish)
         try:
@@ -119,11 +120,16 @@
                 self._replace(taken)
         self._check_finished()
 
+    def receive_late(self, part: int) -> None:
+        """Learns that a sub-request runs for unusually long."""
+        if not self._finished.done():
+            self._watch.help_running_long(part)
+
     def _begin(self) -> None:
         """Sends the first attempts over the pinned version.
 
-        A request that is blamed for a crash is sent to one shard alone first;
-        the others get it only once that one has survived it.
+        One that is blamed for a crash goes to one shard alone first; the
+        others get it only once that one has survived it.
         """
         waiting = list(self._attempts.state.progress.values())
         if self._attempts.header.isolated:
@@ -163,8 +169,8 @@
     def _take_lost(self, failed: assembly.Failed) -> None:
         """Replaces an attempt whose owner VM has gone.
 
-        It needs no budget: each running attempt can lose its owner but once,
-        and an eighth of all parts go with one of eight VMs.
+        It needs no budget: an attempt can lose its owner but once, and an
+        eighth of all parts go with one of eight VMs.
         """
         self._replace(failed, paid=True)
         self._check_finished()
@@ -248,17 +254,16 @@
     def _restart(self) -> bool:
         """Starts once more, on a newer version that is served whole.
 
-        The index was repartitioned or reloaded under the query. What is held
-        of the old version is kept aside, never mixed: it may still be the
-        better answer if the time runs out.
+        What is held of the old version is kept aside, never mixed: it may
+        still be the better answer if the time runs out.
         """
         header = self._attempts.header
         if self._former is not None or header.isolated:
             return False
         measured = self._dispatcher.measured
-        needed_s = measured.delays.get_index_ms(header.index) / 1000
+        needed_ms = measured.delays.get_index_ms(header.index, header.priority)
         now_s = asyncio.get_running_loop().time()
-        if now_s + needed_s >= header.answer_s:
+        if now_s + needed_ms / 1000 >= header.answer_s:
             return False
         pinned = self._dispatcher.viewer.pin(header.index, after=header.version)
         if pinned.is_error() or not snapshots.is_whole(pinned.ok):
@@ -294,7 +299,7 @@
         failure = outcomes.judge(
             chosen.ledger,
             self._minimum,
-            self.get_tally(),
+            self.tally,
             bool(chosen.progress),
         )
         return chosen.ledger if failure is None else failure
--- a/src/azureramp/controllers/lateness.py
+++ b/src/azureramp/controllers/lateness.py
@@ -73,37 +73,57 @@
                 self._help_late(progress)
         self.schedule()
 
+    def help_running_long(self, part: int) -> None:
+        """Hedges a sub-request that its owner says runs long.
+
+        A deferrable one too: the loser's cancellation frees the slot that the
+        straggler holds, so the hedge costs less than it gives back.
+        """
+        attempt = self._attempts.state.get_attempt(part)
+        if attempt is None:
+            return
+        progress = self._attempts.state.progress[attempt.shard.name]
+        now_s = asyncio.get_running_loop().time()
+        if len(progress.running) == 1 and self._may_add(now_s):
+            self._hedge(progress)
+
     def _help_late(self, progress: assembly.Progress) -> None:
         """Hedges a late attempt, or adds a retry to a lost one."""
-        measured = self._attempts.dispatcher.measured
         newest = list(progress.running.values())[-1]
         now_s = asyncio.get_running_loop().time()
         elapsed_ms = (now_s - newest.sent_s) * 1000
         step = hedging.decide(elapsed_ms, self._get_delay_ms(newest))
-        if step is hedging.Step.WAIT or not self._may_hedge(now_s):
+        if step is hedging.Step.WAIT or not self._may_add(now_s):
+            return
+        if self._attempts.header.priority is resources.Priority.DEFERRABLE:
             return
-        if len(progress.running) == 1 and measured.hedges.can_spend():
-            if self._attempts.start((progress,), "hedge"):
-                measured.hedges.spend()
-                self._board.metrics.count("part.hedged")
+        if len(progress.running) == 1 and self._hedge(progress):
             return
-        if step is not hedging.Step.REPLACE or not measured.retries.can_spend():
+        retries = self._attempts.dispatcher.measured.retries
+        if step is not hedging.Step.REPLACE or not retries.can_spend():
             return
         if self._attempts.start((progress,), "retry"):
-            measured.retries.spend()
+            retries.spend()
             self._board.metrics.count("part.retried")
 
-    def _may_hedge(self, now_s: float) -> bool:
-        """Tells whether more calls may be made for a late one.
+    def _hedge(self, progress: assembly.Progress) -> bool:
+        """Sends a hedge, if the budget has one; False if not."""
+        hedges = self._attempts.dispatcher.measured.hedges
+        if not hedges.can_spend():
+            return False
+        if not self._attempts.start((progress,), "hedge"):
+            return False
+        hedges.spend()
+        self._board.metrics.count("part.hedged")
+        return True
+
+    def _may_add(self, now_s: float) -> bool:
+        """Tells whether calls may be made that nobody strictly needs.
 
-        Not for a request that may have crashed a server, not for one that
-        can wait its turn, and not under overload, when a second call only
-        takes the slot of somebody's first.
+        Not for a request that may have crashed a server, and not under
+        overload, when a second call only takes the slot of somebody's first.
         """
-        header = self._attempts.header
-        if header.isolated or self._attempts.tally.crashes:
-            return False
-        if header.priority is resources.Priority.DEFERRABLE:
+        if self._attempts.header.isolated or self._attempts.tally.crashes:
             return False
         level = self._attempts.dispatcher.measured.level
         return not level.is_overloaded(now_s)
@@ -113,5 +133,5 @@
         header = self._attempts.header
         left_ms = (header.answer_s - attempt.sent_s) * 1000
         return self._attempts.dispatcher.measured.delays.get_ms(
-            header.index, attempt.shard.name, left_ms
+            self._attempts.get_place(attempt), left_ms
         )
--- a/src/azureramp/controllers/measurements.py
+++ b/src/azureramp/controllers/measurements.py
@@ -37,30 +37,30 @@
         self.scoreboard = replicas.Scoreboard()
         self.delays = hedging.Delays()
         self.hedges = budgets.Budget()
-        self.retries = budgets.Budget()
+        self.retries = budgets.Budget(budgets.BURST)
         self.level = admission.Level()
         self.times = admission.Times()
         self.running = 0
         self.random = rng
 
     def finish(
-        self, index: str, attempt: assembly.Attempt, now_s: float
+        self, place: hedging.Place, attempt: assembly.Attempt, now_s: float
     ) -> None:
         """Counts an attempt that brought a result."""
         took_ms = (now_s - attempt.sent_s) * 1000
         self.scoreboard.finish(attempt.searcher, took_ms, now_s)
         if attempt.reason != "hedge":
-            self.delays.add(index, attempt.shard.name, took_ms)
+            self.delays.add(place, took_ms)
 
     def fail(self, attempt: assembly.Attempt, now_s: float) -> None:
         """Counts an attempt that failed."""
         self.scoreboard.fail(attempt.searcher, now_s)
 
     def abandon(
-        self, index: str, attempt: assembly.Attempt, now_s: float
+        self, place: hedging.Place, attempt: assembly.Attempt, now_s: float
     ) -> None:
         """Counts an attempt for whose result nobody waits any more."""
         took_ms = (now_s - attempt.sent_s) * 1000
         self.scoreboard.abandon(attempt.searcher, took_ms, now_s)
         if attempt.reason != "hedge":
-            self.delays.add(index, attempt.shard.name, took_ms)
+            self.delays.add(place, took_ms)
--- a/src/azureramp/controllers/single_run.py
+++ b/src/azureramp/controllers/single_run.py
@@ -144,7 +144,7 @@
         header = self._attempts.header
         limited_s = min(header.answer_s, claimed.may_dispatch_until_s)
         self._attempts.header = dataclasses.replace(header, answer_s=limited_s)
-        self._dispatcher.register(header.request_id, self._receive)
+        self._dispatcher.register(header.request_id, self)
         try:
             await self._try_replicas(claimed)
         finally:
@@ -226,7 +226,7 @@
             await asyncio.sleep(OWNER_WAIT_S * 2 ** (progress.attempts - 1))
         progress.tried.discard(attempt.searcher)
 
-    def _receive(self, result: messages.PartResult) -> None:
+    def receive(self, result: messages.PartResult) -> None:
         """Takes a result; a copy, or one of an ended attempt, is dropped."""
         running = [one.part for one in self._attempts.state.get_running()]
         if result.part not in running or self._arrived is None:
@@ -234,6 +234,9 @@
         if not self._arrived.done():
             self._arrived.set_result(result)
 
+    def receive_late(self, part: int) -> None:
+        """Does nothing: what may not be repeated is never hedged."""
+
     async def _finish(
         self, claimed: idempotency.Claimed, attempt: assembly.Attempt
     ) -> None:
--- a/src/azureramp/daemon/wiring.py
+++ b/src/azureramp/daemon/wiring.py
@@ -117,6 +117,7 @@
                 messages.QueryBatch: self.owner.receive_batch,
                 messages.Cancel: self.owner.receive_cancel,
                 messages.PartResults: self.coordinator.receive_results,
+                messages.PartsLate: self.coordinator.receive_late,
                 messages.Handoff: self.owner.receive_handoff,
                 messages.HandoffDone: self.owner.receive_handoff_done,
                 messages.CrashNotice: self.owner.receive_crash_notice,
--- a/src/azureramp/messages.py
+++ b/src/azureramp/messages.py
@@ -130,6 +130,21 @@
     results: tuple[PartResult, ...]
 
 
+class PartsLate(Message, frozen=True, kw_only=True, tag="parts_late"):
+    """Sub-requests that run for unusually long on their searchers.
+
+    Only the owner can tell a call that runs long from one that has waited
+    long, and only for the first is a second attempt worth its cost.
+
+    Attributes:
+        request_id: The request.
+        parts: The numbers of the sub-requests.
+    """
+
+    request_id: str
+    parts: tuple[int, ...]
+
+
 class SearcherState(msgspec.Struct, frozen=True, array_like=True):
     """What an owner tells the others of one of its searchers.
 
@@ -272,6 +287,7 @@
     QueryBatch
     | Cancel
     | PartResults
+    | PartsLate
     | Heartbeat
     | HeartbeatAck
     | ConfigurationRequest
--- a/src/azureramp/policy/assembly.py
+++ b/src/azureramp/policy/assembly.py
@@ -191,6 +191,10 @@
         """Counts a shard as lost."""
         self.lost.add(progress.shard.name)
 
+    def get_attempt(self, part: int) -> Attempt | None:
+        """Returns a running attempt by its number."""
+        return self._running.get(part)
+
     def get_running(self) -> tuple[Attempt, ...]:
         """Returns the attempts without a result."""
         return tuple(self._running.values())
--- a/src/azureramp/policy/budgets.py
+++ b/src/azureramp/policy/budgets.py
@@ -9,9 +9,10 @@
 class Budget:
     """A share of the needed calls, as tokens.
 
-    At any time, spent <= share * needed + BURST. When a backend server fails,
-    each caller's instinct is to send more; the budget is what keeps the sum of
-    that from finishing off the servers that are left.
+    At any time, spent <= share * needed + what it began with; and in any span
+    of time, at most BURST more than the share of that span. When a backend
+    server fails, each caller's instinct is to send more; the budget is what
+    keeps the sum of that from finishing off the servers that are left.
 
     Attributes:
         spent: How many tokens have been spent.
@@ -19,9 +20,13 @@
 
     __slots__ = ("_tokens", "spent")
 
-    def __init__(self) -> None:
-        """Makes a full budget."""
-        self._tokens = BURST
+    def __init__(self, tokens: float = 0.0) -> None:
+        """Makes a budget.
+
+        Args:
+            tokens: What it has from the start.
+        """
+        self._tokens = tokens
         self.spent = 0
 
     def earn(self, needed: int, share: float) -> None:
@@ -29,9 +34,11 @@
 
         Args:
             needed: How many calls were needed.
-            share: The budget's share, 0 to 1.
+            share: The budget's share, 0 to 1; 0 also ends what was saved.
         """
         self._tokens = min(BURST, self._tokens + needed * share)
+        if share <= 0:
+            self._tokens = 0.0
 
     def can_spend(self) -> bool:
         """Tells whether there is a token."""
--- a/src/azureramp/policy/hedging.py
+++ b/src/azureramp/policy/hedging.py
@@ -6,13 +6,24 @@
 
 from __future__ import annotations
 
+import dataclasses
 import enum
 import math
 
-HEDGE_QUANTILE = 0.95
-"""A sub-request later than this quantile of its shard may be hedged."""
+from azureramp import resources
 
-LOST_FACTOR = 4.0
+HEDGE_QUANTILE = 0.99
+"""A sub-request later than this quantile of its shard may be hedged. Most of
+that time is the queue's: it catches what the owners' own notices can't, such
+as an owner or a link that is late.
+"""
+
+LONG_QUANTILE = 0.98
+"""An owner tells of a call that runs longer than this quantile of its
+searcher's service times, the queue left out.
+"""
+
+LOST_FACTOR = 3.0
 """One later than so many hedge delays is taken for lost: a retry may go out
 too. A VM or a link that went silent loses an eighth of a query's parts at
 once, more than the hedges' budget holds.
@@ -87,58 +98,76 @@
         return float(2 ** (edge / _BUCKETS_PER_OCTAVE + _LOWEST_OCTAVE))
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Place:
+    """Whose times are comparable.
+
+    The owners' queues go by priority, so a deferrable sub-request's time says
+    nothing of an urgent one's.
+
+    Attributes:
+        index: The index.
+        shard: The shard's name.
+        priority: The priority.
+    """
+
+    index: str
+    shard: str
+    priority: resources.Priority
+
+
 class Delays:
-    """The hedge delays of every shard, from own measurements."""
+    """The hedge delays of every shard and priority, from own measurements."""
 
-    __slots__ = ("_by_index", "_by_shard")
+    __slots__ = ("_by_index", "_by_place")
 
-    MOST_SHARDS = 4096
-    """Most shards kept; the one first seen goes first."""
+    MOST_PLACES = 8192
+    """Most places kept; the one first seen goes first."""
 
     def __init__(self) -> None:
         """Makes delays without any measurement."""
-        self._by_shard: dict[tuple[str, str], Sketch] = {}
-        self._by_index: dict[str, Sketch] = {}
+        self._by_place: dict[Place, Sketch] = {}
+        self._by_index: dict[tuple[str, resources.Priority], Sketch] = {}
 
-    def add(self, index: str, shard: str, took_ms: float) -> None:
+    def add(self, place: Place, took_ms: float) -> None:
         """Adds how long a sub-request took, its queue included.
 
         A cancelled loser is added too, with the time until then: it was later
         than the quantile, and leaving it out would pull the quantile down.
         """
-        for sketch in self._find(index, shard):
+        for sketch in self._find(place):
             sketch.add(took_ms)
 
-    def get_ms(self, index: str, shard: str, left_ms: float) -> float:
+    def get_ms(self, place: Place, left_ms: float) -> float:
         """Returns when to hedge a sub-request, in milliseconds after it.
 
         Args:
-            index: The index.
-            shard: The shard's name.
+            place: The sub-request's place.
             left_ms: Time left until the answer is due, in milliseconds.
         """
-        for sketch in self._find(index, shard):
+        for sketch in self._find(place):
             quantile_ms = sketch.get()
             if quantile_ms is not None:
                 return max(SHORTEST_MS, quantile_ms)
         return max(SHORTEST_MS, left_ms * UNKNOWN_SHARE)
 
-    def get_index_ms(self, index: str) -> float:
+    def get_index_ms(self, index: str, priority: resources.Priority) -> float:
         """Returns the high quantile of a whole index; 0 if unknown."""
-        sketch = self._by_index.get(index)
+        sketch = self._by_index.get((index, priority))
         return (sketch.get() if sketch else None) or 0.0
 
-    def _find(self, index: str, shard: str) -> tuple[Sketch, Sketch]:
-        """Finds or makes the sketches of a shard and of its index."""
-        by_shard = self._by_shard.get((index, shard))
-        if by_shard is None:
-            if len(self._by_shard) >= self.MOST_SHARDS:
-                self._by_shard.pop(next(iter(self._by_shard)))
-            by_shard = self._by_shard[index, shard] = Sketch(HEDGE_QUANTILE)
-        by_index = self._by_index.get(index)
+    def _find(self, place: Place) -> tuple[Sketch, Sketch]:
+        """Finds or makes the sketches of a place and of its index."""
+        by_place = self._by_place.get(place)
+        if by_place is None:
+            if len(self._by_place) >= self.MOST_PLACES:
+                self._by_place.pop(next(iter(self._by_place)))
+            by_place = self._by_place[place] = Sketch(HEDGE_QUANTILE)
+        key = (place.index, place.priority)
+        by_index = self._by_index.get(key)
         if by_index is None:
-            by_index = self._by_index[index] = Sketch(HEDGE_QUANTILE)
-        return by_shard, by_index
+            by_index = self._by_index[key] = Sketch(HEDGE_QUANTILE)
+        return by_place, by_index
 
 
 class Step(enum.Enum):
--- a/tests/controllers/test_gathering.py
+++ b/tests/controllers/test_gathering.py
@@ -9,7 +9,8 @@
 import msgspec
 import pytest
 
-from azureramp import errors, events, messages
+from azureramp import errors, events, messages, resources
+from azureramp.policy import hedging
 from tests.controllers import query_cell
 
 BOUNDS = (0, 150, 300, 600)
@@ -112,8 +113,9 @@
     async def main() -> tuple[messages.QueryAnswer, list[int]]:
         cell = make_repartitioned(serving)
         cell.delay_s = 0.001
+        place = hedging.Place("cover", "1", resources.Priority.URGENT)
         for _ in range(30):
-            cell.coordinator._dispatcher.measured.delays.add("cover", "1", 9)
+            cell.coordinator._dispatcher.measured.delays.add(place, 9)
         query = cell.make_query(deadline_ms=deadline_ms)
         answer = (await cell.coordinator.query(query)).ok
         return answer, get_pinned(cell)
