--- a/src/azureramp/messages.py
+++ b/src/azureramp/messages.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from azureramp import resources
@@ -199,12 +201,17 @@
         sequence: The heartbeat's sequence.
         granted: True if the answerer promises to see no other owner of the
             sender's searchers before the lease has run out.
-        revision: The answerer's configuration revision.
+        revision: The answerer's configuration revision; 0 while it has none
+            of its own right, so that it counts towards no majority.
+        confirmed_age_ms: As in a heartbeat, of the answerer.
+        incarnation: The answerer's incarnation.
     """
 
     sequence: int
     granted: bool
     revision: int
+    confirmed_age_ms: float = math.inf
+    incarnation: int = 0
 
 
 class ConfigurationRequest(
@@ -248,6 +255,8 @@
             many free until `HandoffDone`, or until the old lease ran out.
         limit: The cold ramp's limit.
         service_ms: The median service time, in milliseconds.
+        running_ms: The longest time that what still runs may take, in
+            milliseconds: each call ends at its deadline.
     """
 
     searcher: str
@@ -255,6 +264,7 @@
     in_use: int
     limit: int
     service_ms: float
+    running_ms: float = 0.0
 
 
 class HandoffDone(Message, frozen=True, kw_only=True, tag="handoff_done"):
@@ -381,6 +391,24 @@
     lifetime_ms: int
 
 
+class FieldProblem(msgspec.Struct, frozen=True, kw_only=True):
+    """One rule that one field of a resource breaks.
+
+    Attributes:
+        field: The field's path, such as `shards[1].low`.
+        rule: The rule's stable code.
+        value: The value that breaks it, or what it should be.
+        text_en: The rule in English.
+        text_hu: The rule in Hungarian.
+    """
+
+    field: str
+    rule: str
+    value: str
+    text_en: str
+    text_hu: str
+
+
 class ErrorAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """The body of every answer that is an error.
 
@@ -395,6 +423,7 @@
         request_id: The request, if one was admitted.
         addresses: Other entry VMs to use, `IP:port`.
         present: The state that a stale change ran into, if any.
+        problems: What is wrong with a resource, by field.
     """
 
     code: str
@@ -407,3 +436,4 @@
     request_id: str = ""
     addresses: tuple[str, ...] = ()
     present: resources.Versioned | None = None
+    problems: tuple[FieldProblem, ...] = ()
