--- a/src/azureramp/controllers/late_notices.py
+++ b/src/azureramp/controllers/late_notices.py
@@ -46,21 +46,21 @@
         self._sketches: dict[str, hedging.Sketch] = {}
 
     def begin(
-        self, searcher: str, coordinator: str, request_id: str, part: int
+        self, searcher: str, coordinator: str, key: tuple[str, int]
     ) -> Running:
         """Begins to watch a call whose first byte is about to be written.
 
         Args:
             searcher: The searcher's name.
             coordinator: The VM that asked.
-            request_id: The request.
-            part: The sub-request's number.
+            key: The request's id and the sub-request's number.
         """
         loop = asyncio.get_running_loop()
         sketch = self._sketches.get(searcher)
         long_ms = sketch.get() if sketch else None
         timer = None
         if long_ms is not None:
+            request_id, part = key
             late = messages.PartsLate(request_id=request_id, parts=(part,))
             timer = loop.call_later(
                 long_ms / 1000, self._outbox.send, coordinator, late
--- a/src/azureramp/controllers/owner.py
+++ b/src/azureramp/controllers/owner.py
@@ -11,6 +11,7 @@
 from azureramp.controllers import (
     directory,
     handoffs,
+    late_notices,
     owned_searcher,
     ownership_changes,
     part_runner,
@@ -79,6 +80,7 @@
             self._poisoning,
             self._prober,
             replies.Replies(outbox),
+            late_notices.LateNotices(outbox),
         )
         self._runner.on_released = self._handoffs.end_part
         self._once: once.Once[tuple[str, int]] = once.Once(ONCE_S, MAX_ONCE)
--- a/src/azureramp/controllers/part_runner.py
+++ b/src/azureramp/controllers/part_runner.py
@@ -12,6 +12,7 @@
 from azureramp.controllers import (
     directory,
     dispatch_rules,
+    late_notices,
     owned_searcher,
     poisoning,
     probing,
@@ -43,6 +44,7 @@
         "_board",
         "_directory",
         "_holdings",
+        "_late",
         "_poisoning",
         "_port",
         "_prober",
@@ -61,8 +63,10 @@
         suspects: poisoning.Poisoning,
         prober: probing.Prober,
         answers: replies.Replies,
+        late: late_notices.LateNotices,
     ) -> None:
         """Makes a runner with nothing to run."""
+        self._late = late
         self._board = board
         self._port = port
         self._directory = places
@@ -192,6 +196,9 @@
         finally:
             owned.running.pop(part.key, None)
             part.task = None
+            if part.watch is not None:
+                self._late.end(part.watch)
+                part.watch = None
             if part.again:
                 self.take(part)
             elif not ended:
@@ -217,6 +224,9 @@
                 part.sent = True
                 part.sent_s = _now_s()
                 part.epoch = owned.ramp.epoch
+                part.watch = self._late.begin(
+                    owned.get_name(), part.coordinator, part.key
+                )
                 self._board.metrics.count("searcher.calls")
                 self._board.timeline.record(
                     owned.make_dispatched(part, self._board.lease_until_s),
--- a/src/azureramp/controllers/parts.py
+++ b/src/azureramp/controllers/parts.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from azureramp import errors, messages
+from azureramp.controllers import late_notices
 from azureramp.policy import connections
 from azureramp.ports.searchers import api as searchers_api
 
@@ -28,6 +29,7 @@
         again: True if it must be queued again.
         unwanted: True if its coordinator has cancelled it.
         task: The task that runs it; None while it waits.
+        watch: Tells the coordinator if it runs long; None while unsent.
     """
 
     coordinator: str
@@ -43,6 +45,7 @@
     again: bool = False
     unwanted: bool = False
     task: asyncio.Task[None] | None = None
+    watch: late_notices.Running | None = None
 
     def make_call(
         self, address: str, left_s: float, usual_ms: float
