--- a/src/azureramp/controllers/dispatching.py
+++ b/src/azureramp/controllers/dispatching.py
@@ -6,11 +6,11 @@
 import dataclasses
 from collections.abc import Callable, Collection, Iterable
 
-import expression
-
-from azureramp import blackboard, errors, events, messages, resources
+from azureramp import blackboard, events, messages, resources
+from azureramp.controllers import measurements as measurements_module
 from azureramp.controllers import outbox as outbox_controller
-from azureramp.policy import deadlines, snapshots, topology
+from azureramp.controllers import searcher_view
+from azureramp.policy import assembly, deadlines, topology
 
 Receiver = Callable[[messages.PartResult], None]
 
@@ -42,82 +42,38 @@
     answer_s: float
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Attempt:
-    """One sub-request that was sent.
+class Dispatcher:
+    """Sends sub-requests, and hands each result to its request.
 
     Attributes:
-        part: Its number, unique within the request.
-        shard: Its shard.
-        searcher: The searcher's name.
-        owner: The VM that it was sent to.
-        sent_s: When.
-        reason: `first`, `hedge` or `retry`.
+        measured: What was measured of the searchers.
+        viewer: What is known of the searchers now.
     """
 
-    part: int
-    shard: resources.Shard
-    searcher: str
-    owner: str
-    sent_s: float
-    reason: str
-
-
-class Dispatcher:
-    """Sends sub-requests, and hands each result to its request."""
-
     __slots__ = (
         "_board",
         "_outbox",
         "_receivers",
-        "_rolled_out",
-        "_topology",
-        "_topology_key",
+        "measured",
+        "viewer",
     )
 
     def __init__(
-        self, board: blackboard.Blackboard, outbox: outbox_controller.Outbox
+        self,
+        board: blackboard.Blackboard,
+        outbox: outbox_controller.Outbox,
+        measured: measurements_module.Measurements,
     ) -> None:
         """Makes a dispatcher without requests."""
+        self.measured = measured
         self._board = board
         self._outbox = outbox
         self._receivers: dict[str, Receiver] = {}
-        self._rolled_out: dict[str, int] = {}
-        self._topology = topology.build(board.configuration)
-        self._topology_key = (board.configuration, board.configuration.revision)
+        self.viewer = searcher_view.Viewer(board)
 
     def get_topology(self) -> topology.Topology:
-        """Returns the configuration in force, indexed once a revision."""
-        configuration = self._board.configuration
-        key = (configuration, configuration.revision)
-        if key != self._topology_key:
-            self._topology = topology.build(configuration)
-            self._topology_key = key
-        return self._topology
-
-    def is_owned(self, searcher: str) -> bool:
-        """Tells whether a searcher has an owner VM to send to."""
-        owner = self._board.owners.get(searcher)
-        return owner is not None and owner in self._board.members
-
-    def pin(
-        self, index: str, after: int = 0
-    ) -> expression.Result[snapshots.Snapshot, errors.Failure]:
-        """Pins the version that a request reads; see `snapshots.choose`."""
-        table = self.get_topology()
-        pinned = snapshots.choose(
-            table.maps.get(index, ()),
-            table.sites,
-            self._board.get_searcher_states(),
-            self.is_owned,
-            rolled_out=self._rolled_out.get(index, 0),
-            after=after,
-        )
-        match pinned:
-            case expression.Result(tag="ok", ok=snapshot):
-                if snapshots.has_enough(snapshot):
-                    self._rolled_out[index] = snapshot.shard_map.version
-        return pinned
+        """Returns the configuration in force, indexed."""
+        return self.viewer.get().table
 
     def register(self, request_id: str, receiver: Receiver) -> None:
         """Begins to hand a request's results to its receiver."""
@@ -137,17 +93,75 @@
         for result in results.results:
             receiver(result)
 
+    def choose(
+        self,
+        view: searcher_view.View,
+        candidates: Collection[str],
+        avoided: Collection[str],
+    ) -> str | None:
+        """Chooses a searcher.
+
+        Args:
+            view: What is known of the searchers.
+            candidates: The searchers' names.
+            avoided: Backend servers to use only if there is no other.
+        """
+        sites = view.table.sites
+        known = [name for name in candidates if name in sites]
+        apart = [n for n in known if sites[n].server not in avoided]
+        if not known:
+            return None
+        return self.measured.scoreboard.choose(
+            apart or known,
+            view.states,
+            asyncio.get_running_loop().time(),
+            self.measured.random,
+        )
+
     def make_attempt(
-        self, part: int, shard: resources.Shard, searcher: str, reason: str
-    ) -> Attempt:
+        self,
+        view: searcher_view.View,
+        part: int,
+        shard: resources.Shard,
+        searcher: str,
+        reason: str,
+    ) -> assembly.Attempt:
         """Makes an attempt for a searcher that has an owner."""
-        now_s = asyncio.get_running_loop().time()
         owner = self._board.owners[searcher]
-        return Attempt(part, shard, searcher, owner, now_s, reason)
+        return assembly.Attempt(
+            part=part,
+            shard=shard,
+            searcher=searcher,
+            server=view.table.sites[searcher].server,
+            owner=owner,
+            owner_incarnation=self._board.members[owner].incarnation,
+            sent_s=asyncio.get_running_loop().time(),
+            reason=reason,
+        )
+
+    def has_moved(self, attempt: assembly.Attempt) -> bool:
+        """Tells whether an attempt's searcher has another owner by now."""
+        return self._board.owners.get(attempt.searcher) != attempt.owner
+
+    def is_owner_lost(self, attempt: assembly.Attempt) -> bool:
+        """Tells whether an attempt's owner has gone with the attempt.
+
+        A VM that restarted has forgotten it; one that is no longer heard
+        will not answer, or too late.
+        """
+        member = self._board.members.get(attempt.owner)
+        if member is None:
+            return True
+        if member.incarnation != attempt.owner_incarnation:
+            return attempt.owner_incarnation != 0
+        return member.state in (
+            blackboard.MemberState.SUSPECT,
+            blackboard.MemberState.GONE,
+        )
 
     def send(
-        self, header: Header, attempts: Iterable[Attempt]
-    ) -> list[Attempt]:
+        self, header: Header, attempts: Iterable[assembly.Attempt]
+    ) -> list[assembly.Attempt]:
         """Sends attempts, all of one owner in one message.
 
         Args:
@@ -157,19 +171,22 @@
         Returns:
             Those that could not be sent, since their owner is not known.
         """
-        by_owner: dict[str, list[Attempt]] = {}
+        by_owner: dict[str, list[assembly.Attempt]] = {}
         for attempt in attempts:
             by_owner.setdefault(attempt.owner, []).append(attempt)
-        unsent: list[Attempt] = []
+        unsent: list[assembly.Attempt] = []
         for owner, group in by_owner.items():
             if not self._outbox.send(owner, self._make_batch(header, group)):
                 unsent.extend(group)
                 continue
             for attempt in group:
+                self.measured.scoreboard.begin(attempt.searcher)
                 self._record_chosen(header, attempt)
         return unsent
 
-    def cancel(self, request_id: str, attempts: Collection[Attempt]) -> None:
+    def cancel(
+        self, request_id: str, attempts: Collection[assembly.Attempt]
+    ) -> None:
         """Tells the owners that nobody waits for some attempts any more."""
         by_owner: dict[str, list[int]] = {}
         for attempt in attempts:
@@ -179,7 +196,7 @@
             self._outbox.send(owner, message)
 
     def _make_batch(
-        self, header: Header, group: list[Attempt]
+        self, header: Header, group: list[assembly.Attempt]
     ) -> messages.QueryBatch:
         """Makes the message for one owner."""
         now_s = asyncio.get_running_loop().time()
@@ -205,7 +222,7 @@
             ),
         )
 
-    def _record_chosen(self, header: Header, attempt: Attempt) -> None:
+    def _record_chosen(self, header: Header, attempt: assembly.Attempt) -> None:
         """Records who was chosen."""
         event = events.PartChosen(
             request_id=header.request_id,
