--- a/src/azureramp/controllers/members.py
+++ b/src/azureramp/controllers/members.py
@@ -61,6 +61,27 @@
         if message.leaving:
             self._left.add(member.vm.name)
 
+    def take_acknowledgement(
+        self, sender: str, sent_s: float, message: messages.HeartbeatAck
+    ) -> None:
+        """Keeps what the newest acknowledgement says of the configuration.
+
+        All of it counts from the sending of the heartbeat: however late the
+        acknowledgement is, it was true then or later. Late ones of an
+        earlier heartbeat, or of a process that has gone, change nothing.
+        """
+        member = self._board.members.get(sender)
+        if member is None or sent_s < member.acknowledged_s:
+            return
+        if message.incarnation < member.acknowledged_incarnation:
+            return
+        member.acknowledged_s = sent_s
+        member.acknowledged_revision = message.revision
+        member.acknowledged_incarnation = message.incarnation
+        member.acknowledged_confirmed_s = (
+            sent_s - message.confirmed_age_ms / 1000
+        )
+
     def take_list(self, listed: Mapping[str, vmlist_api.Vm]) -> None:
         """Brings the members up to a VM list.
 
--- a/src/azureramp/controllers/membership.py
+++ b/src/azureramp/controllers/membership.py
@@ -16,6 +16,11 @@
 from azureramp.policy import membership as policy
 from azureramp.ports.vmlist import api as vmlist_api
 
+SEQUENCE_BITS = 10
+"""How far an incarnation is shifted to give the first sequence number. It
+counts microseconds, and a process sends far fewer than 1024 heartbeats in
+each."""
+
 _logger = logbook.Logger("azureramp.membership")
 
 
@@ -53,7 +58,9 @@
         self._ownership: ownership.Ownership | None = None
         self._started_s = math.inf
         self._due_s = math.inf
-        self._sequence = 0
+        # An acknowledgement of the last process's heartbeat may still be on
+        # its way: with numbers that start anew it would pass for one of ours.
+        self._sequence = board.incarnation << SEQUENCE_BITS
         self._stale = False
         self.on_owners: Callable[[], None] | None = None
 
@@ -89,7 +96,11 @@
         self, sender: str, message: messages.HeartbeatAck
     ) -> None:
         """Counts an acknowledgement towards the lease."""
-        if not self._stale and self._ownership is not None:
+        if self._stale or self._ownership is None:
+            return
+        sent_s = self._ownership.lease.get_sent_s(message.sequence)
+        if sent_s is not None:
+            self._members.take_acknowledgement(sender, sent_s, message)
             self._ownership.record_ack(sender, message, _now_s())
 
     async def run(self) -> None:
@@ -227,15 +238,10 @@
         if self._ownership is None:
             return
         now_s = _now_s()
-        if self._members.leaving:
-            ack = messages.HeartbeatAck(
-                sequence=message.sequence,
-                granted=False,
-                revision=self._board.configuration.revision,
-            )
-        else:
-            holder = leases.Holder(sender, member.incarnation)
-            ack = self._ownership.grant(holder, message, now_s)
+        holder = leases.Holder(sender, member.incarnation)
+        ack = self._ownership.grant(
+            holder, message, now_s, leaving=self._members.leaving
+        )
         if ack.granted:
             member.may_own_until_s = now_s + message.lease_ms / 1000
         self._outbox.send(sender, ack)
--- a/src/azureramp/controllers/ownership.py
+++ b/src/azureramp/controllers/ownership.py
@@ -52,18 +52,34 @@
         self.on_owners: Callable[[], None] | None = None
 
     def grant(
-        self, holder: leases.Holder, message: messages.Heartbeat, now_s: float
+        self,
+        holder: leases.Holder,
+        message: messages.Heartbeat,
+        now_s: float,
+        *,
+        leaving: bool = False,
     ) -> messages.HeartbeatAck:
-        """Answers a heartbeat, and promises what can be promised."""
-        refused = self._promises.grant(
-            holder, message.claims, message.lease_ms / 1000, now_s
-        )
+        """Answers a heartbeat, and promises what can be promised.
+
+        Args:
+            holder: Who sent it.
+            message: The heartbeat.
+            now_s: The time of its arrival.
+            leaving: True if this VM shuts down; then it promises nothing.
+        """
+        refused = None
+        if not leaving:
+            refused = self._promises.grant(
+                holder, message.claims, message.lease_ms / 1000, now_s
+            )
         return messages.HeartbeatAck(
             sequence=message.sequence,
             granted=refused is not None,
             revision=self._board.configuration.revision,
             refused=tuple(refused or ()),
             lists=self.window.get_hashes(),
+            confirmed_age_ms=(now_s - self._board.confirmed_s) * 1000,
+            incarnation=self._board.incarnation,
         )
 
     def record_ack(
--- a/src/azureramp/invariants/history.py
+++ b/src/azureramp/invariants/history.py
@@ -19,7 +19,9 @@
         zone: The backend server's availability zone.
         version: The index version asked for.
         in_use: Requests in it, this one included.
-        cold_limit: Its bound while cold; None while it is warm.
+        cold_limit: Its bound while cold; None while it is warm, and from
+            turning cold without a word to its first sign of that: before it
+            nobody else can know.
         idempotency_key: The key of a request that may not be repeated.
         is_probe: True for a read of its health, which is no work.
     """
