--- a/src/azureramp/controllers/membership.py
+++ b/src/azureramp/controllers/membership.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 
 import logbook
-import msgspec
 
 from azureramp import blackboard, messages
 from azureramp.controllers import members as members_module
@@ -17,6 +16,11 @@
 from azureramp.policy import membership as policy
 from azureramp.ports.vmlist import api as vmlist_api
 
+SEQUENCE_BITS = 10
+"""How far an incarnation is shifted to give the first sequence number. It
+counts microseconds, and a process sends far fewer than 1024 heartbeats in
+each."""
+
 _logger = logbook.Logger("azureramp.membership")
 
 
@@ -56,7 +60,7 @@
         self._due_s = math.inf
         # An acknowledgement of the last process's heartbeat may still be on
         # its way: with numbers that start anew it would pass for one of ours.
-        self._sequence = board.incarnation << 10
+        self._sequence = board.incarnation << SEQUENCE_BITS
         self._stale = False
         self.on_owners: Callable[[], None] | None = None
 
@@ -97,7 +101,7 @@
         sent_s = self._ownership.lease.get_sent_s(message.sequence)
         if sent_s is not None:
             self._members.take_acknowledgement(sender, sent_s, message)
-        self._ownership.record_ack(sender, message, _now_s())
+            self._ownership.record_ack(sender, message, _now_s())
 
     async def run(self) -> None:
         """Reads the list and sends heartbeats, forever."""
@@ -234,22 +238,12 @@
         if self._ownership is None:
             return
         now_s = _now_s()
-        if self._members.leaving:
-            ack = messages.HeartbeatAck(
-                sequence=message.sequence,
-                granted=False,
-                revision=self._board.configuration.revision,
-            )
-        else:
-            holder = leases.Holder(sender, member.incarnation)
-            ack = self._ownership.grant(holder, message, now_s)
+        holder = leases.Holder(sender, member.incarnation)
+        ack = self._ownership.grant(
+            holder, message, now_s, leaving=self._members.leaving
+        )
         if ack.granted:
             member.may_own_until_s = now_s + message.lease_ms / 1000
-        ack = msgspec.structs.replace(
-            ack,
-            confirmed_age_ms=(now_s - self._board.confirmed_s) * 1000,
-            incarnation=self._board.incarnation,
-        )
         self._outbox.send(sender, ack)
 
 
--- a/src/azureramp/policy/leases.py
+++ b/src/azureramp/policy/leases.py
@@ -163,11 +163,6 @@
         """Returns what is claimed."""
         return self._claims
 
-    def get_sent_s(self, sequence: int) -> float | None:
-        """Returns when a heartbeat was sent; None once that is forgotten."""
-        sent = self._sent.get(sequence)
-        return None if sent is None else sent.at_s
-
     def record_sent(self, sequence: int, now_s: float) -> None:
         """Takes note that a heartbeat is about to be sent."""
         oldest_s = now_s - self._lease_s
@@ -175,6 +170,11 @@
             del self._sent[number]
         self._sent[sequence] = Sent(now_s, self._claims)
 
+    def get_sent_s(self, sequence: int) -> float | None:
+        """Returns when a heartbeat was sent; None if it is too long ago."""
+        sent = self._sent.get(sequence)
+        return None if sent is None else sent.at_s
+
     def record_ack(
         self, voter: str, sequence: int, refused: Collection[int]
     ) -> None:
