--- a/src/azureramp/controllers/idempotency.py
+++ b/src/azureramp/controllers/idempotency.py
@@ -124,7 +124,7 @@
             outcome = await self._claimer.claim(store_key, claim)
         finally:
             if not isinstance(outcome, int):
-                self._quota.give_back(0)
+                self._quota.give_back(record_bounds.OVERHEAD_BYTES)
                 self._outcomes.close_claim(claim.group)
         if not isinstance(outcome, int):
             return self._answer(key, outcome)
@@ -142,14 +142,14 @@
     async def finish(self, claimed: Claimed, result: bytes) -> None:
         """Records the outcome; waits for it for a short time only."""
         outcome = idempotency.make_finished(result)
-        self._quota.give_back(len(outcome.result))
+        self._give_back(claimed, outcome)
         self._record(claimed.idempotency_key, claimed.record, "finished")
         await self._save(claimed, outcome)
 
     async def mark_unknown(self, claimed: Claimed) -> None:
         """Records that the request may have run."""
         outcome = idempotency.Outcome(state=idempotency.State.UNKNOWN)
-        self._quota.give_back(0)
+        self._give_back(claimed, outcome)
         self._record(claimed.idempotency_key, claimed.record, "unknown")
         await self._save(claimed, outcome)
 
@@ -157,7 +157,7 @@
         """Gives a claim back, in the background; only if nothing ran."""
         record = idempotency.change(claimed.record, idempotency.State.RELEASED)
         self._memory.drop(claimed)
-        self._quota.give_back(0)
+        self._give_back(claimed, None)
         self._releases.add(
             record_releases.Release(claimed.store_key, record, claimed.revision)
         )
@@ -207,6 +207,17 @@
             group=self._outcomes.name_group(),
         )
 
+    def _give_back(
+        self, claimed: Claimed, outcome: idempotency.Outcome | None
+    ) -> None:
+        """Gives the room back that a claim turned out not to need."""
+        record = idempotency.encode(claimed.record)
+        stored = len(claimed.store_key) + len(record)
+        if outcome is not None:
+            nonce = claimed.record.nonce
+            stored += len(idempotency.encode_group({nonce: outcome}))
+        self._quota.give_back(stored)
+
     def _check_room(self, now_s: float) -> errors.Failure | None:
         """Refuses a claim that would pass a bound."""
         if self._memory.is_full(now_s):
@@ -224,7 +235,7 @@
             return errors.Failure(
                 errors.Kind.OVERLOADED,
                 "the records' share of the store's room is used up",
-                int(wait_s * 1000),
+                int(wait_s * 1000) + self._rng.randrange(*SPREAD_MS),
             )
         return None
 
--- a/src/azureramp/controllers/record_releases.py
+++ b/src/azureramp/controllers/record_releases.py
@@ -1,9 +1,9 @@
 """Releases idempotency records, again and again until it is settled.
 
 A release must reach the store even if the store is down now. Releases wait
-here in memory. One that failed is overdue: overdue ones are written at a
-bounded rate, so that the return of the service does not meet all that piled
-up on all VMs at once.
+here in memory. What could not be written at once is overdue: that is written
+at a bounded rate, so that the return of the service does not meet all that
+piled up on all VMs at once.
 """
 
 from __future__ import annotations
@@ -35,7 +35,7 @@
         store_key: The record's key in the store.
         record: What to write.
         expected: The revision that it replaces, as far as known.
-        overdue: True once a write of it has failed.
+        overdue: True if it could not be written when it was asked for.
         done: Set once it is settled.
     """
 
@@ -87,6 +87,7 @@
         Releases of one key are kept apart by their claims' nonces: two
         claims of this VM may both be on their way, and either may land.
         """
+        release.overdue = not self._writer.backoff.is_open()
         self.waiting[release.record.nonce] = release
         while len(self.waiting) > MAX_WAITING:
             _, dropped = self.waiting.popitem(last=False)
@@ -145,7 +146,7 @@
                 release.expected,
             )
             if result.is_error():
-                release.overdue = True
+                self._mark_overdue(release)
                 return
             match result.ok:
                 case api.Written():
@@ -156,6 +157,13 @@
             del self._running[release.record.nonce]
             self._wake.set()
 
+    def _mark_overdue(self, failed: Release) -> None:
+        """Marks what can't be written in time: in an outage, everything."""
+        failed.overdue = True
+        if not self._writer.backoff.is_open():
+            for release in self.waiting.values():
+                release.overdue = True
+
     def _meet(self, release: Release, present: api.Entry | None) -> None:
         """Goes on after a conflict: over the claim, or not at all."""
         if present is not None:
--- a/src/azureramp/ports/vmlist/memory.py
+++ b/src/azureramp/ports/vmlist/memory.py
@@ -16,21 +16,24 @@
     Attributes:
         vms: The VMs by name.
         down: Reads fail.
+        reads: How many reads there were.
         delay_s: Time that a read takes, in seconds.
     """
 
-    __slots__ = ("delay_s", "down", "vms")
+    __slots__ = ("delay_s", "down", "reads", "vms")
 
     def __init__(self, *vms: api.Vm) -> None:
         """Makes a list of these VMs."""
         self.vms = {vm.name: vm for vm in vms}
         self.down = False
+        self.reads = 0
         self.delay_s = 0.0
 
     async def read(
         self,
     ) -> expression.Result[tuple[api.Vm, ...], errors.Failure]:
         """Reads the VMs; see `api.VmList`."""
+        self.reads += 1
         await asyncio.sleep(self.delay_s)
         if self.down:
             kind = errors.Kind.STORE_UNAVAILABLE
