--- a/src/azureramp/controllers/part_runner.py
+++ b/src/azureramp/controllers/part_runner.py
@@ -12,6 +12,7 @@
 from azureramp.controllers import (
     directory,
     dispatch_rules,
+    late_notices,
     owned_searcher,
     poisoning,
     probing,
@@ -43,6 +44,7 @@
         "_board",
         "_directory",
         "_holdings",
+        "_late",
         "_poisoning",
         "_port",
         "_prober",
@@ -61,8 +63,10 @@
         suspects: poisoning.Poisoning,
         prober: probing.Prober,
         answers: replies.Replies,
+        late: late_notices.LateNotices,
     ) -> None:
         """Makes a runner with nothing to run."""
+        self._late = late
         self._board = board
         self._port = port
         self._directory = places
@@ -100,6 +104,7 @@
         if part.sent and not part.batch.repeatable:
             return
         part.unwanted = True
+        part.again = False
         if part.task is not None:
             part.task.cancel()
             return
@@ -109,6 +114,25 @@
         owned.queue.remove(part)
         self.fail(part, errors.Failure(errors.Kind.CANCELLED))
 
+    def isolate(self, fingerprint: int, server: str) -> None:
+        """Stops a request that became a suspect, to run it alone.
+
+        Its sub-requests run side by side on many servers when the first of
+        them crashes. Those that haven't crashed theirs yet are taken back
+        and go on one at a time; so an innocent request, that was only in
+        flight beside a poison one, loses some time and nothing else.
+        """
+        for owned, part in tuple(self._holdings.parts.values()):
+            if (
+                part.batch.fingerprint == fingerprint
+                and part.task is not None
+                and part.batch.repeatable
+                and not part.alone
+                and owned.place.server.name != server
+            ):
+                part.again = True
+                part.task.cancel()
+
     def pump(self, owned: OwnedSearcher) -> None:
         """Starts as many sub-requests as there is room for."""
         now_s = _now_s()
@@ -183,7 +207,6 @@
                 await self._end(owned, part, result)
                 ended = True
         except asyncio.CancelledError:
-            part.again = False
             self._take_unanswered(owned, part)
         except Exception:
             # A fault of this program must not hold a slot for good.
@@ -192,6 +215,9 @@
         finally:
             owned.running.pop(part.key, None)
             part.task = None
+            if part.watch is not None:
+                self._late.end(part.watch)
+                part.watch = None
             if part.again:
                 self.take(part)
             elif not ended:
@@ -217,6 +243,9 @@
                 part.sent = True
                 part.sent_s = _now_s()
                 part.epoch = owned.ramp.epoch
+                part.watch = self._late.begin(
+                    owned.get_name(), part.coordinator, part.key
+                )
                 self._board.metrics.count("searcher.calls")
                 self._board.timeline.record(
                     owned.make_dispatched(part, self._board.lease_until_s),
