Wait for a client's end instead of asking for it, and split the server

The server asked every 50 ms, by one more task for each request, whether the client had gone. The stream's protocol now tells it in that moment. Reading a request and serving a connection are modules of their own. A stopping server waits a quarter of a second on idle connections for a request that is on its way, and a client that doesn't read its response is cut after 10 s.

--- /dev/null
+++ b/src/azureramp/ports/web/request_reader.py
@@ -0,0 +1,155 @@
+"""Reading whole HTTP requests from a client, by h11."""
+
+from __future__ import annotations
+
+import asyncio
+import urllib.parse
+
+import h11
+
+from azureramp.ports.web import api
+
+MAX_BODY_BYTES = 1_000_000
+IDLE_S = 60.0
+"""Longest time between two requests on one connection, in seconds."""
+
+LINGER_S = 0.25
+"""Longest time that a stopping server waits on an idle connection for a
+request that is on its way, in seconds."""
+
+REQUEST_S = 10.0
+"""Longest time from a request's first byte to its last, in seconds."""
+
+READ_BYTES = 65536
+
+
+class BadRequestError(Exception):
+    """A request that can't be taken; the connection closes after it."""
+
+    def __init__(self, status: int, detail: str) -> None:
+        """Keeps the HTTP status and the words."""
+        super().__init__(detail)
+        self.status = status
+        self.detail = detail
+
+
+class IdleError(Exception):
+    """The client has gone, or sent nothing for too long."""
+
+
+class RequestReader:
+    """Reads one client's requests, one after another."""
+
+    __slots__ = (
+        "_began",
+        "_http",
+        "_reader",
+        "_stopping",
+        "_timeout",
+        "_until_s",
+        "_writer",
+    )
+
+    def __init__(
+        self,
+        http: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Makes a reader of one connection."""
+        self._http = http
+        self._reader = reader
+        self._writer = writer
+        self._began = False
+        self._stopping = False
+        self._until_s = 0.0
+        self._timeout: asyncio.Timeout | None = None
+
+    def stop(self) -> None:
+        """Ends the wait for the next request soon; one begun is read.
+
+        A request may be on its way on a connection that looks idle here.
+        Closing at once would cut it off unread, so it gets a moment.
+        """
+        self._stopping = True
+        if self._timeout is not None and not self._began:
+            loop = asyncio.get_running_loop()
+            self._timeout.reschedule(loop.time() + LINGER_S)
+
+    async def read(self) -> api.Request:
+        """Reads one request.
+
+        Raises:
+            IdleError: The client closed, or sent nothing in time.
+            BadRequestError: The request is too large, too slow or invalid.
+            h11.RemoteProtocolError: It is not HTTP.
+        """
+        loop = asyncio.get_running_loop()
+        self._began = False
+        self._until_s = loop.time() + (LINGER_S if self._stopping else IDLE_S)
+        head: h11.Request | None = None
+        body = bytearray()
+        while True:
+            match self._http.next_event():
+                case h11.NEED_DATA:
+                    await self._receive()
+                case h11.Request() as event:
+                    head = event
+                    self._begin()
+                case h11.Data() as event:
+                    body += event.data
+                    if len(body) > MAX_BODY_BYTES:
+                        raise BadRequestError(413, "the body is too large")
+                case h11.EndOfMessage() if head is not None:
+                    return parse_request(head, bytes(body))
+                case _:
+                    raise IdleError
+
+    async def _receive(self) -> None:
+        """Waits for bytes and gives them to h11."""
+        if self._http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            self._writer.write(self._http.send(go_on) or b"")
+        try:
+            async with asyncio.timeout_at(self._until_s) as self._timeout:
+                data = await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            if not self._began:
+                raise IdleError from None
+            raise BadRequestError(408, "the request took too long") from None
+        finally:
+            self._timeout = None
+        if data:
+            self._begin()
+        self._http.receive_data(data)
+
+    def _begin(self) -> None:
+        """Takes in that a request's first bytes have come."""
+        if not self._began:
+            self._began = True
+            now_s = asyncio.get_running_loop().time()
+            self._until_s = now_s + REQUEST_S
+
+
+def parse_request(head: h11.Request, body: bytes) -> api.Request:
+    """Makes a request of h11's.
+
+    Raises:
+        BadRequestError: The target or a header is not valid text.
+    """
+    try:
+        target = head.target.decode("ascii")
+        parts = urllib.parse.urlsplit(target)
+        path = urllib.parse.unquote(parts.path, errors="strict")
+        pairs = urllib.parse.parse_qsl(
+            parts.query, keep_blank_values=True, errors="strict"
+        )
+    except ValueError as error:
+        raise BadRequestError(400, f"bad target: {error}") from None
+    headers = {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in head.headers
+    }
+    return api.Request(
+        head.method.decode("ascii").upper(), path, dict(pairs), headers, body
+    )
--- /dev/null
+++ b/src/azureramp/ports/web/server_connection.py
@@ -0,0 +1,175 @@
+"""One client's connection to the server."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+import h11
+import logbook
+
+from azureramp.ports.web import api, request_reader
+
+MAX_HEADER_BYTES = 16_384
+WRITE_S = 10.0
+"""Longest time that a client may take to read a response, in seconds."""
+
+_logger = logbook.Logger("azureramp.web")
+
+
+class ClientProtocol(asyncio.StreamReaderProtocol):
+    """A stream's protocol that tells at once that the client has gone.
+
+    Attributes:
+        on_gone: Called in that moment, once; None while nobody asks.
+    """
+
+    on_gone: Callable[[], object] | None = None
+    _gone = False
+
+    def has_gone(self) -> bool:
+        """Tells whether the client has closed its side, or was lost."""
+        return self._gone
+
+    def eof_received(self) -> bool | None:
+        """Takes the end of the client's stream."""
+        self._go()
+        return super().eof_received()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Takes the connection's end."""
+        self._go()
+        super().connection_lost(exc)
+
+    def _go(self) -> None:
+        """Tells whoever asks."""
+        self._gone = True
+        on_gone, self.on_gone = self.on_gone, None
+        if on_gone is not None:
+            on_gone()
+
+
+class ServerConnection:
+    """Serves one client until it goes or the server stops."""
+
+    __slots__ = (
+        "_handler",
+        "_http",
+        "_protocol",
+        "_requests",
+        "_stopping",
+        "_writer",
+    )
+
+    def __init__(
+        self,
+        handler: api.Handler,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        protocol: ClientProtocol,
+    ) -> None:
+        """Makes the server's side of a connection."""
+        self._handler = handler
+        self._writer = writer
+        self._protocol = protocol
+        self._stopping = False
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
+        )
+        self._requests = request_reader.RequestReader(
+            self._http, reader, writer
+        )
+
+    def stop(self) -> None:
+        """Closes after the request that runs or is on its way."""
+        self._stopping = True
+        self._requests.stop()
+
+    async def serve(self) -> None:
+        """Reads requests and writes responses, one after another."""
+        while await self._serve_one():
+            self._http.start_next_cycle()
+
+    async def _serve_one(self) -> bool:
+        """Serves one request; False if it was the last."""
+        try:
+            request = await self._requests.read()
+        except request_reader.IdleError:
+            return False
+        except request_reader.BadRequestError as error:
+            await self._refuse(error.status, error.detail)
+            return False
+        except h11.RemoteProtocolError as error:
+            await self._refuse(error.error_status_hint, str(error))
+            return False
+        response = await self._handle(request)
+        if response is None:
+            return False
+        closes = response.closes or self._stopping
+        await self._write(response, closes)
+        return not closes and self._http.our_state is not h11.MUST_CLOSE
+
+    async def _handle(self, request: api.Request) -> api.Response | None:
+        """Runs the handler; None if the client went away meanwhile.
+
+        An abandoned request must not go on using slots, so the end of the
+        client's stream cancels the handler.
+        """
+        task = asyncio.current_task()
+        if task is None or self._protocol.has_gone():
+            return None
+        self._protocol.on_gone = task.cancel
+        try:
+            return await self._handler(request)
+        except asyncio.CancelledError:
+            if not self._protocol.has_gone():
+                raise
+            task.uncancel()
+            return None
+        except Exception:
+            # The outermost place of a request: the client gets an answer.
+            _logger.exception("a request failed by a fault")
+            return await self._handler(api.Request("BAD", "/500", {}, {}))
+        finally:
+            self._protocol.on_gone = None
+
+    async def _refuse(self, status: int, detail: str) -> None:
+        """Answers a request that couldn't be read, and closes."""
+        _logger.info("refused a request: {}", detail)
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            request = api.Request("BAD", f"/{status}", {}, {})
+            await self._write(await self._handler(request), True)
+
+    async def _write(self, response: api.Response, closes: bool) -> None:
+        """Writes one response.
+
+        Raises:
+            TimeoutError: The client didn't read it in time.
+        """
+        self._writer.write(self._encode(response, closes))
+        async with asyncio.timeout(WRITE_S):
+            await self._writer.drain()
+        if closes:
+            with contextlib.suppress(OSError):
+                if self._writer.can_write_eof():
+                    self._writer.write_eof()
+
+    def _encode(self, response: api.Response, closes: bool) -> bytes:
+        """Encodes a response by h11."""
+        headers = [
+            ("Content-Length", str(len(response.body))),
+            ("Content-Type", response.content_type),
+            *response.headers,
+        ]
+        if closes:
+            headers.append(("Connection", "close"))
+        head = h11.Response(status_code=response.status, headers=headers)
+        return b"".join(
+            self._http.send(event) or b""
+            for event in (
+                head,
+                h11.Data(data=response.body),
+                h11.EndOfMessage(),
+            )
+        )
--- /dev/null
+++ b/tests/ports/web/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the HTTP server and client."""
--- /dev/null
+++ b/tests/ports/web/test_server.py
@@ -0,0 +1,287 @@
+"""The HTTP server: bounds, clients that go, and graceful stops."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from collections.abc import Awaitable, Callable
+
+import async_solipsism
+import pytest
+
+from azureramp.ports.web import api, request_reader, server
+from azureramp.ports.web import connection as web_connection
+
+ADDRESS = "127.0.0.1:8000"
+
+
+class Handler:
+    """Answers after a while, and keeps what it saw.
+
+    Attributes:
+        seen: The requests' methods and paths.
+        cancelled: How many requests were cancelled.
+        takes_s: How long a request takes, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.seen: list[tuple[str, str]] = []
+        self.cancelled = 0
+        self.takes_s = 0.0
+
+    async def handle(self, request: api.Request) -> api.Response:
+        """Answers a request with its path."""
+        self.seen.append((request.method, request.path))
+        if request.path == "/fault":
+            raise ZeroDivisionError
+        if request.method == "BAD":
+            return api.Response(status=int(request.path[1:]))
+        try:
+            await asyncio.sleep(self.takes_s)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        return api.Response(status=200, body=request.body or b"hello")
+
+
+Scenario = Callable[[Handler, server.Server], Awaitable[None]]
+
+
+def run(scenario: Scenario) -> None:
+    """Runs a scenario against a server over in-memory streams."""
+
+    async def whole() -> None:
+        handler = Handler()
+        served = server.Server(ADDRESS, handler.handle)
+        await served.start()
+        try:
+            await scenario(handler, served)
+        finally:
+            await served.stop(1.0)
+        assert served.running == 0
+
+    with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner:
+        runner.run(whole())
+
+
+async def connect() -> web_connection.Connection:
+    """Opens a client's connection."""
+    opened = await web_connection.connect(ADDRESS, 1.0)
+    return opened.ok
+
+
+async def send_raw(data: bytes) -> bytes:
+    """Sends bytes and reads all that comes back."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", 8000)
+    writer.write(data)
+    try:
+        return await reader.read()
+    finally:
+        writer.transport.abort()
+
+
+def test_requests_follow_one_another_on_a_connection() -> None:
+    async def scenario(handler: Handler, served: server.Server) -> None:
+        client = await connect()
+        for body in (b"a", b"b" * 200_000, b""):
+            response = await client.exchange("POST", "/x", (), body)
+            assert (response.status, response.body) == (200, body or b"hello")
+        assert client.is_reusable()
+        client.abort()
+
+    run(scenario)
+
+
+def test_a_client_that_goes_cancels_its_request_at_once() -> None:
+    """A caller hangs up while its query runs.
+
+    The query must stop using slots in that moment, not at its deadline; and
+    the server waits for the news, it doesn't ask for it.
+    """
+
+    async def scenario(handler: Handler, served: server.Server) -> None:
+        handler.takes_s = 100.0
+        client = await connect()
+        asked = asyncio.ensure_future(client.exchange("GET", "/x", ()))
+        await asyncio.sleep(1.0)
+        running = served.running
+        asked.cancel()
+        await asyncio.sleep(0.01)
+
+        assert running == 1
+        assert served.running == 0
+        assert handler.cancelled == 1
+
+    run(scenario)
+
+
+def test_a_fault_in_the_handler_is_answered() -> None:
+    async def scenario(handler: Handler, served: server.Server) -> None:
+        client = await connect()
+        response = await client.exchange("GET", "/fault", ())
+        again = await client.exchange("GET", "/x", ())
+        client.abort()
+
+        assert (response.status, again.status) == (500, 200)
+
+    run(scenario)
+
+
+def test_a_stop_lets_the_running_request_end_and_closes_after_it() -> None:
+    async def scenario(handler: Handler, served: server.Server) -> None:
+        handler.takes_s = 5.0
+        busy, idle = await connect(), await connect()
+        await idle.exchange("GET", "/idle", ())
+        asked = asyncio.ensure_future(busy.exchange("GET", "/busy", ()))
+        await asyncio.sleep(1.0)
+        cut = await served.stop(30.0)
+        response = await asked
+
+        assert cut == 0
+        assert response.status == 200
+        headers = {k.lower(): v.lower() for k, v in response.headers}
+        assert headers["connection"] == "close"
+        assert not idle.is_reusable()
+        idle.abort()
+        busy.abort()
+
+    run(scenario)
+
+
+def test_a_request_on_its_way_when_the_server_stops_is_answered() -> None:
+    """A client sends on an idle connection in the moment of the stop."""
+
+    async def scenario(handler: Handler, served: server.Server) -> None:
+        client = await connect()
+        await client.exchange("GET", "/first", ())
+        stopping = asyncio.ensure_future(served.stop(30.0))
+        await asyncio.sleep(request_reader.LINGER_S / 2)
+        response = await client.exchange("GET", "/second", ())
+        cut = await stopping
+
+        assert (response.status, cut) == (200, 0)
+        client.abort()
+
+    run(scenario)
+
+
+def test_the_hard_limit_cuts_and_says_how_much() -> None:
+    async def scenario(handler: Handler, served: server.Server) -> None:
+        handler.takes_s = 100.0
+        client = await connect()
+        asked = asyncio.ensure_future(client.exchange("GET", "/x", ()))
+        await asyncio.sleep(1.0)
+        cut = await served.stop(2.0)
+        with pytest.raises(web_connection.BrokenError):
+            await asked
+
+        assert cut == 1
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET /%ff HTTP/1.1\r\nHost: x\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nHost: x\r\nA: " + b"b" * 20_000, b"431"),
+        (
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000001\r\n\r\n"
+            + b"a" * 1_000_001,
+            b"413",
+        ),
+        (b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\na", b"408"),
+        (b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: -5\r\n\r\n", b"400"),
+    ],
+    ids=["nonsense", "path", "host", "header", "body", "slow", "length"],
+)
+def test_a_request_that_cannot_be_read_is_refused(
+    data: bytes, status: bytes
+) -> None:
+    async def scenario(handler: Handler, served: server.Server) -> None:
+        answer = await send_raw(data)
+
+        assert answer.startswith(b"HTTP/1.1 " + status)
+        assert {method for method, _ in handler.seen} == {"BAD"}
+
+    run(scenario)
+
+
+def test_an_idle_connection_is_closed_and_a_slow_reader_is_cut() -> None:
+    async def scenario(handler: Handler, served: server.Server) -> None:
+        idle = await send_raw(b"")
+        _, writer = await asyncio.open_connection("127.0.0.1", 8000)
+        body = b"a" * 900_000
+        head = f"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}"
+        writer.write(head.encode() + b"\r\n\r\n" + body)
+        await asyncio.sleep(60)
+
+        assert idle == b""
+        assert not served._connections
+        writer.transport.abort()
+
+    run(scenario)
+
+
+def test_random_bytes_neither_end_the_server_nor_leak_connections() -> None:
+    async def scenario(handler: Handler, served: server.Server) -> None:
+        rng = random.Random(2)
+        valid = b"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc"
+        for _ in range(200):
+            data = bytearray(valid * rng.randrange(1, 3))
+            for _ in range(rng.randrange(1, 6)):
+                data[rng.randrange(len(data))] = rng.randrange(256)
+            await send_raw(bytes(data))
+        await asyncio.sleep(0.01)
+        client = await connect()
+        response = await client.exchange("GET", "/x", ())
+        client.abort()
+        await asyncio.sleep(0.01)
+
+        assert response.status == 200
+        assert not served._connections
+
+    run(scenario)
+
+
+def test_a_callers_connection_that_goes_silent_is_found_by_the_kernel() -> None:
+    """Something between a caller and us has lost track of the connection.
+
+    What we write is never acknowledged, and nothing comes. Only the kernel
+    can tell: by its probes on an idle connection, and by its limit for
+    unacknowledged bytes on a busy one. Both must be set on what we accept.
+    """
+
+    async def scenario() -> None:
+        handler = Handler()
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        served = server.Server(f"127.0.0.1:{port}", handler.handle)
+        accepted: list[asyncio.StreamWriter] = []
+        set_options = web_connection.set_socket_options
+
+        def keep(writer: asyncio.StreamWriter) -> None:
+            set_options(writer)
+            accepted.append(writer)
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(web_connection, "set_socket_options", keep)
+            await served.start()
+            opened = await web_connection.connect(served.address, 1.0)
+            await opened.ok.exchange("GET", "/x", ())
+        for writer in accepted:
+            sock = writer.get_extra_info("socket")
+            assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+            timeout_ms = sock.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+            )
+            assert timeout_ms == web_connection.USER_TIMEOUT_MS
+        assert len(accepted) == 2
+        opened.ok.abort()
+        await served.stop(1.0)
+
+    asyncio.run(scenario())
