Judge connections by their last proof of life, and test every port alike

A reply overdue on an old connection while a fresh one works closes all idle ones without proof of life since; the call itself is given up early if it may be repeated, at once when the searcher reports fewer calls than this side has there.

--- a/src/azureramp/policy/connections.py
+++ b/src/azureramp/policy/connections.py
@@ -38,7 +38,7 @@
         suspect_before_s: Connections without proof of life since then are
             suspect, since a reply is overdue on one that was used then.
     """
-    return now_s - proven_s <= REUSE_S and proven_s >= suspect_before_s
+    return now_s - proven_s <= REUSE_S and proven_s > suspect_before_s
 
 
 def get_overdue_ms(usual_ms: float) -> float:
--- a/src/azureramp/ports/searchers/calls.py
+++ b/src/azureramp/ports/searchers/calls.py
@@ -165,7 +165,12 @@
         overdue = None
         if call.overdue_ms:
             overdue = loop.call_later(
-                call.overdue_ms / 1000, self._begin_judging, pooled, link, call
+                call.overdue_ms / 1000,
+                self._begin_judging,
+                pooled,
+                link,
+                call,
+                permission.told_s,
             )
         broke = False
         try:
@@ -193,36 +198,48 @@
             pooled.release(link, broke)
 
     def _begin_judging(
-        self, pooled: pool.AddressPool[_L], link: _L, call: api.Call
+        self,
+        pooled: pool.AddressPool[_L],
+        link: _L,
+        call: api.Call,
+        began_s: float,
     ) -> None:
         """Looks into an overdue reply, in the background."""
-        task = asyncio.ensure_future(self._judge(pooled, link, call))
+        task = asyncio.ensure_future(self._judge(pooled, link, call, began_s))
         self._judging.add(task)
         task.add_done_callback(self._judging.discard)
 
     async def _judge(
-        self, pooled: pool.AddressPool[_L], link: _L, call: api.Call
+        self,
+        pooled: pool.AddressPool[_L],
+        link: _L,
+        call: api.Call,
+        began_s: float,
     ) -> None:
         """Judges the connections after a reply was overdue on one.
 
         Something between the two ends may have lost track of them: bytes go
         in and nothing comes out, for good. It shows by an overdue reply on
         an old connection while a fresh one works. Then every idle connection
-        without proof of life since the call began is closed; and the call
-        itself is given up later, if it may be repeated, so that its slot
-        comes free and it can go elsewhere before its deadline.
+        without proof of life since the call began is closed. The call itself
+        is given up too if it may be repeated, so that its slot comes free
+        and it can go elsewhere before its deadline: at once if the searcher
+        reports fewer calls than this side has there, since then it never
+        got this one; else, as reports mislead, after some more time.
         """
-        loop = asyncio.get_running_loop()
-        began_s = loop.time() - call.overdue_ms / 1000
         report = await self.read_health(call.address, fresh=True)
-        if report.is_error():
-            return
-        pooled.suspect(began_s)
+        match report:
+            case expression.Result(tag="ok", ok=seen):
+                pooled.suspect(began_s)
+            case _:
+                return
         if not call.repeatable:
             return
-        give_up_s = call.overdue_ms * connections.GIVE_UP_FACTOR / 1000
-        await asyncio.sleep(began_s + give_up_s - loop.time())
-        if link.proven_s < began_s:
+        if seen.in_flight >= pooled.count_in_use():
+            give_up_s = call.overdue_ms * connections.GIVE_UP_FACTOR / 1000
+            now_s = asyncio.get_running_loop().time()
+            await asyncio.sleep(began_s + give_up_s - now_s)
+        if link.proven_s <= began_s:
             link.abort()
 
 
--- a/src/azureramp/ports/searchers/pool.py
+++ b/src/azureramp/ports/searchers/pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import math
 from collections.abc import Awaitable, Callable
 from typing import Generic, Protocol, TypeVar
 
@@ -70,7 +71,7 @@
         self.opened = 0
         self.lost = 0
         self._limit = DEFAULT_LIMIT
-        self._suspect_before_s = 0.0
+        self._suspect_before_s = -math.inf
         self._address = address
         self._connect = connect
         self._idle: list[_C] = []
@@ -85,6 +86,10 @@
             self._close(self._idle.pop(0))
         self._wake()
 
+    def count_in_use(self) -> int:
+        """Returns how many connections carry a call now."""
+        return self.opened - len(self._idle)
+
     async def acquire(
         self, timeout_s: float
     ) -> expression.Result[_C, errors.Failure]:
--- a/src/azureramp/ports/web/connection.py
+++ b/src/azureramp/ports/web/connection.py
@@ -138,7 +138,7 @@
             self._writer.write(data)
             await self._writer.drain()
             response = await self._read_response()
-        except (OSError, h11.RemoteProtocolError, EOFError) as error:
+        except (OSError, h11.ProtocolError, EOFError) as error:
             self.abort()
             raise BrokenError(str(error) or type(error).__name__) from error
         except asyncio.CancelledError:
@@ -172,39 +172,30 @@
 
     async def _read_response(self) -> api.Response:
         """Reads one response to its end, and makes ready for the next."""
-        status = 0
-        headers: tuple[tuple[str, str], ...] = ()
+        head: h11.Response | None = None
         body = bytearray()
         while True:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA:
-                data = await self._reader.read(READ_BYTES)
-                self._http.receive_data(data)
-            elif isinstance(event, h11.Response):
-                status = event.status_code
-                headers = tuple(
-                    (name.decode("latin-1"), value.decode("latin-1"))
-                    for name, value in event.headers
-                )
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > MAX_BODY_BYTES:
-                    raise EOFError("the body is too large")
-            elif isinstance(event, h11.EndOfMessage):
-                break
-            elif isinstance(event, h11.ConnectionClosed):
-                raise EOFError("closed before the response")
+            match self._http.next_event():
+                case h11.NEED_DATA:
+                    data = await self._reader.read(READ_BYTES)
+                    self._http.receive_data(data)
+                case h11.InformationalResponse():
+                    pass
+                case h11.Response() as event:
+                    head = event
+                case h11.Data() as event:
+                    body += event.data
+                    if len(body) > MAX_BODY_BYTES:
+                        raise EOFError("the body is too large")
+                case h11.EndOfMessage() if head is not None:
+                    break
+                case event:
+                    raise EOFError(f"{event} instead of a response")
         if self._http.our_state is h11.MUST_CLOSE or self._has_surplus():
             self.abort()
         else:
             self._http.start_next_cycle()
-        fields = {name.lower(): value for name, value in headers}
-        return api.Response(
-            status=status,
-            body=bytes(body),
-            content_type=fields.get("content-type", ""),
-            headers=headers,
-        )
+        return make_response(head, bytes(body))
 
     def _has_surplus(self) -> bool:
         """Tells whether bytes came past the end of the response.
@@ -219,6 +210,21 @@
         self._writer.transport.abort()
 
 
+def make_response(head: h11.Response, body: bytes) -> api.Response:
+    """Makes a response of h11's."""
+    headers = tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in head.headers
+    )
+    fields = {name.lower(): value for name, value in headers}
+    return api.Response(
+        status=head.status_code,
+        body=body,
+        content_type=fields.get("content-type", ""),
+        headers=headers,
+    )
+
+
 async def connect(
     address: str, timeout_s: float
 ) -> expression.Result[Connection, errors.Failure]:
--- /dev/null
+++ b/tests/ports/searchers/test_contract.py
@@ -0,0 +1,247 @@
+"""What every implementation of the searchers port keeps."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from azureramp import errors
+from tests.ports.searchers import harness as harness_module
+
+Harness = harness_module.Harness
+make_call = harness_module.make_call
+wait_until = harness_module.wait_until
+
+KINDS = ("memory", "http_in_memory", "http_on_loopback")
+CROSSED, LOST = errors.Kind.CROSSED_REPLY, errors.Kind.CONNECTION_LOST
+
+
+def allow() -> bool:
+    return True
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_reply_is_that_of_its_call(kind: str) -> None:
+    async def scenario(harness: Harness) -> None:
+        result = await harness.port.call(make_call(harness.address), allow)
+
+        reply = result.ok
+        assert reply.call_id == "r1/1"
+        assert (reply.version, reply.low, reply.high) == (1, 0, 1200)
+
+    harness_module.run(kind, scenario)
+
+
+FAULTS: list[tuple[str, Any, dict[str, Any], set[errors.Kind], bool]] = [
+    ("shed", 1.0, {}, {errors.Kind.SHED}, True),
+    ("fail", 1.0, {}, {errors.Kind.BACKEND_FAILED}, True),
+    ("crossed", 1, {}, {CROSSED}, True),
+    ("truncated", 1, {}, {CROSSED, LOST}, True),
+    ("hang", 1, {"deadline_ms": 50.0}, {errors.Kind.DEADLINE_PASSED}, True),
+    ("fail", 0.0, {"version": 9}, {errors.Kind.VERSION_GONE}, True),
+    ("fail", 0.0, {"deadline_ms": 0.0}, {errors.Kind.DEADLINE_PASSED}, False),
+]
+"""A fault, its value, the call's fields; the kinds, and whether sent."""
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize(
+    ("fault", "value", "fields", "expected", "sent"), FAULTS
+)
+def test_a_fault_is_told_by_its_kind_and_the_next_call_works(
+    kind: str,
+    fault: str,
+    value: Any,
+    fields: dict[str, Any],
+    expected: set[errors.Kind],
+    sent: bool,
+) -> None:
+    async def scenario(harness: Harness) -> None:
+        harness.fail(fault, value)
+        result = await harness.port.call(
+            make_call(harness.address, **fields), allow
+        )
+        harness.fail(fault, 0)
+        again = await harness.port.call(
+            make_call(harness.address, call_id="r2/1"), allow
+        )
+
+        assert result.error.failure.kind in expected
+        assert result.error.sent == sent
+        assert again.ok.call_id == "r2/1"
+
+    harness_module.run(kind, scenario)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_refused_connection_is_unsent(kind: str) -> None:
+    async def scenario(harness: Harness) -> None:
+        await harness.stop()
+        asked: list[bool] = []
+
+        def ask() -> bool:
+            asked.append(True)
+            return True
+
+        result = await harness.port.call(make_call(harness.address), ask)
+
+        assert result.error.failure.kind is LOST
+        assert not result.error.sent
+        assert not asked
+
+    harness_module.run(kind, scenario)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_without_leave_nothing_is_written_and_it_is_asked_once(
+    kind: str,
+) -> None:
+    async def scenario(harness: Harness) -> None:
+        asked: list[int] = []
+
+        def forbid() -> bool:
+            asked.append(harness.connects)
+            return False
+
+        call = make_call(harness.address, repeatable=False)
+        result = await harness.port.call(call, forbid)
+        again = await harness.port.call(call, allow)
+
+        assert result.error.failure.kind is errors.Kind.NOT_OWNER
+        assert not result.error.sent
+        assert asked == [1]
+        assert again.is_ok()
+        assert harness.count_effects() == 1
+        assert harness.connects == 1
+
+    harness_module.run(kind, scenario)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_cancelling_a_call_ends_it_at_the_searcher(kind: str) -> None:
+    async def scenario(harness: Harness) -> None:
+        harness.fail("hang", 1)
+        calling = asyncio.ensure_future(
+            harness.port.call(make_call(harness.address), allow)
+        )
+        await wait_until(harness.count_running)
+        calling.cancel()
+        await asyncio.wait({calling})
+        await wait_until(lambda: not harness.count_running())
+
+        assert calling.cancelled()
+        assert harness.port.get_links(harness.address).open == 0
+
+    harness_module.run(kind, scenario)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_no_more_connections_are_open_than_the_limit(kind: str) -> None:
+    async def scenario(harness: Harness) -> None:
+        harness.port.set_limit(harness.address, 5)
+        for fresh in (False, True):
+            await harness.port.read_health(harness.address, fresh)
+        results = await asyncio.gather(
+            *(
+                harness.port.call(
+                    make_call(harness.address, call_id=f"r{number}/1"), allow
+                )
+                for number in range(30)
+            )
+        )
+
+        assert all(result.is_ok() for result in results)
+        assert harness.port.get_links(harness.address).open == 4
+        assert harness.connects == 5
+
+    harness_module.run(kind, scenario)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_idle_connections_are_reused_and_a_limit_of_none_closes_them(
+    kind: str,
+) -> None:
+    async def scenario(harness: Harness) -> None:
+        for number in range(5):
+            call = make_call(harness.address, call_id=f"r{number}/1")
+            await harness.port.call(call, allow)
+        used = harness.connects
+        harness.port.set_limit(harness.address, 0)
+
+        assert used == 1
+        assert harness.port.get_links(harness.address).open == 0
+        assert harness.port.get_links(harness.address).lost == 0
+
+    harness_module.run(kind, scenario)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_restart_shows_by_lost_connections_and_the_incarnation(
+    kind: str,
+) -> None:
+    async def scenario(harness: Harness) -> None:
+        await harness.port.call(make_call(harness.address), allow)
+        before = await harness.port.read_health(harness.address)
+        await harness.stop()
+        await wait_until(
+            lambda: harness.port.get_links(harness.address).lost == 2
+        )
+        down = await harness.port.read_health(harness.address)
+        await harness.restart()
+        after = await harness.port.read_health(harness.address)
+
+        assert harness.port.get_links(harness.address).lost == 2
+        assert down.error.kind is LOST
+        assert after.ok.incarnation == before.ok.incarnation + 1
+        assert after.ok.versions == (harness_module.VERSION,)
+
+    harness_module.run(kind, scenario)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_calls_cut_by_a_crash_are_lost_and_may_have_run(kind: str) -> None:
+    async def scenario(harness: Harness) -> None:
+        harness.fail("hang", 2)
+        calling = [
+            asyncio.ensure_future(
+                harness.port.call(
+                    make_call(harness.address, call_id=f"r{number}/1"), allow
+                )
+            )
+            for number in range(2)
+        ]
+        await wait_until(lambda: harness.count_running() == 2)
+        await harness.stop()
+        results = await asyncio.gather(*calling)
+
+        for result in results:
+            assert result.error.failure.kind is LOST
+            assert result.error.sent
+
+    harness_module.run(kind, scenario)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_call_with_effects_runs_once(kind: str) -> None:
+    async def scenario(harness: Harness) -> None:
+        call = make_call(harness.address, repeatable=False)
+        result = await harness.port.call(call, allow)
+
+        assert result.is_ok()
+        assert harness.count_effects() == 1
+
+    harness_module.run(kind, scenario)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_closing_leaves_no_connection(kind: str) -> None:
+    async def scenario(harness: Harness) -> None:
+        await harness.port.call(make_call(harness.address), allow)
+        await harness.port.read_health(harness.address)
+        await harness.port.close()
+
+        assert harness.port.get_links(harness.address).open == 0
+
+    harness_module.run(kind, scenario)
