Free a slot at its task's end, so that an early cancel can't keep it

A storm of random faults left sub-requests in the owner for good: a task that is cancelled before its first step never enters its code, and its finally with the slot's release never ran. The release now hangs on the task's end.

--- a/src/azureramp/controllers/part_runner.py
+++ b/src/azureramp/controllers/part_runner.py
@@ -145,8 +145,7 @@
                 late = errors.Failure(errors.Kind.DEADLINE_TOO_SHORT)
                 self.fail(part, late)
                 continue
-            owned.running[part.key] = part
-            part.task = asyncio.ensure_future(self._run(owned, part))
+            self._start(owned, part)
 
     def fail_waiting(
         self, owned: OwnedSearcher, failure: errors.Failure
@@ -189,11 +188,20 @@
         if dropped is not None:
             self.fail(dropped.content, self._rules.make_overloaded(owned))
 
+    def _start(self, owned: OwnedSearcher, part: Part) -> None:
+        """Starts a sub-request in a task of its own.
+
+        The slot is freed by the task's end and not inside it: a task that is
+        cancelled before its first step never enters its code, and would hold
+        the slot for good.
+        """
+        part.again = False
+        owned.running[part.key] = part
+        part.task = asyncio.ensure_future(self._run(owned, part))
+        part.task.add_done_callback(lambda task: self._finish(owned, part))
+
     async def _run(self, owned: OwnedSearcher, part: Part) -> None:
         """Runs one sub-request on its searcher, to its result."""
-        failure = errors.Failure(errors.Kind.CANCELLED)
-        ended = False
-        part.again = False
         try:
             result = await self._port.call(
                 self._make_call(owned, part),
@@ -201,21 +209,23 @@
             )
             if not part.again:
                 await self._end(owned, part, result)
-                ended = True
         except asyncio.CancelledError:
             self._take_unanswered(owned, part)
         except Exception:
-            # A fault of this program must not hold a slot for good.
+            # A fault of this program must not leave a request unanswered.
             _logger.exception("a sub-request failed by a fault")
-            failure = errors.Failure(errors.Kind.INTERNAL)
-        finally:
-            owned.running.pop(part.key, None)
-            part.task = None
-            if part.again:
-                self.take(part)
-            elif not ended:
-                self.fail(part, failure)
-            self._free(owned)
+            self.fail(part, errors.Failure(errors.Kind.INTERNAL))
+
+    def _finish(self, owned: OwnedSearcher, part: Part) -> None:
+        """Frees a sub-request's slot, and answers it if nothing else has."""
+        owned.running.pop(part.key, None)
+        part.task = None
+        entry = self._holdings.parts.get(part.key)
+        if part.again:
+            self.take(part)
+        elif entry is not None and entry[1] is part:
+            self.fail(part, errors.Failure(errors.Kind.CANCELLED))
+        self._free(owned)
 
     def _make_call(
         self, owned: OwnedSearcher, part: Part
