Let a hedge for a straggler go ahead of the queue

The straggler holds a slot until the hedge's result cancels it; a deferrable hedge at the end of the queue left it there for its whole time.

--- a/src/azureramp/controllers/attempts.py
+++ b/src/azureramp/controllers/attempts.py
@@ -57,6 +57,7 @@
         wanted: Iterable[assembly.Progress],
         reason: str,
         replicas: snapshots.Replicas | None = None,
+        ahead: bool = False,
     ) -> bool:
         """Sends one more attempt for each of some shards, where it can.
 
@@ -64,6 +65,7 @@
             wanted: The shards.
             reason: `first`, `hedge` or `retry`.
             replicas: The usable searchers; None looks for them now.
+            ahead: True to go before all that is not urgent.
 
         Returns:
             True if any was sent.
@@ -86,7 +88,11 @@
             )
             self.state.add(attempt)
             attempts.append(attempt)
-        unsent = self.dispatcher.send(self.header, attempts)
+        header = self.header
+        if ahead:
+            urgent = resources.Priority.URGENT
+            header = dataclasses.replace(header, priority=urgent)
+        unsent = self.dispatcher.send(header, attempts)
         for attempt in unsent:
             self.state.remove(attempt)
         return len(unsent) < len(attempts)
--- a/src/azureramp/controllers/lateness.py
+++ b/src/azureramp/controllers/lateness.py
@@ -76,8 +76,9 @@
     def help_running_long(self, part: int) -> None:
         """Hedges a sub-request that its owner says runs long.
 
-        A deferrable one too: the loser's cancellation frees the slot that the
-        straggler holds, so the hedge costs less than it gives back.
+        A deferrable one too, and ahead of the queue: the straggler holds a
+        slot until the hedge's result cancels it, so the hedge gives back more
+        than it costs, and the sooner the more.
         """
         attempt = self._attempts.state.get_attempt(part)
         if attempt is None:
@@ -85,7 +86,7 @@
         progress = self._attempts.state.progress[attempt.shard.name]
         now_s = asyncio.get_running_loop().time()
         if len(progress.running) == 1 and self._may_add(now_s):
-            self._hedge(progress)
+            self._hedge(progress, ahead=True)
 
     def _help_late(self, progress: assembly.Progress) -> None:
         """Hedges a late attempt, or adds a retry to a lost one."""
@@ -106,12 +107,12 @@
             retries.spend()
             self._board.metrics.count("part.retried")
 
-    def _hedge(self, progress: assembly.Progress) -> bool:
+    def _hedge(self, progress: assembly.Progress, ahead: bool = False) -> bool:
         """Sends a hedge, if the budget has one; False if not."""
         hedges = self._attempts.dispatcher.measured.hedges
         if not hedges.can_spend():
             return False
-        if not self._attempts.start((progress,), "hedge"):
+        if not self._attempts.start((progress,), "hedge", ahead=ahead):
             return False
         hedges.spend()
         self._board.metrics.count("part.hedged")
