--- /dev/null
+++ b/tests/controllers/test_late_notices.py
@@ -0,0 +1,56 @@
+"""An owner's notices of calls that run long."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from azureramp import messages
+from azureramp.controllers import late_notices
+from tests.controllers import query_cell
+
+
+@pytest.mark.parametrize(
+    ("story", "took_s", "told"),
+    [
+        ("an ordinary call", 0.010, False),
+        ("a straggler", 0.100, True),
+    ],
+)
+def test_only_a_call_that_runs_long_is_told_of(
+    story: str, took_s: float, told: bool
+) -> None:
+    async def main() -> list[messages.PeerMessage]:
+        cell = query_cell.Cell()
+        sent: list[messages.PeerMessage] = []
+        cell.outbox.local = lambda sender, message: sent.append(message)
+        notices = late_notices.LateNotices(cell.outbox)
+        for number in range(100):
+            watch = notices.begin("s0-0", "vm-0", ("warm", number))
+            await asyncio.sleep(0.010)
+            notices.end(watch)
+        watch = notices.begin("s0-0", "vm-0", ("request", 7))
+        await asyncio.sleep(took_s)
+        notices.end(watch)
+        await asyncio.sleep(1.0)
+        return sent
+
+    sent = query_cell.run(main())
+
+    late = messages.PartsLate(request_id="request", parts=(7,))
+    assert sent == ([late] if told else []), story
+
+
+def test_a_searcher_without_measurements_is_not_told_of() -> None:
+    async def main() -> list[messages.PeerMessage]:
+        cell = query_cell.Cell()
+        sent: list[messages.PeerMessage] = []
+        cell.outbox.local = lambda sender, message: sent.append(message)
+        notices = late_notices.LateNotices(cell.outbox)
+        watch = notices.begin("s0-0", "vm-0", ("request", 7))
+        await asyncio.sleep(10.0)
+        notices.end(watch)
+        return sent
+
+    assert query_cell.run(main()) == []
