Stop gracefully: unadvertised first, gone only when nobody has the address

A leaving VM serves on for the lifetime of the last address answer plus the list's lag, closes each connection after its answer meanwhile, refuses only then, and ends what runs. A second signal or the hard limit cuts, and the timeline says how many.

--- a/src/azureramp/daemon/wiring.py
+++ b/src/azureramp/daemon/wiring.py
@@ -193,7 +193,7 @@
             self._records,
             self._server,
         )
-        cut = await stopping.run()
+        cut = await stopping.run(cutting)
         await self.kill()
         return cut
 
--- a/src/azureramp/ports/web/server.py
+++ b/src/azureramp/ports/web/server.py
@@ -47,6 +47,8 @@
     Attributes:
         address: `IP:port` that it listens on.
         running: Requests that run now.
+        closing: True once each answer says that its connection closes; new
+            connections are still taken.
     """
 
     __slots__ = (
@@ -57,6 +59,7 @@
         "_server",
         "_stopping",
         "address",
+        "closing",
         "running",
     )
 
@@ -69,6 +72,7 @@
         """
         self.address = address
         self.running = 0
+        self.closing = False
         self._handler = handler
         self._stopping = False
         self._server: asyncio.Server | None = None
@@ -151,7 +155,7 @@
             response = await self._handle(request, reader)
             if response is None:
                 return
-            closes = response.closes or self._stopping
+            closes = response.closes or self._stopping or self.closing
             await self._write(http, writer, response, closes)
             if closes or http.our_state is h11.MUST_CLOSE:
                 return
