--- a/tests/controllers/test_shutdown.py
+++ b/tests/controllers/test_shutdown.py
@@ -105,9 +105,7 @@
     assert stops[-1].step == "stopped"
 
 
-def test_a_closing_server_takes_connections_and_closes_each_after_its_answer() -> (
-    None
-):
+def test_a_closing_server_takes_connections_and_closes_each_in_turn() -> None:
     """A caller keeps its connection to a VM that is about to go.
 
     Were it left open until the end, the VM could close it in the very
