Send fewer and smaller heartbeats

Acknowledgements travel with the answerer's own next heartbeat unless somebody waits, states of searchers only on a change of weight or each fourth time, keys are short, and a heartbeat from a live VM judges nobody anew.

--- a/src/azureramp/controllers/members.py
+++ b/src/azureramp/controllers/members.py
@@ -7,7 +7,7 @@
 
 from azureramp import blackboard, events, messages
 from azureramp.policy import membership as policy
-from azureramp.policy import ownership
+from azureramp.policy import ownership, pace
 from azureramp.ports.vmlist import api as vmlist_api
 
 HEARD = (blackboard.MemberState.LIVE, blackboard.MemberState.LEAVING)
@@ -19,9 +19,10 @@
 
     Attributes:
         leaving: True once this VM itself shuts down.
+        pace: The times that fit the size of the list read last.
     """
 
-    __slots__ = ("_board", "_left", "_suspects", "leaving")
+    __slots__ = ("_board", "_left", "_suspects", "leaving", "pace")
 
     def __init__(self, board: blackboard.Blackboard) -> None:
         """Makes a table of nobody."""
@@ -29,6 +30,14 @@
         self._left: set[str] = set()
         self._suspects: dict[str, frozenset[str]] = {}
         self.leaving = False
+        self.pace = self._compute_pace(1)
+
+    def _compute_pace(self, vms: int) -> pace.Pace:
+        """Computes the times for a list of so many VMs."""
+        settings = self._board.settings
+        return pace.compute_pace(
+            vms, settings.heartbeat_ms, settings.suspect_ms, settings.lease_ms
+        )
 
     def hear(self, sender: str, incarnation: int) -> bool:
         """Notes that a VM is heard.
@@ -56,7 +65,8 @@
         member.ready = message.ready
         member.revision = message.revision
         member.confirmed_s = now_s - message.confirmed_age_ms / 1000
-        member.searchers = message.searchers
+        if message.searchers is not None:
+            member.searchers = message.searchers
         self._suspects[member.vm.name] = frozenset(message.suspects)
         if message.leaving:
             self._left.add(member.vm.name)
@@ -89,12 +99,13 @@
         is heard.
         """
         members = self._board.members
+        self.pace = self._compute_pace(len(listed))
         for name, vm in listed.items():
             if name in members:
                 members[name].vm = vm
             else:
                 members[name] = blackboard.Member(vm)
-        silent_s = _now_s() - self._board.settings.suspect_ms / 1000
+        silent_s = _now_s() - self.pace.suspect_s
         for name in [name for name in members if name not in listed]:
             if members[name].heard_s < silent_s:
                 del members[name]
@@ -105,8 +116,9 @@
         """Marks every member."""
         now_s = _now_s()
         self._mark_own(now_s)
-        silence_s = self._board.settings.suspect_ms / 1000
-        standings = policy.judge(self._get_sightings(), now_s, silence_s)
+        standings = policy.judge(
+            self._get_sightings(), now_s, self.pace.suspect_s
+        )
         for name, standing in standings.items():
             state = blackboard.MemberState(standing.value)
             self._mark(self._board.members[name], state)
--- a/src/azureramp/controllers/membership.py
+++ b/src/azureramp/controllers/membership.py
@@ -12,7 +12,7 @@
 from azureramp.controllers import members as members_module
 from azureramp.controllers import outbox as outbox_module
 from azureramp.controllers import ownership
-from azureramp.policy import leases
+from azureramp.policy import leases, telling
 from azureramp.policy import membership as policy
 from azureramp.ports.vmlist import api as vmlist_api
 
@@ -37,10 +37,13 @@
         "_members",
         "_outbox",
         "_ownership",
+        "_revision",
         "_sequence",
         "_stale",
         "_started_s",
+        "_told",
         "_vmlist",
+        "_waiting",
         "on_owners",
     )
 
@@ -62,6 +65,9 @@
         # its way: with numbers that start anew it would pass for one of ours.
         self._sequence = board.incarnation << SEQUENCE_BITS
         self._stale = False
+        self._revision = 0
+        self._waiting: dict[str, messages.HeartbeatAck] = {}
+        self._told = telling.States()
         self.on_owners: Callable[[], None] | None = None
 
     def announce_leaving(self) -> None:
@@ -87,7 +93,8 @@
             for names in message.lists:
                 self._ownership.window.inherit(names, _now_s())
         self._members.take_heartbeat(member, message)
-        self._members.judge()
+        if state is not blackboard.MemberState.LIVE or message.leaving:
+            self._members.judge()
         self._acknowledge(sender, member, message)
         if member.state is not state:
             self.update()
@@ -134,7 +141,9 @@
         if self._ownership is not None:
             return
         self._started_s = now_s
-        self._ownership = ownership.Ownership(self._board, now_s)
+        self._ownership = ownership.Ownership(
+            self._board, now_s, self._members.pace
+        )
         self._ownership.on_owners = self._call_on_owners
 
     def _call_on_owners(self) -> None:
@@ -147,7 +156,7 @@
         One that has just begun has heard nobody yet, and would take itself
         for the owner of everything.
         """
-        if now_s >= self._started_s + self._board.settings.suspect_ms / 1000:
+        if now_s >= self._started_s + self._members.pace.suspect_s:
             return True
         return bool(self._board.members) and all(
             member.state is not blackboard.MemberState.LISTED
@@ -169,14 +178,16 @@
         if self._ownership is not None and listed:
             self._ownership.window.record(listed, _now_s())
         self._members.take_list(listed)
+        if self._ownership is not None:
+            self._ownership.set_pace(self._members.pace)
         self.update()
 
     async def _beat_on(self) -> None:
         """Sends heartbeats, forever."""
-        interval_s = self._board.settings.heartbeat_ms / 1000
         while True:
             self.update()
             self._beat()
+            interval_s = self._members.pace.interval_s
             self._due_s = _now_s() + interval_s
             await asyncio.sleep(interval_s)
 
@@ -187,7 +198,7 @@
         of the heartbeat need not be the first to fire.
         """
         now_s = _now_s()
-        interval_s = self._board.settings.heartbeat_ms / 1000
+        interval_s = self._members.pace.interval_s
         pause_s = policy.compute_pause(self._due_s, now_s, interval_s)
         if pause_s > 0.0:
             self._members.excuse(pause_s)
@@ -202,9 +213,12 @@
         heartbeat = self._make_heartbeat(self._ownership, now_s)
         self._ownership.lease.record_sent(self._sequence, now_s)
         own = self._board.settings.vm
+        waiting, self._waiting = self._waiting, {}
         for name in self._board.members:
             if name != own:
                 self._outbox.send(name, heartbeat)
+                if name in waiting:
+                    self._outbox.send(name, waiting[name])
         if not self._members.leaving:
             holder = leases.Holder(own, self._board.incarnation)
             ack = self._ownership.grant(holder, heartbeat, now_s)
@@ -221,20 +235,32 @@
             ready=board.serving is blackboard.Serving.READY,
             revision=board.configuration.revision,
             confirmed_age_ms=(now_s - board.confirmed_s) * 1000,
-            lease_ms=board.settings.lease_ms,
-            searchers=tuple(board.owned.values()),
+            lease_ms=self._members.pace.lease_s * 1000,
+            searchers=self._told.choose(tuple(board.owned.values())),
             claims=tuple(owning.lease.get_claims()),
             lists=owning.get_lists_to_tell(),
             suspects=self._members.get_unheard(),
+            urgent=self._is_urgent(owning, now_s),
         )
 
+    def _is_urgent(self, owning: ownership.Ownership, now_s: float) -> bool:
+        """Tells whether somebody waits for the acknowledgements."""
+        revision = self._board.configuration.revision
+        changed = revision != self._revision
+        self._revision = revision
+        return changed or self._members.leaving or owning.waits(now_s)
+
     def _acknowledge(
         self,
         sender: str,
         member: blackboard.Member,
         message: messages.Heartbeat,
     ) -> None:
-        """Answers a heartbeat; a VM that leaves promises nothing more."""
+        """Answers a heartbeat; a VM that leaves promises nothing more.
+
+        An answer that is not urgent travels with our own next heartbeat,
+        since an envelope costs more than what is in it.
+        """
         if self._ownership is None:
             return
         now_s = _now_s()
@@ -244,7 +270,10 @@
         )
         if ack.granted:
             member.may_own_until_s = now_s + message.lease_ms / 1000
-        self._outbox.send(sender, ack)
+        if message.urgent:
+            self._outbox.send(sender, ack)
+        else:
+            self._waiting[sender] = ack
 
 
 def _now_s() -> float:
--- a/src/azureramp/controllers/ownership.py
+++ b/src/azureramp/controllers/ownership.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Sequence
 
 from azureramp import blackboard, messages, resources
-from azureramp.policy import leases, lists, ownership
+from azureramp.policy import leases, lists, ownership, pace
 
 READ_LIST_S = 1.0
 """Time between reads of the VM list, in seconds."""
@@ -28,27 +28,36 @@
         "_alone_from_s",
         "_board",
         "_inputs",
+        "_pace",
         "_promises",
         "lease",
         "on_owners",
         "window",
     )
 
-    def __init__(self, board: blackboard.Blackboard, started_s: float) -> None:
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        started_s: float,
+        times: pace.Pace,
+    ) -> None:
         """Makes a VM that owns nothing and has promised nothing.
 
         Args:
             board: The process's state.
             started_s: When the process began, on the loop's clock.
+            times: The times that fit the size of the cell.
         """
-        lease_s = board.settings.lease_ms / 1000
+        self._pace = times
         lag_s = board.settings.list_lag_ms / 1000
         self._board = board
         self._inputs: Inputs | None = None
-        self._promises = leases.Promises(started_s, lease_s)
+        self._promises = leases.Promises(started_s, times.longest_lease_s)
         self._alone_from_s: dict[str, float] = {}
-        self.lease = leases.Lease(lease_s)
-        self.window = lists.ListWindow(2 * (lag_s + READ_LIST_S) + lease_s)
+        self.lease = leases.Lease(times.lease_s)
+        self.window = lists.ListWindow(
+            2 * (lag_s + READ_LIST_S) + times.longest_lease_s
+        )
         self.on_owners: Callable[[], None] | None = None
 
     def grant(
@@ -82,16 +91,28 @@
             incarnation=self._board.incarnation,
         )
 
+    def waits(self, now_s: float) -> bool:
+        """Tells whether this VM waits for grants, so that it is urgent."""
+        return (
+            math.inf in self._board.may_start_s.values()
+            or self._board.lease_until_s < now_s + 2 * self._pace.interval_s
+        )
+
     def record_ack(
         self, voter: str, message: messages.HeartbeatAck, now_s: float
     ) -> None:
         """Counts an acknowledgement towards the lease."""
         if message.granted and self.window.knows(message.lists):
             self.lease.record_ack(voter, message.sequence, message.refused)
-        waits = math.inf in self._board.may_start_s.values()
-        if waits or self._board.lease_until_s <= now_s:
+        if self.waits(now_s):
             self.update_lease(now_s)
 
+    def set_pace(self, times: pace.Pace) -> None:
+        """Takes the times that fit the size of the cell."""
+        self._pace = times
+        self.lease.set_length(times.lease_s)
+        self._promises.set_longest(times.longest_lease_s)
+
     def get_lists_to_tell(self) -> tuple[tuple[str, ...], ...]:
         """Returns the lists read of late, if they were several."""
         read = self.window.get_own()
@@ -121,7 +142,7 @@
             return False
         own = board.settings.vm
         mine = [name for name, owner in owners.items() if owner == own]
-        alone_s = now_s + board.settings.lease_ms / 1000
+        alone_s = now_s + self._pace.longest_lease_s + self._pace.interval_s
         self._alone_from_s = {
             name: self._alone_from_s.get(name, alone_s) for name in mine
         }
--- a/src/azureramp/messages.py
+++ b/src/azureramp/messages.py
@@ -155,7 +155,33 @@
     versions: tuple[str, ...]
 
 
-class Heartbeat(Message, frozen=True, kw_only=True, tag="heartbeat"):
+HEARTBEAT_KEYS = {
+    "claims": "c",
+    "confirmed_age_ms": "a",
+    "granted": "g",
+    "incarnation": "i",
+    "leaving": "l",
+    "lease_ms": "m",
+    "lists": "t",
+    "ready": "r",
+    "refused": "f",
+    "revision": "v",
+    "searchers": "e",
+    "sequence": "s",
+    "suspects": "p",
+    "urgent": "u",
+}
+"""Keys on the wire: heartbeats are most of the traffic of a quiet cell."""
+
+
+class Heartbeat(
+    Message,
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
+    rename=HEARTBEAT_KEYS,
+    tag="heartbeat",
+):
     """A VM's state, to every other VM of its cell.
 
     Attributes:
@@ -167,12 +193,15 @@
         confirmed_age_ms: How long ago the platform confirmed that this
             revision is its newest, at most; infinity if never.
         lease_ms: The heartbeat lease asked for, in milliseconds; 0 for none.
-        searchers: The states of the searchers that it owns.
+        searchers: The states of the searchers that it owns; None if they are
+            as in the last heartbeat.
         claims: The identities (see `policy.leases`) of the searchers that it
             asks a lease for.
         lists: The names in the VM lists that it has read of late, if they
             were several.
         suspects: The listed VMs that it does not hear.
+        urgent: True if the acknowledgement should come at once; else it may
+            wait for the answerer's own next heartbeat.
     """
 
     sequence: int
@@ -181,13 +210,21 @@
     revision: int
     confirmed_age_ms: float
     lease_ms: float
-    searchers: tuple[SearcherState, ...] = ()
+    searchers: tuple[SearcherState, ...] | None = ()
     claims: tuple[int, ...] = ()
     lists: tuple[tuple[str, ...], ...] = ()
     suspects: tuple[str, ...] = ()
+    urgent: bool = False
 
 
-class HeartbeatAck(Message, frozen=True, kw_only=True, tag="heartbeat_ack"):
+class HeartbeatAck(
+    Message,
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
+    rename=HEARTBEAT_KEYS,
+    tag="heartbeat_ack",
+):
     """The answer to a heartbeat.
 
     Attributes:
--- a/src/azureramp/policy/leases.py
+++ b/src/azureramp/policy/leases.py
@@ -61,7 +61,7 @@
     makes none for one lease length: by then the forgotten ones have ended.
     """
 
-    __slots__ = ("_by_claim", "_lease_s", "_quiet_until_s")
+    __slots__ = ("_by_claim", "_longest_s", "_started_s")
 
     def __init__(self, started_s: float, lease_s: float) -> None:
         """Makes an empty table.
@@ -70,10 +70,17 @@
             started_s: When this process began, on its clock.
             lease_s: The longest lease that is granted, in seconds.
         """
-        self._lease_s = lease_s
-        self._quiet_until_s = started_s + lease_s
+        self._longest_s = lease_s
+        self._started_s = started_s
         self._by_claim: dict[int, Promise] = {}
 
+    def set_longest(self, lease_s: float) -> None:
+        """Sets the longest lease that is granted, in seconds.
+
+        It is also how long after its start this process grants none.
+        """
+        self._longest_s = lease_s
+
     def grant(
         self,
         holder: Holder,
@@ -92,7 +99,8 @@
         Returns:
             The claims that are refused; None if nothing is granted at all.
         """
-        if now_s < self._quiet_until_s or not 0 < lease_s <= self._lease_s:
+        quiet = now_s < self._started_s + self._longest_s
+        if quiet or not 0 < lease_s <= self._longest_s:
             return None
         refused: set[int] = set()
         for claim in claims:
@@ -144,6 +152,20 @@
         self._agreed: dict[str, float] = {}
         self._granted: dict[int, dict[str, float]] = {}
 
+    def set_length(self, lease_s: float) -> None:
+        """Sets the length of the leases asked for, in seconds.
+
+        A shorter one counts at once, a longer one from the next heartbeat
+        on: the promises already made are of the old length.
+        """
+        held_s = lease_s * (1 - DRIFT)
+        if held_s > self._lease_s:
+            self._agreed.clear()
+            self._sent.clear()
+            for times in self._granted.values():
+                times.clear()
+        self._lease_s = held_s
+
     def set_claims(self, claims: Collection[int]) -> None:
         """Sets what is claimed from the next heartbeat on.
 
