--- a/src/azureramp/ports/web/server.py
+++ b/src/azureramp/ports/web/server.py
@@ -139,6 +139,10 @@
             await served.serve()
         except (OSError, TimeoutError, h11.LocalProtocolError):
             writer.transport.abort()
+        except asyncio.CancelledError:
+            # Only `stop` cancels, past its limit. The stream's own callback
+            # would take a cancelled task for a fault and print a traceback.
+            writer.transport.abort()
         finally:
             del self._connections[task]
             writer.close()
