--- a/tests/controllers/test_idempotency.py
+++ b/tests/controllers/test_idempotency.py
@@ -554,6 +554,7 @@
     run(go())
 
 
+@mock.patch.object(record_bounds, "MAX_STORED_BYTES", 20_000_000)
 def test_an_outage_uses_up_no_room() -> None:
     """Hundreds of orders are refused in an outage; then the store returns.
 
