--- /dev/null
+++ b/tests/policy/test_contact.py
@@ -0,0 +1,156 @@
+"""Proof of contact, acceptance and recovery."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+import pytest
+
+from azureramp.policy import contact
+
+FIVE = ("a", "b", "c", "d", "e")
+
+
+def make_view(
+    now_s: float,
+    revision: int,
+    *,
+    own: str = "a",
+    listed: tuple[str, ...] = FIVE,
+    **acknowledged: tuple[float, int] | tuple[float, int, int],
+) -> contact.View:
+    """Makes a view from (sent_s, revision[, incarnation]) of each VM."""
+    return contact.View(
+        now_s,
+        own,
+        revision,
+        listed,
+        {
+            vm: contact.Acknowledgement(
+                told[0], told[1], told[2] if len(told) > 2 else 1
+            )
+            for vm, told in acknowledged.items()
+        },
+    )
+
+
+@pytest.mark.parametrize(
+    ("view", "contact_s"),
+    [
+        (make_view(9, 5, b=(3, 5), c=(4, 5)), 3),
+        (make_view(9, 5, b=(3, 5), c=(4, 5), d=(6, 4)), 4),
+        (make_view(9, 5, b=(3, 5)), -math.inf),
+        (make_view(9, 5, b=(3, 5), c=(4, 6)), -math.inf),
+        (make_view(9, 5, b=(3, 5), c=(4, 0)), -math.inf),
+        (make_view(9, 0, b=(3, 5), c=(4, 5)), -math.inf),
+        (make_view(9, 5, listed=("a",)), 9),
+        (make_view(9, 5, listed=()), -math.inf),
+        (make_view(9, 5, listed=("b", "c"), b=(3, 5), c=(4, 5)), -math.inf),
+        (make_view(9, 5, listed=("a", "b")), -math.inf),
+        (make_view(9, 5, listed=("a", "b"), b=(3, 5), c=(8, 5)), 3),
+    ],
+    ids=[
+        "majority of five",
+        "the newest that make one",
+        "a minority",
+        "a VM that knows more does not count",
+        "a VM that has just started does not count",
+        "without a configuration there is none",
+        "alone in the list",
+        "no list yet",
+        "not in the list itself",
+        "one of two",
+        "VMs that are not listed do not count",
+    ],
+)
+def test_contact_is_what_a_majority_proves(
+    view: contact.View, contact_s: float
+) -> None:
+    assert contact.Contacts().update(view) == contact_s
+
+
+def test_contact_with_a_vm_that_knows_more_stays_where_it_was() -> None:
+    """A change is accepted by c, d and e; its update to us is lost for good.
+
+    Their heartbeats go on and show the higher revision. If these counted, we
+    would go on for ever on the old configuration.
+    """
+    contacts = contact.Contacts()
+    contacts.update(make_view(1, 5, b=(1, 5), c=(1, 5)))
+
+    later = make_view(9, 5, b=(9, 5), c=(9, 6), d=(9, 6), e=(9, 6))
+    assert contacts.update(later) == 1
+    caught_up = make_view(9, 6, b=(9, 5), c=(9, 6), d=(9, 6), e=(9, 6))
+    assert contacts.update(caught_up) == 9
+
+
+def test_a_change_is_accepted_when_a_majority_says_it_twice() -> None:
+    acceptance = contact.Acceptance()
+    acceptance.update(make_view(1, 7, b=(0.9, 7), c=(0.9, 7)))
+    assert acceptance.revision == 0
+    acceptance.update(make_view(2, 7, b=(1.5, 7), c=(0.9, 7)))
+    assert acceptance.revision == 0
+    acceptance.update(make_view(3, 8, b=(1.5, 7), c=(2.5, 8)))
+    assert acceptance.revision == 7
+    assert acceptance.get_accepted_s(7) == 3
+    assert acceptance.get_accepted_s(8) == math.inf
+
+
+def test_a_vm_that_restarted_between_the_rounds_does_not_count() -> None:
+    """B acknowledges the change and restarts at once, before c has it.
+
+    b's new process asks c among others, and takes the old configuration for
+    the newest. Then c acknowledges the change too. With b and c there was a
+    majority, but never at one moment: b lacks the change and works.
+    """
+    acceptance = contact.Acceptance()
+    acceptance.update(make_view(1, 7, b=(0.9, 7, 1), c=(0.9, 7, 1)))
+    acceptance.update(make_view(2, 7, b=(1.5, 6, 2), c=(1.5, 7, 1)))
+    assert acceptance.revision < 7
+    acceptance.update(make_view(3, 7, b=(2.5, 7, 2), c=(2.5, 7, 1)))
+    assert acceptance.revision < 7
+    acceptance.update(make_view(4, 7, b=(3.5, 7, 2), c=(3.5, 7, 1)))
+    assert acceptance.revision == 7
+
+
+@pytest.mark.parametrize(
+    ("acknowledged", "revision", "may"),
+    [
+        ({"b": (1, 5), "c": (1, 5), "d": (1, 4)}, 5, True),
+        ({"b": (1, 5), "c": (1, 5)}, 5, False),
+        ({"b": (1, 5), "c": (1, 5), "d": (1, 0)}, 5, False),
+        ({"b": (1, 5), "c": (1, 5), "d": (1, 6)}, 5, False),
+        ({}, 5, False),
+    ],
+    ids=[
+        "a majority of others",
+        "with us they would be one, but we remember nothing",
+        "one of them has just started too",
+        "one of them knows more",
+        "nobody",
+    ],
+)
+def test_a_starting_vm_needs_a_majority_of_others(
+    acknowledged: dict[str, tuple[float, int]], revision: int, may: bool
+) -> None:
+    view = make_view(2, 0)
+    told = {
+        vm: contact.Acknowledgement(sent_s, held, 1)
+        for vm, (sent_s, held) in acknowledged.items()
+    }
+    view = dataclasses.replace(view, acknowledgements=told)
+
+    assert contact.may_recover(view, revision) is may
+
+
+@pytest.mark.parametrize(
+    ("revision", "confirmed_s"), [(5, 4.0), (6, 4.0), (4, 1.0)]
+)
+def test_a_peers_confirmation_holds_for_those_who_have_all_it_had(
+    revision: int, confirmed_s: float
+) -> None:
+    told = contact.Acknowledgement(5, 5, 1, confirmed_s=4.0)
+    view = contact.View(9, "a", revision, FIVE, {"b": told})
+
+    assert contact.compute_confirmed_s(view, 1.0) == confirmed_s
