--- a/src/azureramp/controllers/membership.py
+++ b/src/azureramp/controllers/membership.py
@@ -35,6 +35,7 @@
         "_board",
         "_due_s",
         "_members",
+        "_opened_s",
         "_outbox",
         "_ownership",
         "_revision",
@@ -66,6 +67,7 @@
         self._sequence = board.incarnation << SEQUENCE_BITS
         self._stale = False
         self._revision = 0
+        self._opened_s: dict[str, float] = {}
         self._waiting: dict[str, messages.HeartbeatAck] = {}
         self._told = telling.States()
         self.on_owners: Callable[[], None] | None = None
@@ -186,11 +188,27 @@
         """Sends heartbeats, forever."""
         while True:
             self.update()
+            self._renew_links()
             self._beat()
             interval_s = self._members.pace.interval_s
             self._due_s = _now_s() + interval_s
             await asyncio.sleep(interval_s)
 
+    def _renew_links(self) -> None:
+        """Opens new links in place of those that have gone silent."""
+        now_s = _now_s()
+        pace = self._members.pace
+        limit_s = pace.suspect_s + 2 * pace.interval_s
+        for name, member in self._board.members.items():
+            if name == self._board.settings.vm:
+                continue
+            opened_s = self._opened_s.setdefault(name, now_s)
+            if policy.needs_new_link(
+                member.acknowledged_s, opened_s, now_s, limit_s
+            ):
+                self._opened_s[name] = now_s
+                self._outbox.reconnect(name)
+
     def _notice_pause(self) -> None:
         """Excuses the others' silence by an own pause, before any judging.
 
--- a/src/azureramp/controllers/outbox.py
+++ b/src/azureramp/controllers/outbox.py
@@ -52,6 +52,13 @@
         self._pending.setdefault(vm, []).append(message)
         return True
 
+    def reconnect(self, vm: str) -> None:
+        """Gives the link to a VM up and opens a new one."""
+        member = self._board.members.get(vm)
+        if member is not None:
+            self._board.metrics.count("peer.reconnects")
+            self._port.reconnect(member.vm.peer_address)
+
     def _flush(self) -> None:
         """Hands each peer's messages to the port, as one envelope."""
         pending, self._pending = self._pending, {}
--- a/src/azureramp/metrics.py
+++ b/src/azureramp/metrics.py
@@ -59,6 +59,8 @@
         Metric("store.failures", Type.COUNTER, "Failed calls of the service."),
         Metric("peer.sent_bytes", Type.COUNTER, "Bytes to other daemons."),
         Metric("peer.received_bytes", Type.COUNTER, "Bytes from them."),
+        Metric("peer.stale", Type.COUNTER, "Envelopes that came too late."),
+        Metric("peer.reconnects", Type.COUNTER, "Silent links given up."),
         Metric("peer.dropped", Type.COUNTER, "Envelopes dropped."),
         Metric("configuration.revision", Type.GAUGE, "Revision in force."),
         Metric("configuration.age_ms", Type.GAUGE, "Age of confirmation."),
--- a/src/azureramp/policy/membership.py
+++ b/src/azureramp/policy/membership.py
@@ -106,3 +106,23 @@
     """
     late_s = now_s - expected_s
     return late_s if late_s > interval_s else 0.0
+
+
+def needs_new_link(
+    acknowledged_s: float, opened_s: float, now_s: float, limit_s: float
+) -> bool:
+    """Tells whether a link to a VM should be given up for a new one.
+
+    A half-open link takes everything and delivers nothing: something between
+    the two ends has lost track of it, and no error ever comes. It shows by
+    heartbeats that nobody acknowledges. The VM may also be gone; then a new
+    link costs one attempt to connect.
+
+    Args:
+        acknowledged_s: When the newest heartbeat that the other VM
+            acknowledged was sent.
+        opened_s: When the link was opened.
+        now_s: The time.
+        limit_s: How long heartbeats may go unacknowledged, in seconds.
+    """
+    return now_s - max(acknowledged_s, opened_s) > limit_s
--- a/src/azureramp/ports/peers/api.py
+++ b/src/azureramp/ports/peers/api.py
@@ -1,8 +1,10 @@
 """The interface of the links between the daemons.
 
 Messages are one-way and may be lost, late or doubled, but not altered: the
-transport authenticates each envelope by a keyed MAC. Sending never waits: a
-full or silent link drops, and the sender's own timeouts cover the loss.
+transport authenticates each envelope by a keyed MAC. Envelopes of an earlier
+incarnation, and those more than `freshness.MAX_DELAY_MS` late, are dropped.
+Sending never waits: a full or silent link drops, and the sender's own
+timeouts cover the loss.
 """
 
 from __future__ import annotations
@@ -39,6 +41,16 @@
         """
         ...
 
+    def reconnect(self, address: str) -> None:
+        """Gives a link up that has gone silent, and opens a new one.
+
+        What waits in it is lost.
+
+        Args:
+            address: The peer's `IP:port`.
+        """
+        ...
+
     async def close(self) -> None:
         """Sends what is queued, within a short time, and closes."""
         ...
--- a/src/azureramp/ports/peers/memory.py
+++ b/src/azureramp/ports/peers/memory.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from azureramp import events, messages
-from azureramp.ports.peers import api
+from azureramp.ports.peers import api, freshness
 
 
 @dataclasses.dataclass(slots=True)
@@ -26,6 +26,8 @@
         loss: Probability that an envelope is lost.
         doubling: Probability that an envelope arrives twice.
         cut: Pairs (from, to) of addresses between which all is lost.
+        half_open: Pairs (from, to) of addresses whose present link has gone
+            silent; a new one works.
         frozen: Addresses whose processes are paused: what they should get
             waits.
     """
@@ -35,6 +37,7 @@
     loss: float = 0.0
     doubling: float = 0.0
     cut: set[tuple[str, str]] = dataclasses.field(default_factory=set)
+    half_open: set[tuple[str, str]] = dataclasses.field(default_factory=set)
     frozen: set[str] = dataclasses.field(default_factory=set)
 
 
@@ -48,6 +51,7 @@
 
     __slots__ = (
         "_decoder",
+        "_freshness",
         "_handlers",
         "_random",
         "_waiting",
@@ -63,14 +67,16 @@
         """
         self.faults = Faults()
         self.sent_bytes: dict[str, int] = {}
+        self._freshness: dict[str, freshness.Freshness] = {}
         self._handlers: dict[str, api.Handler] = {}
-        self._waiting: dict[str, list[bytes]] = {}
+        self._waiting: dict[str, list[tuple[bytes, int]]] = {}
         self._random = random.Random(seed)
         self._decoder = msgspec.msgpack.Decoder(messages.Envelope)
 
     def attach(self, address: str, handler: api.Handler) -> None:
         """Begins to deliver what is sent to an address."""
         self._handlers[address] = handler
+        self._freshness[address] = freshness.Freshness()
 
     def detach(self, address: str) -> None:
         """Ends it, as when the process has gone."""
@@ -81,7 +87,7 @@
         """Takes an encoded envelope on its way."""
         self.sent_bytes[source] = self.sent_bytes.get(source, 0) + len(data)
         faults = self.faults
-        if (source, target) in faults.cut:
+        if (source, target) in faults.cut | faults.half_open:
             return
         if self._random.random() < faults.loss:
             return
@@ -89,22 +95,27 @@
         loop = asyncio.get_running_loop()
         for _ in range(copies):
             delay_s = faults.delay_s + self._random.random() * faults.jitter_s
-            loop.call_later(delay_s, self._deliver, target, data)
+            loop.call_later(delay_s, self._deliver, target, data, _now_ms())
 
     def thaw(self, address: str) -> None:
         """Ends a process's pause, and delivers what waited for it."""
         self.faults.frozen.discard(address)
-        for data in self._waiting.pop(address, []):
-            self._deliver(address, data)
+        for data, sent_ms in self._waiting.pop(address, []):
+            self._deliver(address, data, sent_ms)
 
-    def _deliver(self, target: str, data: bytes) -> None:
+    def _deliver(self, target: str, data: bytes, sent_ms: int) -> None:
         """Hands an envelope to the process at the target."""
         if target in self.faults.frozen:
-            self._waiting.setdefault(target, []).append(data)
+            self._waiting.setdefault(target, []).append((data, sent_ms))
             return
         handler = self._handlers.get(target)
-        if handler is not None:
-            handler(self._decoder.decode(data))
+        if handler is None:
+            return
+        envelope = self._decoder.decode(data)
+        if self._freshness[target].accept(
+            envelope.sender, envelope.incarnation, sent_ms, _now_ms()
+        ):
+            handler(envelope)
 
 
 class MemoryPeers:
@@ -148,6 +159,14 @@
         self._network.carry(self._address, address, data)
         return True
 
+    def reconnect(self, address: str) -> None:
+        """Opens a new link in place of a silent one; see `api.Peers`."""
+        self._network.faults.half_open.discard((self._address, address))
+
     async def close(self) -> None:
         """Ends receiving."""
         self._network.detach(self._address)
+
+
+def _now_ms() -> int:
+    return int(asyncio.get_running_loop().time() * 1000)
--- a/src/azureramp/ports/peers/nng.py
+++ b/src/azureramp/ports/peers/nng.py
@@ -14,7 +14,7 @@
 import pynng
 
 from azureramp import events, messages, metrics
-from azureramp.ports.peers import api, authentication
+from azureramp.ports.peers import api, authentication, freshness
 
 QUEUE_LENGTH = 128
 """Most envelopes that wait in one link."""
@@ -44,6 +44,7 @@
         "_authenticator",
         "_decoder",
         "_encoder",
+        "_freshness",
         "_handler",
         "_incarnation",
         "_links",
@@ -80,6 +81,7 @@
         self._authenticator = authentication.Authenticator(key)
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(messages.Envelope)
+        self._freshness = freshness.Freshness()
         self._links: dict[str, pynng.Push0] = {}
         self._pull: pynng.Pull0 | None = None
         self._handler: api.Handler | None = None
@@ -115,6 +117,13 @@
         self._metrics.count("peer.sent_bytes", len(frame))
         return True
 
+    def reconnect(self, address: str) -> None:
+        """Opens a new link in place of a silent one; see `api.Peers`."""
+        link = self._links.pop(address, None)
+        if link is not None:
+            link.close()
+        self._open(address)
+
     async def close(self) -> None:
         """Sends what is queued, within a short time, and closes."""
         await asyncio.sleep(CLOSE_S)
@@ -165,7 +174,13 @@
         except msgspec.DecodeError as error:
             _logger.warning("dropped an envelope: {}", error)
             return
-        handler(envelope)
+        now_ms = int(asyncio.get_running_loop().time() * 1000)
+        if self._freshness.accept(
+            envelope.sender, envelope.incarnation, opened[0], now_ms
+        ):
+            handler(envelope)
+        else:
+            self._metrics.count("peer.stale")
 
 
 def make(
--- a/tests/controllers/owning.py
+++ b/tests/controllers/owning.py
@@ -100,6 +100,9 @@
                 loop.call_later(HOP_S, route, message)
         return True
 
+    def reconnect(self, address: str) -> None:
+        """Does nothing: no link is ever silent."""
+
     async def close(self) -> None:
         """Does nothing."""
 
--- a/tests/controllers/test_membership.py
+++ b/tests/controllers/test_membership.py
@@ -282,3 +282,39 @@
         assert_agreed(cell.get_boards())
 
     run(test)
+
+
+@pytest.mark.parametrize(
+    "pairs",
+    [
+        pytest.param([("vm0", "vm3")], id="one way"),
+        pytest.param([("vm0", "vm3"), ("vm3", "vm0")], id="both ways"),
+        pytest.param(
+            [
+                (a, b)
+                for a in ("vm0", "vm1", "vm2", "vm3", "vm4")
+                for b in ("vm0", "vm1", "vm2", "vm3", "vm4")
+                if a != b
+            ],
+            id="all links at once",
+        ),
+    ],
+)
+def test_a_half_open_link_is_replaced_by_a_new_one(
+    pairs: list[tuple[str, str]],
+) -> None:
+    """Something between two VMs loses track of their connections.
+
+    Both ends stay open and no error comes, but nothing arrives any more,
+    while a new connection works. The heartbeats that nobody acknowledges
+    show it, whether the VM is heard or not.
+    """
+
+    async def test(cell: Cell) -> None:
+        cell.network.faults.half_open = set(pairs)
+        await asyncio.sleep(2.5)
+        assert cell.network.faults.half_open == set()
+        await asyncio.sleep(4.0)
+        assert_agreed(cell.get_boards())
+
+    run(test)
