--- a/src/azureramp/controllers/part_runner.py
+++ b/src/azureramp/controllers/part_runner.py
@@ -12,6 +12,7 @@
 from azureramp.controllers import (
     directory,
     dispatch_rules,
+    late_notices,
     owned_searcher,
     poisoning,
     probing,
@@ -43,6 +44,7 @@
         "_board",
         "_directory",
         "_holdings",
+        "_late",
         "_poisoning",
         "_port",
         "_prober",
@@ -61,8 +63,10 @@
         suspects: poisoning.Poisoning,
         prober: probing.Prober,
         answers: replies.Replies,
+        late: late_notices.LateNotices,
     ) -> None:
         """Makes a runner with nothing to run."""
+        self._late = late
         self._board = board
         self._port = port
         self._directory = places
@@ -100,6 +104,7 @@
         if part.sent and not part.batch.repeatable:
             return
         part.unwanted = True
+        part.again = False
         if part.task is not None:
             part.task.cancel()
             return
@@ -109,6 +114,25 @@
         owned.queue.remove(part)
         self.fail(part, errors.Failure(errors.Kind.CANCELLED))
 
+    def isolate(self, fingerprint: int, server: str) -> None:
+        """Stops a request that became a suspect, to run it alone.
+
+        Its sub-requests run side by side on many servers when the first of
+        them crashes. Those that haven't crashed theirs yet are taken back
+        and go on one at a time; so an innocent request, that was only in
+        flight beside a poison one, loses some time and nothing else.
+        """
+        for owned, part in tuple(self._holdings.parts.values()):
+            if (
+                part.batch.fingerprint == fingerprint
+                and part.task is not None
+                and part.batch.repeatable
+                and not part.alone
+                and owned.place.server.name != server
+            ):
+                part.again = True
+                part.task.cancel()
+
     def pump(self, owned: OwnedSearcher) -> None:
         """Starts as many sub-requests as there is room for."""
         now_s = _now_s()
@@ -125,8 +149,7 @@
                 late = errors.Failure(errors.Kind.DEADLINE_TOO_SHORT)
                 self.fail(part, late)
                 continue
-            owned.running[part.key] = part
-            part.task = asyncio.ensure_future(self._run(owned, part))
+            self._start(owned, part)
 
     def fail_waiting(
         self, owned: OwnedSearcher, failure: errors.Failure
@@ -169,11 +192,20 @@
         if dropped is not None:
             self.fail(dropped.content, self._rules.make_overloaded(owned))
 
+    def _start(self, owned: OwnedSearcher, part: Part) -> None:
+        """Starts a sub-request in a task of its own.
+
+        The slot is freed by the task's end and not inside it: a task that is
+        cancelled before its first step never enters its code, and would hold
+        the slot for good.
+        """
+        part.again = False
+        owned.running[part.key] = part
+        part.task = asyncio.ensure_future(self._run(owned, part))
+        part.task.add_done_callback(lambda task: self._finish(owned, part))
+
     async def _run(self, owned: OwnedSearcher, part: Part) -> None:
         """Runs one sub-request on its searcher, to its result."""
-        failure = errors.Failure(errors.Kind.CANCELLED)
-        ended = False
-        part.again = False
         try:
             result = await self._port.call(
                 self._make_call(owned, part),
@@ -181,22 +213,26 @@
             )
             if not part.again:
                 await self._end(owned, part, result)
-                ended = True
         except asyncio.CancelledError:
-            part.again = False
             self._take_unanswered(owned, part)
         except Exception:
-            # A fault of this program must not hold a slot for good.
+            # A fault of this program must not leave a request unanswered.
             _logger.exception("a sub-request failed by a fault")
-            failure = errors.Failure(errors.Kind.INTERNAL)
-        finally:
-            owned.running.pop(part.key, None)
-            part.task = None
-            if part.again:
-                self.take(part)
-            elif not ended:
-                self.fail(part, failure)
-            self._free(owned)
+            self.fail(part, errors.Failure(errors.Kind.INTERNAL))
+
+    def _finish(self, owned: OwnedSearcher, part: Part) -> None:
+        """Frees a sub-request's slot, and answers it if nothing else has."""
+        owned.running.pop(part.key, None)
+        part.task = None
+        if part.watch is not None:
+            self._late.end(part.watch)
+            part.watch = None
+        entry = self._holdings.parts.get(part.key)
+        if part.again:
+            self.take(part)
+        elif entry is not None and entry[1] is part:
+            self.fail(part, errors.Failure(errors.Kind.CANCELLED))
+        self._free(owned)
 
     def _make_call(
         self, owned: OwnedSearcher, part: Part
@@ -217,6 +253,9 @@
                 part.sent = True
                 part.sent_s = _now_s()
                 part.epoch = owned.ramp.epoch
+                part.watch = self._late.begin(
+                    owned.get_name(), part.coordinator, part.key
+                )
                 self._board.metrics.count("searcher.calls")
                 self._board.timeline.record(
                     owned.make_dispatched(part, self._board.lease_until_s),
--- a/src/azureramp/messages.py
+++ b/src/azureramp/messages.py
@@ -132,6 +132,21 @@
     results: tuple[PartResult, ...]
 
 
+class PartsLate(Message, frozen=True, kw_only=True, tag="parts_late"):
+    """Sub-requests that run for unusually long on their searchers.
+
+    Only the owner can tell a call that runs long from one that has waited
+    long, and only for the first is a second attempt worth its cost.
+
+    Attributes:
+        request_id: The request.
+        parts: The numbers of the sub-requests.
+    """
+
+    request_id: str
+    parts: tuple[int, ...]
+
+
 class SearcherState(msgspec.Struct, frozen=True, array_like=True):
     """What an owner tells the others of one of its searchers.
 
@@ -233,20 +248,20 @@
             sender's searchers before the lease has run out.
         revision: The answerer's configuration revision; 0 while it has none
             of its own right, so that it counts towards no majority.
+        confirmed_age_ms: As in a heartbeat, of the answerer.
+        incarnation: The answerer's incarnation.
         refused: The claims that it does not grant, since it has promised
             these searchers to another VM or incarnation.
         lists: The hashes of the VM lists that it has read of late.
-        confirmed_age_ms: As in a heartbeat, of the answerer.
-        incarnation: The answerer's incarnation.
     """
 
     sequence: int
     granted: bool
     revision: int
-    refused: tuple[int, ...] = ()
-    lists: tuple[int, ...] = ()
     confirmed_age_ms: float = math.inf
     incarnation: int = 0
+    refused: tuple[int, ...] = ()
+    lists: tuple[int, ...] = ()
 
 
 class ConfigurationRequest(
@@ -332,6 +347,7 @@
     QueryBatch
     | Cancel
     | PartResults
+    | PartsLate
     | Heartbeat
     | HeartbeatAck
     | ConfigurationRequest
