--- a/tests/ports/peers/test_nng.py
+++ b/tests/ports/peers/test_nng.py
@@ -3,14 +3,27 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
-from azureramp import events, messages, metrics
+from azureramp import events, messages, metrics, resources
 from azureramp.ports.peers import authentication, nng
 from tests.ports.peers import test_contract
 
 CANCEL = messages.Cancel(request_id="r", parts=())
+LARGE = messages.QueryBatch(
+    request_id="r",
+    index="i",
+    version=1,
+    priority=resources.Priority.URGENT,
+    remaining_ms=1.0,
+    fingerprint=1,
+    body=b"x" * 100_000,
+    parts=(),
+)
+GREETING = b"\0SP\0\0\x51\0\0"
+"""With which a Pull socket begins a connection."""
 
 
 @pytest.mark.parametrize(
@@ -83,8 +96,10 @@
     """
 
     async def body() -> int:
-        address = f"127.0.0.1:{test_contract.find_port()}"
-        server = await asyncio.start_server(accept, *address.split(":"))
+        loop = asyncio.get_running_loop()
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
         left = nng.make(
             "a",
             f"127.0.0.1:{test_contract.find_port()}",
@@ -94,35 +109,17 @@
             "key",
         )
         await left.start(lambda envelope: None)
-        large = messages.QueryBatch(
-            request_id="r",
-            index="i",
-            version=1,
-            priority=0,  # type: ignore[arg-type]
-            remaining_ms=1.0,
-            fingerprint=1,
-            body=b"x" * 100_000,
-            parts=(),
-        )
+        assert not left.send(address, LARGE)
+        accepted, _ = await loop.sock_accept(listener)
+        await loop.sock_recv(accepted, len(GREETING))
+        await loop.sock_sendall(accepted, GREETING)
         await test_contract.Link(left, "").send(
-            test_contract.Link(left, address), large
+            test_contract.Link(left, address), LARGE
         )
-        dropped = 0
-        for _ in range(1000):
-            dropped += not left.send(address, large)
+        dropped = sum(not left.send(address, LARGE) for _ in range(1000))
         await left.close()
-        server.close()
+        accepted.close()
+        listener.close()
         return dropped
 
-    async def accept(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Answers nng's greeting as a Pull socket, and then reads nothing."""
-        await reader.readexactly(8)
-        writer.write(b"\0SP\0\0\x51\0\0")
-        await writer.drain()
-        reader._transport.pause_reading()  # type: ignore[attr-defined]
-        await asyncio.sleep(0.5)
-        writer.transport.abort()
-
     assert asyncio.run(body()) >= 500
