--- a/src/azureramp_standins/matrix/cells.py
+++ b/src/azureramp_standins/matrix/cells.py
@@ -33,6 +33,9 @@
 STOP_AT_S = 1.0
 """When an operator changes a resource, and a VM is replaced, after that."""
 
+START_S = 0.5
+"""Time in which the replaced VM reaches its steps."""
+
 RECOVERY_S = 12.0
 """Longest time from a fault's end until all VMs answer in full."""
 
@@ -127,6 +130,7 @@
         await self._change()
         await asyncio.sleep(STOP_AT_S - CHANGE_AT_S)
         await self._replace_vm()
+        await asyncio.sleep(START_S)
         reached = self._injecting is not None
         recovery_s: float | None = None
         if self._injecting is not None:
