--- a/src/azureramp/messages.py
+++ b/src/azureramp/messages.py
@@ -132,6 +132,21 @@
     results: tuple[PartResult, ...]
 
 
+class PartsLate(Message, frozen=True, kw_only=True, tag="parts_late"):
+    """Sub-requests that run for unusually long on their searchers.
+
+    Only the owner can tell a call that runs long from one that has waited
+    long, and only for the first is a second attempt worth its cost.
+
+    Attributes:
+        request_id: The request.
+        parts: The numbers of the sub-requests.
+    """
+
+    request_id: str
+    parts: tuple[int, ...]
+
+
 class SearcherState(msgspec.Struct, frozen=True, array_like=True):
     """What an owner tells the others of one of its searchers.
 
@@ -168,6 +183,11 @@
             revision is its newest, at most; infinity if never.
         lease_ms: The heartbeat lease asked for, in milliseconds; 0 for none.
         searchers: The states of the searchers that it owns.
+        claims: The identities (see `policy.leases`) of the searchers that it
+            asks a lease for.
+        lists: The names in the VM lists that it has read of late, if they
+            were several.
+        suspects: The listed VMs that it does not hear.
     """
 
     sequence: int
@@ -177,6 +197,9 @@
     confirmed_age_ms: float
     lease_ms: float
     searchers: tuple[SearcherState, ...] = ()
+    claims: tuple[int, ...] = ()
+    lists: tuple[tuple[str, ...], ...] = ()
+    suspects: tuple[str, ...] = ()
 
 
 class HeartbeatAck(Message, frozen=True, kw_only=True, tag="heartbeat_ack"):
@@ -190,6 +213,9 @@
             of its own right, so that it counts towards no majority.
         confirmed_age_ms: As in a heartbeat, of the answerer.
         incarnation: The answerer's incarnation.
+        refused: The claims that it does not grant, since it has promised
+            these searchers to another VM or incarnation.
+        lists: The hashes of the VM lists that it has read of late.
     """
 
     sequence: int
@@ -197,6 +223,8 @@
     revision: int
     confirmed_age_ms: float = math.inf
     incarnation: int = 0
+    refused: tuple[int, ...] = ()
+    lists: tuple[int, ...] = ()
 
 
 class ConfigurationRequest(
@@ -282,6 +310,7 @@
     QueryBatch
     | Cancel
     | PartResults
+    | PartsLate
     | Heartbeat
     | HeartbeatAck
     | ConfigurationRequest
