--- a/src/azureramp/controllers/ownership.py
+++ b/src/azureramp/controllers/ownership.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Sequence
 
 from azureramp import blackboard, messages, resources
-from azureramp.policy import leases, lists, ownership
+from azureramp.policy import leases, lists, ownership, pace
 
 READ_LIST_S = 1.0
 """Time between reads of the VM list, in seconds."""
@@ -28,42 +28,74 @@
         "_alone_from_s",
         "_board",
         "_inputs",
+        "_pace",
         "_promises",
         "lease",
         "on_owners",
         "window",
     )
 
-    def __init__(self, board: blackboard.Blackboard, started_s: float) -> None:
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        started_s: float,
+        times: pace.Pace,
+    ) -> None:
         """Makes a VM that owns nothing and has promised nothing.
 
         Args:
             board: The process's state.
             started_s: When the process began, on the loop's clock.
+            times: The times that fit the size of the cell.
         """
-        lease_s = board.settings.lease_ms / 1000
+        self._pace = times
         lag_s = board.settings.list_lag_ms / 1000
         self._board = board
         self._inputs: Inputs | None = None
-        self._promises = leases.Promises(started_s, lease_s)
+        self._promises = leases.Promises(started_s, times.longest_lease_s)
         self._alone_from_s: dict[str, float] = {}
-        self.lease = leases.Lease(lease_s)
-        self.window = lists.ListWindow(2 * (lag_s + READ_LIST_S) + lease_s)
+        self.lease = leases.Lease(times.lease_s)
+        self.window = lists.ListWindow(
+            2 * (lag_s + READ_LIST_S) + times.longest_lease_s
+        )
         self.on_owners: Callable[[], None] | None = None
 
     def grant(
-        self, holder: leases.Holder, message: messages.Heartbeat, now_s: float
+        self,
+        holder: leases.Holder,
+        message: messages.Heartbeat,
+        now_s: float,
+        *,
+        leaving: bool = False,
     ) -> messages.HeartbeatAck:
-        """Answers a heartbeat, and promises what can be promised."""
-        refused = self._promises.grant(
-            holder, message.claims, message.lease_ms / 1000, now_s
-        )
+        """Answers a heartbeat, and promises what can be promised.
+
+        Args:
+            holder: Who sent it.
+            message: The heartbeat.
+            now_s: The time of its arrival.
+            leaving: True if this VM shuts down; then it promises nothing.
+        """
+        refused = None
+        if not leaving:
+            refused = self._promises.grant(
+                holder, message.claims, message.lease_ms / 1000, now_s
+            )
         return messages.HeartbeatAck(
             sequence=message.sequence,
             granted=refused is not None,
             revision=self._board.configuration.revision,
             refused=tuple(refused or ()),
             lists=self.window.get_hashes(),
+            confirmed_age_ms=(now_s - self._board.confirmed_s) * 1000,
+            incarnation=self._board.incarnation,
+        )
+
+    def waits(self, now_s: float) -> bool:
+        """Tells whether this VM waits for grants, so that it is urgent."""
+        return (
+            math.inf in self._board.may_start_s.values()
+            or self._board.lease_until_s < now_s + 2 * self._pace.interval_s
         )
 
     def record_ack(
@@ -72,10 +104,15 @@
         """Counts an acknowledgement towards the lease."""
         if message.granted and self.window.knows(message.lists):
             self.lease.record_ack(voter, message.sequence, message.refused)
-        waits = math.inf in self._board.may_start_s.values()
-        if waits or self._board.lease_until_s <= now_s:
+        if self.waits(now_s):
             self.update_lease(now_s)
 
+    def set_pace(self, times: pace.Pace) -> None:
+        """Takes the times that fit the size of the cell."""
+        self._pace = times
+        self.lease.set_length(times.lease_s)
+        self._promises.set_longest(times.longest_lease_s)
+
     def get_lists_to_tell(self) -> tuple[tuple[str, ...], ...]:
         """Returns the lists read of late, if they were several."""
         read = self.window.get_own()
@@ -105,7 +142,7 @@
             return False
         own = board.settings.vm
         mine = [name for name, owner in owners.items() if owner == own]
-        alone_s = now_s + board.settings.lease_ms / 1000
+        alone_s = now_s + self._pace.longest_lease_s + self._pace.interval_s
         self._alone_from_s = {
             name: self._alone_from_s.get(name, alone_s) for name in mine
         }
--- a/src/azureramp/ports/web/server.py
+++ b/src/azureramp/ports/web/server.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 
 import h11
 
@@ -24,6 +25,8 @@
     Attributes:
         address: `IP:port` that it listens on.
         running: Requests that run now.
+        closing: True once each answer says that its connection closes; new
+            connections are still taken.
     """
 
     __slots__ = (
@@ -32,6 +35,7 @@
         "_server",
         "_stopping",
         "address",
+        "closing",
         "running",
     )
 
@@ -46,6 +50,7 @@
         """
         self.address = address
         self.running = 0
+        self.closing = False
         self._handler = handler
         self._stopping = False
         self._server: asyncio.Server | None = None
@@ -91,7 +96,10 @@
         """Runs the handler, and counts."""
         self.running += 1
         try:
-            return await self._handler(request)
+            response = await self._handler(request)
+            if self.closing:
+                return dataclasses.replace(response, closes=True)
+            return response
         finally:
             self.running -= 1
 
@@ -131,6 +139,10 @@
             await served.serve()
         except (OSError, TimeoutError, h11.LocalProtocolError):
             writer.transport.abort()
+        except asyncio.CancelledError:
+            # Only `stop` cancels, past its limit. The stream's own callback
+            # would take a cancelled task for a fault and print a traceback.
+            writer.transport.abort()
         finally:
             del self._connections[task]
             writer.close()
