Never give a cold or unknown searcher's call up by time alone

A call was given up after twenty times the usual service time, or a second where none was known. A searcher whose cold calls take longer than that would never have got one through, and stayed cold for good. Now only a warm searcher's calls are given up by time; the others only if the searcher reports that it never got them. What a call's end means is a module of its own.

--- /dev/null
+++ b/src/azureramp/controllers/part_outcomes.py
@@ -0,0 +1,104 @@
+"""What the end of a call means for its searcher and its request."""
+
+from __future__ import annotations
+
+import asyncio
+
+import expression
+
+from azureramp import blackboard, errors, messages
+from azureramp.controllers import owned_searcher, poisoning, probing
+from azureramp.ports.searchers import api as searchers_api
+
+SETTLE_S = 0.05
+"""How long a cold searcher may still run a call that was given up, in
+seconds: the time until it learns of the end."""
+
+OwnedSearcher = owned_searcher.OwnedSearcher
+Part = owned_searcher.Part
+CallResult = expression.Result[searchers_api.Reply, searchers_api.CallFailure]
+Outcome = messages.PartDone | errors.Failure
+
+
+class PartOutcomes:
+    """Takes the ends of calls in: for ramps, for blame, for the answer."""
+
+    __slots__ = ("_board", "_poisoning", "_prober")
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        suspects: poisoning.Poisoning,
+        prober: probing.Prober,
+    ) -> None:
+        """Makes it for one process."""
+        self._board = board
+        self._poisoning = suspects
+        self._prober = prober
+
+    async def take(
+        self, owned: OwnedSearcher, part: Part, result: CallResult
+    ) -> Outcome:
+        """Takes a call's end in.
+
+        Args:
+            owned: The searcher.
+            part: The sub-request.
+            result: How its call ended.
+
+        Returns:
+            What the coordinator is told.
+        """
+        match result:
+            case expression.Result(tag="ok", ok=reply):
+                return self._take_reply(owned, part, reply)
+            case expression.Result(error=failed) if not failed.sent:
+                if failed.failure.kind is errors.Kind.CONNECTION_LOST:
+                    self._prober.lose(owned, "refused")
+                return part.refusal or failed.failure
+            case expression.Result(error=failed):
+                return await self._take_failure(owned, part, failed.failure)
+
+    def take_unanswered(self, owned: OwnedSearcher, part: Part) -> None:
+        """Takes a call that was given up before its reply."""
+        now_s = asyncio.get_running_loop().time()
+        owned.ramp.end_unanswered((now_s - part.sent_s) * 1000, part.epoch)
+        self._poisoning.give_up(owned, part)
+        if owned.is_cold():
+            owned.lingering_s.append(now_s + SETTLE_S)
+
+    def _take_reply(
+        self, owned: OwnedSearcher, part: Part, reply: searchers_api.Reply
+    ) -> messages.PartDone:
+        """Takes a whole reply."""
+        owned.succeeded_s = asyncio.get_running_loop().time()
+        took_ms = (owned.succeeded_s - part.sent_s) * 1000
+        owned.ramp.succeed(took_ms, part.epoch)
+        self._poisoning.succeed(part)
+        self._board.metrics.record_ms("searcher.took_ms", took_ms)
+        return messages.PartDone(
+            part.request.part,
+            reply.version,
+            reply.low,
+            reply.high,
+            bytes(reply.items),
+            took_ms,
+        )
+
+    async def _take_failure(
+        self, owned: OwnedSearcher, part: Part, failure: errors.Failure
+    ) -> errors.Failure:
+        """Takes the failure of a call whose bytes may have arrived."""
+        match failure.kind:
+            case errors.Kind.CONNECTION_LOST:
+                owned.ramp.fail(part.epoch)
+                if await self._poisoning.judge(owned, part):
+                    self._prober.lose(owned, "crashed")
+                    return errors.Failure(errors.Kind.BACKEND_CRASHED)
+            case errors.Kind.DEADLINE_PASSED:
+                self.take_unanswered(owned, part)
+            case errors.Kind.VERSION_GONE:
+                self._prober.probe(owned)
+            case _:
+                owned.ramp.fail(part.epoch)
+        return failure
--- a/src/azureramp/controllers/part_runner.py
+++ b/src/azureramp/controllers/part_runner.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Callable
 
-import expression
 import logbook
 
 from azureramp import blackboard, errors, messages
@@ -14,6 +13,7 @@
     dispatch_rules,
     late_notices,
     owned_searcher,
+    part_outcomes,
     poisoning,
     probing,
     replies,
@@ -21,13 +21,9 @@
 from azureramp.policy import queues
 from azureramp.ports.searchers import api as searchers_api
 
-SETTLE_S = 0.05
-"""How long a cold searcher may still run a call that was given up, in
-seconds: the time until it learns of the end."""
-
 OwnedSearcher = owned_searcher.OwnedSearcher
 Part = owned_searcher.Part
-CallResult = expression.Result[searchers_api.Reply, searchers_api.CallFailure]
+CallResult = part_outcomes.CallResult
 
 _logger = logbook.Logger("azureramp.owner")
 
@@ -45,6 +41,7 @@
         "_directory",
         "_holdings",
         "_late",
+        "_outcomes",
         "_poisoning",
         "_port",
         "_prober",
@@ -77,6 +74,7 @@
         self._rules = dispatch_rules.DispatchRules(
             board, holdings, suspects, prober
         )
+        self._outcomes = part_outcomes.PartOutcomes(board, suspects, prober)
         self._trial_queue: dict[int, list[Part]] = {}
         self.on_released: Callable[[OwnedSearcher], None] = _ignore
 
@@ -243,8 +241,12 @@
             # After the lease another VM may own the searcher, and count on
             # nothing of ours still running in it.
             left_s = min(left_s, self._rules.get_lease_s())
-        usual_ms = owned.ramp.get_usual_ms()
-        return part.make_call(owned.get_address(), left_s, usual_ms)
+        return part.make_call(
+            owned.get_address(),
+            left_s,
+            owned.ramp.get_expected_ms(),
+            owned.is_cold(),
+        )
 
     def _may_write(self, owned: OwnedSearcher, part: Part) -> bool:
         """Decides right before the first byte, and records the dispatch."""
@@ -271,66 +273,23 @@
     async def _end(
         self, owned: OwnedSearcher, part: Part, result: CallResult
     ) -> None:
-        """Tells the coordinator the result, and the ramp what it means."""
-        match result:
-            case expression.Result(tag="ok", ok=reply):
-                self._take_reply(owned, part, reply)
-            case expression.Result(error=failed) if not failed.sent:
-                if failed.failure.kind is errors.Kind.CONNECTION_LOST:
-                    self._prober.lose(owned, "refused")
-                    self.fail_waiting(owned, failed.failure)
-                self.fail(part, part.refusal or failed.failure)
-            case expression.Result(error=failed):
-                await self._take_failure(owned, part, failed.failure)
-
-    def _take_reply(
-        self, owned: OwnedSearcher, part: Part, reply: searchers_api.Reply
-    ) -> None:
-        """Takes a whole reply."""
-        owned.succeeded_s = _now_s()
-        took_ms = (owned.succeeded_s - part.sent_s) * 1000
-        owned.ramp.succeed(took_ms, part.epoch)
-        self._poisoning.succeed(part)
-        self._board.metrics.record_ms("searcher.took_ms", took_ms)
-        done = messages.PartDone(
-            part.request.part,
-            reply.version,
-            reply.low,
-            reply.high,
-            bytes(reply.items),
-            took_ms,
-        )
-        self._reply(part, done)
-
-    async def _take_failure(
-        self, owned: OwnedSearcher, part: Part, failure: errors.Failure
-    ) -> None:
-        """Takes the failure of a call whose bytes may have arrived."""
-        match failure.kind:
-            case errors.Kind.CONNECTION_LOST:
-                owned.ramp.fail(part.epoch)
-                if await self._poisoning.judge(owned, part):
-                    self._prober.lose(owned, "crashed")
-                    self.fail_waiting(owned, failure)
-                    failure = errors.Failure(errors.Kind.BACKEND_CRASHED)
-            case errors.Kind.DEADLINE_PASSED:
-                self._take_unanswered(owned, part)
-            case errors.Kind.VERSION_GONE:
-                self._prober.probe(owned)
-            case _:
-                owned.ramp.fail(part.epoch)
-        self.fail(part, failure)
+        """Tells the coordinator the result."""
+        outcome = await self._outcomes.take(owned, part, result)
+        match outcome:
+            case messages.PartDone():
+                self._reply(part, outcome)
+            case errors.Failure():
+                if not owned.reachable:
+                    self.fail_waiting(owned, result.error.failure)
+                self.fail(part, outcome)
 
     def _take_unanswered(self, owned: OwnedSearcher, part: Part) -> None:
         """Takes a call that was given up before its reply."""
-        if not part.sent:
-            return
-        now_s = _now_s()
-        owned.ramp.end_unanswered((now_s - part.sent_s) * 1000, part.epoch)
-        self._poisoning.give_up(owned, part)
-        if owned.is_cold():
-            owned.lingering_s.append(now_s + SETTLE_S)
-            asyncio.get_running_loop().call_later(SETTLE_S, self._free, owned)
+        if part.sent:
+            self._outcomes.take_unanswered(owned, part)
+        if owned.lingering_s:
+            settle_s = part_outcomes.SETTLE_S
+            asyncio.get_running_loop().call_later(settle_s, self._free, owned)
 
     def _free(self, owned: OwnedSearcher) -> None:
         """Uses the room that a sub-request has left."""
--- a/src/azureramp/controllers/parts.py
+++ b/src/azureramp/controllers/parts.py
@@ -48,14 +48,16 @@
     watch: late_notices.Running | None = None
 
     def make_call(
-        self, address: str, left_s: float, usual_ms: float
+        self, address: str, left_s: float, expected_ms: float, cold: bool
     ) -> searchers_api.Call:
         """Makes the port's call.
 
         Args:
             address: The searcher's `IP:port`.
             left_s: The time that it may take, in seconds.
-            usual_ms: The searcher's usual service time, in milliseconds.
+            expected_ms: What a call takes there now, in milliseconds; 0 if
+                unknown.
+            cold: True while the searcher is in cold start.
         """
         batch, request = self.batch, self.request
         return searchers_api.Call(
@@ -69,5 +71,6 @@
             deadline_ms=max(0.0, left_s * 1000),
             body=batch.body,
             repeatable=batch.repeatable,
-            overdue_ms=connections.get_overdue_ms(usual_ms),
+            overdue_ms=connections.get_overdue_ms(expected_ms),
+            give_up_ms=connections.get_give_up_ms(expected_ms, cold),
         )
--- a/src/azureramp/policy/connections.py
+++ b/src/azureramp/policy/connections.py
@@ -52,6 +52,24 @@
     return max(OVERDUE_LEAST_MS, usual_ms * OVERDUE_FACTOR)
 
 
+def get_give_up_ms(usual_ms: float, cold: bool) -> float:
+    """Returns after how long a call is given up, in milliseconds.
+
+    A searcher in cold start, or one that nothing is known of, may need any
+    time: giving its calls up would keep it from ever showing how long.
+
+    Args:
+        usual_ms: The usual service time, in milliseconds; 0 if unknown.
+        cold: True while the searcher is in cold start.
+
+    Returns:
+        The time; 0 for never.
+    """
+    if cold or usual_ms <= 0:
+        return 0.0
+    return get_overdue_ms(usual_ms) * GIVE_UP_FACTOR
+
+
 def get_share(connections: int) -> int:
     """Returns how many connections an owner may hold open.
 
--- a/src/azureramp/ports/searchers/api.py
+++ b/src/azureramp/ports/searchers/api.py
@@ -29,6 +29,8 @@
         repeatable: False if the call has effects and may be made only once.
         overdue_ms: After this time without a reply, in milliseconds, the
             connection is suspect; 0 for never.
+        give_up_ms: After this time without a reply, in milliseconds, a
+            repeatable call on a suspect connection is given up; 0 for never.
     """
 
     address: str
@@ -42,6 +44,7 @@
     body: bytes
     repeatable: bool = True
     overdue_ms: float = 0.0
+    give_up_ms: float = 0.0
 
 
 class Reply(msgspec.Struct, frozen=True):
--- a/src/azureramp/ports/searchers/calls.py
+++ b/src/azureramp/ports/searchers/calls.py
@@ -236,9 +236,10 @@
         if not call.repeatable:
             return
         if seen.in_flight >= pooled.count_in_use():
-            give_up_s = call.overdue_ms * connections.GIVE_UP_FACTOR / 1000
+            if not call.give_up_ms:
+                return
             now_s = asyncio.get_running_loop().time()
-            await asyncio.sleep(began_s + give_up_s - now_s)
+            await asyncio.sleep(began_s + call.give_up_ms / 1000 - now_s)
         if link.proven_s <= began_s:
             link.abort()
 
--- a/tests/controllers/test_handoffs.py
+++ b/tests/controllers/test_handoffs.py
@@ -175,6 +175,64 @@
     owning.run(scenario())
 
 
+def test_a_searcher_that_turns_cold_while_a_connection_opens_gets_nothing() -> (
+    None
+):
+    """A VM without a lease goes on with its warm searchers, as it may.
+
+    One call's connection is just opening when the searcher is found to have
+    turned cold. Now only the look right before the write can hold it back.
+    """
+
+    async def scenario() -> None:
+        searcher = owning.make_searcher("s1")
+        bench = owning.make_bench(searcher)
+        await bench.start()
+        for number in range(20):
+            bench.send("s1", request_id=f"w{number}")
+            await asyncio.sleep(0.02)
+        bench.board.lease_until_s = 0.0
+        await asyncio.sleep(5)
+        calls = searcher.calls
+        bench.send("s1", request_id="late")
+        await asyncio.sleep(0.003)
+        bench.owner._holdings.owned["s1"].ramp.turn_cold("latency")
+        await asyncio.sleep(0.5)
+
+        assert bench.get_kinds()["late"] == errors.Kind.COLD.value
+        assert searcher.calls == calls
+
+    owning.run(scenario())
+
+
+def test_a_slow_cold_searcher_is_not_given_up_on() -> None:
+    """Cold calls take two seconds where they usually take ten milliseconds.
+
+    Were each given up as if its connection were dead, the searcher would
+    never get through one, and stay cold for good.
+    """
+
+    async def scenario() -> None:
+        searcher = owning.make_searcher("s1")
+        bench = owning.make_bench(searcher)
+        await bench.start()
+        for number in range(20):
+            bench.send("s1", request_id=f"w{number}")
+            await asyncio.sleep(0.02)
+        searcher.cold_factor = 200.0
+        searcher.restart(warm_after=2)
+        await asyncio.sleep(1)
+        for number in range(4):
+            bench.send("s1", request_id=f"c{number}", remaining_ms=5000.0)
+            await asyncio.sleep(4)
+
+        kinds = bench.get_kinds()
+        assert {kinds[f"c{number}"] for number in range(4)} == {"ok"}
+        assert bench.board.owned["s1"].limit == 2
+
+    owning.run(scenario())
+
+
 def test_a_call_to_a_cold_searcher_ends_before_the_lease() -> None:
     """A VM loses its lease while its call runs on a cold searcher.
 
--- a/tests/ports/searchers/test_half_open.py
+++ b/tests/ports/searchers/test_half_open.py
@@ -160,6 +160,7 @@
         harness.address,
         call_id=f"r{number}/1",
         overdue_ms=60.0,
+        give_up_ms=240.0,
         deadline_ms=20_000.0,
         **fields,
     )
@@ -222,6 +223,7 @@
         made = harness_module.make_call(
             harness.address,
             overdue_ms=60.0,
+            give_up_ms=240.0,
             deadline_ms=3000.0,
             repeatable=False,
         )
@@ -248,6 +250,23 @@
     run("memory", scenario)
 
 
+def test_a_misleading_report_delays_the_giving_up_but_not_for_good() -> None:
+    """The searcher's report says that it runs calls; the connection is dead.
+
+    Without the evidence of the report the call is given up by time.
+    """
+
+    async def scenario(harness: Any) -> None:
+        await call(harness, 1)
+        harness.lose_track()
+        harness._searcher.running = 5
+        result = await call(harness, 2)
+
+        assert result.error.failure.kind is errors.Kind.CONNECTION_LOST
+
+    run("memory", scenario)
+
+
 def test_a_connection_idle_past_a_few_seconds_is_not_used_again() -> None:
     async def scenario(harness: Any) -> None:
         await call(harness, 1)
