Test the guards that the tests had left unseen

Each guard of the owner, the port and the server was taken out in turn on a scratch copy. Six went unnoticed: taking a suspect's running parts back, its trial one by one, its running alone, the wait after a crash, the refusal after a pause, and the ramp after all connections were lost. Each has its test now. One is left that no test sees alone: the look at the zone right before the write, since a zone out also ends the searcher's confirmation.

--- a/tests/controllers/test_cold_start.py
+++ b/tests/controllers/test_cold_start.py
@@ -92,6 +92,32 @@
     owning.run(scenario())
 
 
+def test_a_searcher_that_lost_all_its_connections_is_taken_for_cold() -> None:
+    """Every connection to a searcher ends at once, its process lives on.
+
+    What ended them may have cost it its caches too, so it is ramped anew.
+    One lost connection among several is no reason.
+    """
+
+    async def scenario() -> None:
+        searcher = owning.make_searcher("s1", slots=8)
+        bench = owning.make_bench(searcher, slots=8, cold_limit=2)
+        await bench.start()
+        await ask(bench, ["s1"], 3.0, 0.002)
+        await asyncio.sleep(0.2)
+        next(iter(searcher.links)).lose()
+        await asyncio.sleep(1)
+        after_one = bench.board.owned["s1"].limit
+        for link in list(searcher.links):
+            link.lose()
+        await asyncio.sleep(1)
+
+        assert after_one == 8
+        assert bench.board.owned["s1"].limit == 2
+
+    owning.run(scenario())
+
+
 def test_a_searcher_that_turns_cold_without_a_word_is_eased_off() -> None:
     """A searcher loses its caches but not its process.
 
--- a/tests/controllers/test_poisoning.py
+++ b/tests/controllers/test_poisoning.py
@@ -267,6 +267,107 @@
     owning.run(scenario())
 
 
+def test_what_a_poison_request_runs_on_elsewhere_is_saved_in_time() -> None:
+    """A poison request runs on a quick server and on three slow ones.
+
+    The quick one crashes first. The slow ones must be rid of the request
+    before it has crashed them too.
+    """
+
+    async def scenario() -> None:
+        deployment = Deployment()
+        await deployment.start()
+        for searcher in deployment.searchers:
+            searcher.service_ms = 300.0
+        deployment.searchers[0].service_ms = 10.0
+        for vm, name in (("vm1", "x0-a"), ("vm1", "x4-a"), ("vm2", "x4-b")):
+            assert deployment.owners[name] == vm
+            deployment.benches[vm].send(
+                name, request_id=name, fingerprint=7, body=POISON
+            )
+        await asyncio.sleep(0.2)
+        running = [searcher.running for searcher in deployment.searchers]
+
+        assert deployment.count_crashes() == 1
+        assert sum(running) <= 2
+        await asyncio.sleep(3)
+        assert deployment.count_crashes() == 2
+
+    owning.run(scenario())
+
+
+def test_an_isolated_request_runs_one_part_at_a_time_on_an_owner() -> None:
+    """A suspect comes for three searchers of one owner: one after another.
+
+    Were it poison, all three servers would go down together.
+    """
+
+    async def scenario() -> None:
+        deployment = Deployment()
+        await deployment.start()
+        names = ("x0-a", "x4-a", "x8-a")
+        bench = deployment.benches["vm1"]
+        bench.send(
+            *names, request_id="r", fingerprint=7, body=POISON, isolated=True
+        )
+        await asyncio.sleep(0.9)
+
+        assert deployment.count_crashes() == 2
+        assert sorted(deployment.get_kinds("r")) == [
+            "backend_crashed",
+            "backend_crashed",
+            "quarantined",
+        ]
+
+    owning.run(scenario())
+
+
+def test_a_suspect_waits_until_a_second_crash_would_count() -> None:
+    """A server is back 50 ms after its crash, and the caller sends again.
+
+    Crashes of one server so close together are taken for one, told by two
+    owners. A suspect that could use this would get a try for nothing.
+    """
+
+    async def scenario() -> None:
+        deployment = Deployment(restart_s=0.05)
+        await deployment.start()
+        bench = deployment.benches["vm1"]
+        bench.send("x0-a", request_id="r1", fingerprint=7, body=POISON)
+        await asyncio.sleep(0.7)
+        sibling = deployment.benches["vm2"]
+        assert deployment.owners["x0-b"] == "vm2"
+        sibling.send("x0-b", request_id="r2", fingerprint=7, body=POISON)
+        await asyncio.sleep(0.1)
+
+        assert deployment.get_kinds("r2") == ["cold"]
+        assert deployment.count_crashes() == 1
+
+    owning.run(scenario())
+
+
+def test_a_suspect_runs_alone_on_its_searcher() -> None:
+    """One in flight beside a poison request would be blamed with it."""
+
+    async def scenario() -> None:
+        bench = owning.make_bench(
+            owning.make_searcher("s1", spread=0.0), cold_limit=2
+        )
+        await bench.start()
+        bench.send("s1", request_id="before")
+        bench.send("s1", request_id="suspect", isolated=True)
+        bench.send("s1", request_id="after", remaining_ms=2000.0)
+        await asyncio.sleep(1)
+
+        dispatched = [
+            (event.request_id, event.in_use)
+            for event in bench.get_events(events.PartDispatched)
+        ]
+        assert dispatched == [("before", 1), ("suspect", 1), ("after", 1)]
+
+    owning.run(scenario())
+
+
 def test_a_vm_that_comes_up_later_learns_of_quarantines() -> None:
     async def scenario() -> None:
         deployment = Deployment()
--- a/tests/ports/searchers/test_contract.py
+++ b/tests/ports/searchers/test_contract.py
@@ -8,6 +8,7 @@
 import pytest
 
 from azureramp import errors
+from azureramp.ports.searchers import calls
 from tests.ports.searchers import harness as harness_module
 
 Harness = harness_module.Harness
@@ -245,3 +246,29 @@
         assert harness.port.get_links(harness.address).open == 0
 
     harness_module.run(kind, scenario)
+
+
+def test_a_process_paused_after_it_told_a_deadline_does_not_write() -> None:
+    """A process is paused between encoding a call and writing it.
+
+    The deadline that it tells the searcher would be later than meant by the
+    pause, and the work could outlast the lease. It isn't even asked.
+    """
+
+    async def scenario() -> None:
+        now_s = asyncio.get_running_loop().time()
+        asked: list[float] = []
+
+        def ask() -> bool:
+            asked.append(now_s)
+            return True
+
+        paused = calls.Permission(ask, told_s=now_s - 2 * calls.ENCODE_S)
+        prompt = calls.Permission(ask, told_s=now_s)
+
+        assert not paused.ask()
+        assert not paused.asked
+        assert prompt.ask()
+        assert len(asked) == 1
+
+    harness_module.run_virtual(scenario())
