Let losers of hedges and handoffs keep the signs of a cold start

Cause: with a server that turned cold without a word, hedges won against each slow call and cancelled it at about twice the usual time, which said nothing to the ramp (three times was needed); and a handoff forgot the slow calls seen before it.

--- a/src/azureramp/controllers/ownership_changes.py
+++ b/src/azureramp/controllers/ownership_changes.py
@@ -98,7 +98,7 @@
         """Goes on where the former owner was."""
         message = received.message
         if message.incarnation:
-            owned.ramp.resume(message.limit, message.service_ms)
+            owned.ramp.resume(message.limit, message.service_ms, message.slow)
             # The first health read compares the incarnation with this one.
             owned.health = searchers_api.Health(
                 message.incarnation, False, message.in_use, ()
--- a/src/azureramp/policy/ramps.py
+++ b/src/azureramp/policy/ramps.py
@@ -102,13 +102,18 @@
         self.epoch = 0
         self.held = False
 
-    def resume(self, limit: int, usual_ms: float) -> None:
+    def resume(self, limit: int, usual_ms: float, slow: int = 0) -> None:
         """Goes on where another owner's ramp was.
 
+        A searcher that turned cold shortly before a handoff would otherwise
+        have to give every sign of it anew, to each of its owners.
+
         Args:
             limit: The other ramp's limit.
             usual_ms: Its usual service time, in milliseconds; 0 if unknown.
+            slow: How many of its recent calls were slow.
         """
+        self._slow.extend([True] * min(slow, SLOW_OF_RECENT - 1))
         self._usual_ms = usual_ms
         self.limit = max(1, min(limit, self._slots))
         self.reason = "handoff"
@@ -135,6 +140,10 @@
             return statistics.median_low(self._latencies_ms)
         return self._usual_ms
 
+    def count_slow(self) -> int:
+        """Returns how many of the recent calls were slow."""
+        return sum(self._slow)
+
     def get_expected_ms(self) -> float:
         """Returns what a call takes now, in milliseconds; 0 if unknown.
 
@@ -183,7 +192,8 @@
 
         A hedged call's loser is cancelled before it ends, so a searcher that
         turned cold would show by no latency at all; that it took at least
-        this long is known.
+        this long is known. A hedge begins where few usual calls still run,
+        so a time that is not normal any more is enough to count as slow.
 
         Args:
             after_ms: The time, in milliseconds.
@@ -192,7 +202,7 @@
         usual_ms = self.get_usual_ms()
         if epoch != self.epoch or not usual_ms:
             return
-        if after_ms > usual_ms * COLD_FACTOR:
+        if after_ms > usual_ms * NORMAL_FACTOR:
             self._streak = 0
             if self.state is State.WARM:
                 self._judge(True)
--- a/tests/controllers/test_idempotency_machine.py
+++ b/tests/controllers/test_idempotency_machine.py
@@ -517,6 +517,8 @@
         stateful.run_state_machine_as_test(
             RecordsMachine,
             settings=hypothesis.settings(
-                SETTINGS, phases=[hypothesis.Phase.generate]
+                SETTINGS,
+                phases=[hypothesis.Phase.generate],
+                max_examples=600,
             ),
         )
--- a/tests/policy/test_ramps.py
+++ b/tests/policy/test_ramps.py
@@ -101,6 +101,36 @@
     assert (early, ramp.state) == (ramps.State.WARM, ramps.State.COLD)
 
 
+def test_a_loser_of_a_hedge_counts_once_its_time_is_not_normal() -> None:
+    """A backend server turns cold, and each slow call loses to its hedge.
+
+    The losers are cancelled at about twice the usual time, long before a
+    cold call would end: if that said nothing, the owner would go on with
+    the full limit for as long as the hedges win.
+    """
+    ramp = make_warm()
+    for _ in range(ramps.SLOW_OF_RECENT):
+        ramp.end_unanswered(USUAL_MS * 2.2, ramp.epoch)
+
+    assert (ramp.state, ramp.limit) == (ramps.State.COLD, 1)
+
+
+def test_slow_calls_before_a_handoff_count_after_it() -> None:
+    """A searcher turns cold, and changes its owner after two slow calls.
+
+    Without them the new owner would wait for three of its own, at the full
+    limit.
+    """
+    before = make_warm()
+    for _ in range(2):
+        before.succeed(COLD_MS, before.epoch)
+    after = ramps.Ramp(4, 1)
+    after.resume(before.limit, USUAL_MS, before.count_slow())
+    after.succeed(COLD_MS, after.epoch)
+
+    assert after.state is ramps.State.COLD
+
+
 def test_failures_in_a_row_turn_a_warm_searcher_cold() -> None:
     ramp = make_warm()
     for _ in range(ramps.FAILURES):
