--- a/src/azureramp/controllers/lateness.py
+++ b/src/azureramp/controllers/lateness.py
@@ -78,14 +78,14 @@
 
         A deferrable one too, and ahead of the queue: the straggler holds a
         slot until the hedge's result cancels it, so the hedge gives back more
-        than it costs, and the sooner the more.
+        than it costs, and the sooner the more. That is why it goes on under
+        overload, unlike any other call that nobody strictly needs.
         """
         attempt = self._attempts.state.get_attempt(part)
         if attempt is None:
             return
         progress = self._attempts.state.progress[attempt.shard.name]
-        now_s = asyncio.get_running_loop().time()
-        if len(progress.running) == 1 and self._may_add(now_s):
+        if len(progress.running) == 1 and not self._is_suspect():
             self._hedge(progress, ahead=True)
 
     def _help_late(self, progress: assembly.Progress) -> None:
@@ -121,14 +121,20 @@
     def _may_add(self, now_s: float) -> bool:
         """Tells whether calls may be made that nobody strictly needs.
 
-        Not for a request that may have crashed a server, and not under
-        overload, when a second call only takes the slot of somebody's first.
+        Not under overload, when a second call for what only waits takes the
+        slot of somebody's first.
         """
-        if self._attempts.header.isolated or self._attempts.tally.crashes:
+        if self._is_suspect():
             return False
         level = self._attempts.dispatcher.measured.level
         return not level.is_overloaded(now_s)
 
+    def _is_suspect(self) -> bool:
+        """Tells whether the request may have crashed a server."""
+        return (
+            self._attempts.header.isolated or self._attempts.tally.crashes > 0
+        )
+
     def _get_delay_ms(self, attempt: assembly.Attempt) -> float:
         """Returns the hedge delay of an attempt's shard."""
         header = self._attempts.header
--- a/src/azureramp/policy/admission.py
+++ b/src/azureramp/policy/admission.py
@@ -31,6 +31,9 @@
 INCREASE = 0.02
 """How far the level rises in a window without overload."""
 
+MOST_WINDOWS = 1000.0
+"""Most windows without a sample that are made up for at once."""
+
 LOWEST_LEVEL = 0.1
 """Share of urgent requests that are taken at the least, to keep measuring."""
 
@@ -99,18 +102,22 @@
         """Moves the level once a window is over."""
         if now_s < self._ends_s:
             return
-        windows = 1 + min(100.0, (now_s - self._ends_s) / WINDOW_S)
+        silent = min(MOST_WINDOWS, (now_s - self._ends_s) / WINDOW_S)
         self._ends_s = now_s + WINDOW_S
         worst = self._find_overloaded()
-        self._overloaded = worst is not None
         if worst is None:
-            risen = self.value + INCREASE * windows
-            self.value = min(float(len(resources.Priority)), risen)
+            silent += 1.0
         else:
             floor = max(LOWEST_LEVEL, float(worst))
             mean = self._ratios[worst] / self._counts[worst]
             fallen = max(floor, self.value - DECREASE * mean)
             self.value = min(self.value, fallen)
+        # In the windows since then nobody waited: what is refused measures
+        # nothing, and a level that only samples raise would never rise.
+        self.value = min(
+            float(len(resources.Priority)), self.value + INCREASE * silent
+        )
+        self._overloaded = worst is not None and silent < 1.0
         for priority in resources.Priority:
             self._ratios[priority] = 0.0
             self._counts[priority] = 0
