--- a/src/azureramp/controllers/single_run.py
+++ b/src/azureramp/controllers/single_run.py
@@ -104,7 +104,7 @@
         loop = asyncio.get_running_loop()
         timer = loop.call_at(self._attempts.header.answer_s, self._expire)
         try:
-            return await asyncio.shield(self._answered)
+            return await self._answered
         except asyncio.CancelledError:
             self._abandon()
             raise
