--- /dev/null
+++ b/src/azureramp_standins/measuring/records.py
@@ -0,0 +1,203 @@
+"""Measures what idempotency records cost the platform, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+import math
+import pathlib
+import random
+import statistics
+from typing import cast
+
+import click
+
+from azureramp import blackboard, events, metrics, settings
+from azureramp.controllers import idempotency, record_outcomes
+from azureramp.policy import idempotency as idempotency_policy
+from azureramp.policy import record_bounds
+from azureramp.ports.store import api, counting, memory
+from azureramp.ports.store import state as store_state
+from azureramp_standins import virtual
+from azureramp_standins.measuring import grouped_trial
+
+VMS = 8
+RATES = (1, 10, 100, 500)
+RECORDS = 3000
+"""Records at the higher rates; at the lower ones, `LONGEST_S` ends it."""
+
+LONGEST_S = 120.0
+ROUND_TRIP_S = 0.004
+RESULT = b'[{"grant":1234567}]'
+RUN_S = 0.05
+"""Time from a claim to its outcome, in seconds."""
+
+
+@dataclasses.dataclass(slots=True)
+class Way:
+    """One way to keep the records.
+
+    Attributes:
+        name: Its name in the table.
+        group: Most outcomes that share a write.
+        flush_s: Shortest time between two writes of outcomes, in seconds.
+        buckets: How many logs; 0 keeps one record a key.
+        linger_s: How long a log's segment waits for company, in seconds.
+    """
+
+    name: str
+    group: int = idempotency_policy.MAX_GROUP
+    flush_s: float = record_outcomes.FLUSH_S
+    buckets: int = 0
+    linger_s: float = 0.0
+
+
+WAYS = (
+    Way("one write an outcome", group=1, flush_s=0.0),
+    Way("outcomes grouped, 50 ms", flush_s=0.05),
+    Way("outcomes grouped, 100 ms"),
+    Way("outcomes grouped, 250 ms", flush_s=0.25),
+    Way("log, 1 bucket, 0 ms", buckets=1),
+    Way("log, 1 bucket, 20 ms", buckets=1, linger_s=0.02),
+    Way("log, 1 bucket, 50 ms", buckets=1, linger_s=0.05),
+    Way("log, 8 buckets, 20 ms", buckets=8, linger_s=0.02),
+    Way("log, 8 buckets, 50 ms", buckets=8, linger_s=0.05),
+)
+
+
+class Vm:
+    """One VM's records."""
+
+    def __init__(
+        self, number: int, state: store_state.State, way: Way, seed: int
+    ) -> None:
+        """Makes it."""
+        daemon = settings.Settings(
+            vm=f"vm-{number}",
+            zone="a",
+            http_address="127.0.0.1:1",
+            peer_address="127.0.0.1:2",
+            store_address="127.0.0.1:3",
+            vmlist_address="127.0.0.1:4",
+        )
+        self.counters = metrics.Metrics()
+        self.memory = memory.MemoryStore(
+            state, memory.Faults(delay_s=ROUND_TRIP_S)
+        )
+        self.grouped: grouped_trial.GroupedStore | None = None
+        store = counting.CountingStore(self.memory, self.counters)
+        if way.buckets:
+            self.grouped = grouped_trial.GroupedStore(
+                store, daemon.vm, way.buckets, way.linger_s
+            )
+        board = blackboard.Blackboard(
+            daemon, 1, events.Timeline(daemon.vm), self.counters
+        )
+        self.records = idempotency.make(
+            board,
+            # The trial has only what records need of a store.
+            cast("api.Store", self.grouped or store),
+            random.Random(f"{seed}.{number}"),
+        )
+        self.task = asyncio.ensure_future(self.records.run())
+
+
+async def measure(way: Way, rate: int, seed: int) -> dict[str, float | str]:
+    """Measures one way at one rate."""
+    rng = random.Random(seed)
+    state = store_state.State()
+    # The bound on the pace of claims is lifted, to see what each would take.
+    record_bounds.RECORDS_PER_S = math.inf
+    idempotency_policy.MAX_GROUP = way.group
+    record_outcomes.FLUSH_S = way.flush_s
+    vms = [Vm(number, state, way, seed) for number in range(VMS)]
+    loop = asyncio.get_running_loop()
+    took_ms: list[float] = []
+    tasks: set[asyncio.Task[None]] = set()
+    failures = 0
+
+    async def request(number: int) -> None:
+        nonlocal failures
+        vm = vms[rng.randrange(VMS)]
+        began_s = loop.time()
+        result = await vm.records.claim("office", f"{number}", 1, f"{number}")
+        if result.is_error():
+            failures += 1
+            return
+        assert isinstance(result.ok, idempotency.Claimed)
+        took_ms.append((loop.time() - began_s) * 1000)
+        await asyncio.sleep(RUN_S)
+        if vm.grouped is None:
+            await vm.records.finish(result.ok, RESULT)
+            return
+        # A log has no groups: its outcomes share segments with the claims.
+        outcome = idempotency_policy.make_finished(RESULT)
+        nonce = result.ok.record.nonce
+        data = idempotency_policy.encode_group({nonce: outcome})
+        await vm.grouped.write(f"outcome/{nonce}", data, 0)
+
+    number = 0
+    while number < RECORDS and loop.time() < LONGEST_S:
+        await asyncio.sleep(rng.expovariate(rate))
+        tasks.add(asyncio.ensure_future(request(number)))
+        number += 1
+    lasted_s = loop.time()
+    await asyncio.gather(*tasks)
+    await asyncio.sleep(5.0)
+    counts: dict[str, int] = {}
+    for vm in vms:
+        for name, count in vm.counters.counts.items():
+            counts[name] = counts.get(name, 0) + count
+    reads = counts.get("store.reads", 0) + counts.get("store.watches", 0)
+    took_ms.sort()
+    stored = sum(
+        len(entry.value or b"") + len(entry.key)
+        for entry in state.list("/").entries
+    )
+    kept = max(vm.grouped.count_claims() if vm.grouped else 0 for vm in vms)
+    return {
+        "way": way.name,
+        "claims_per_s": rate,
+        "records": len(took_ms),
+        "refused": failures,
+        "writes_per_record": counts["store.writes"] / len(took_ms),
+        "reads_per_record": reads / len(took_ms),
+        "writes_per_s": counts["store.writes"] / lasted_s,
+        "reads_per_s": reads / lasted_s,
+        "claim_p50_ms": statistics.median(took_ms),
+        "claim_p99_ms": took_ms[int(len(took_ms) * 0.99)],
+        "stored_bytes_per_record": stored / len(took_ms),
+        "records_in_memory": kept,
+    }
+
+
+@click.command()
+@click.option("--seed", default=1, help="Of the arrivals.")
+@click.option(
+    "--json",
+    "json_path",
+    type=click.Path(path_type=pathlib.Path),
+    help="Also write the rows here.",
+)
+def main(seed: int, json_path: pathlib.Path | None) -> None:
+    """Measures every way at every rate, and prints a table."""
+    rows: list[dict[str, float | str]] = []
+    for way in WAYS:
+        for rate in RATES:
+            row = virtual.run(measure(way, rate, seed))
+            if not rows:
+                click.echo("\t".join(row))
+            rows.append(row)
+            click.echo("\t".join(_format(value) for value in row.values()))
+    if json_path is not None:
+        json_path.write_text(json.dumps(rows, indent=1) + "\n")
+
+
+def _format(value: float | str) -> str:
+    """Formats a cell."""
+    return f"{value:.2f}" if isinstance(value, float) else f"{value}"
+
+
+if __name__ == "__main__":
+    main()
