--- a/src/azureramp/controllers/membership.py
+++ b/src/azureramp/controllers/membership.py
@@ -7,16 +7,20 @@
 from collections.abc import Callable
 
 import logbook
-import msgspec
 
 from azureramp import blackboard, messages
 from azureramp.controllers import members as members_module
 from azureramp.controllers import outbox as outbox_module
 from azureramp.controllers import ownership
-from azureramp.policy import leases
+from azureramp.policy import leases, telling
 from azureramp.policy import membership as policy
 from azureramp.ports.vmlist import api as vmlist_api
 
+SEQUENCE_BITS = 10
+"""How far an incarnation is shifted to give the first sequence number. It
+counts microseconds, and a process sends far fewer than 1024 heartbeats in
+each."""
+
 _logger = logbook.Logger("azureramp.membership")
 
 
@@ -31,12 +35,16 @@
         "_board",
         "_due_s",
         "_members",
+        "_opened_s",
         "_outbox",
         "_ownership",
+        "_revision",
         "_sequence",
         "_stale",
         "_started_s",
+        "_told",
         "_vmlist",
+        "_waiting",
         "on_owners",
     )
 
@@ -56,8 +64,12 @@
         self._due_s = math.inf
         # An acknowledgement of the last process's heartbeat may still be on
         # its way: with numbers that start anew it would pass for one of ours.
-        self._sequence = board.incarnation << 10
+        self._sequence = board.incarnation << SEQUENCE_BITS
         self._stale = False
+        self._revision = 0
+        self._opened_s: dict[str, float] = {}
+        self._waiting: dict[str, messages.HeartbeatAck] = {}
+        self._told = telling.States()
         self.on_owners: Callable[[], None] | None = None
 
     def announce_leaving(self) -> None:
@@ -83,7 +95,8 @@
             for names in message.lists:
                 self._ownership.window.inherit(names, _now_s())
         self._members.take_heartbeat(member, message)
-        self._members.judge()
+        if state is not blackboard.MemberState.LIVE or message.leaving:
+            self._members.judge()
         self._acknowledge(sender, member, message)
         if member.state is not state:
             self.update()
@@ -97,7 +110,7 @@
         sent_s = self._ownership.lease.get_sent_s(message.sequence)
         if sent_s is not None:
             self._members.take_acknowledgement(sender, sent_s, message)
-        self._ownership.record_ack(sender, message, _now_s())
+            self._ownership.record_ack(sender, message, _now_s())
 
     async def run(self) -> None:
         """Reads the list and sends heartbeats, forever."""
@@ -130,7 +143,9 @@
         if self._ownership is not None:
             return
         self._started_s = now_s
-        self._ownership = ownership.Ownership(self._board, now_s)
+        self._ownership = ownership.Ownership(
+            self._board, now_s, self._members.pace
+        )
         self._ownership.on_owners = self._call_on_owners
 
     def _call_on_owners(self) -> None:
@@ -143,7 +158,7 @@
         One that has just begun has heard nobody yet, and would take itself
         for the owner of everything.
         """
-        if now_s >= self._started_s + self._board.settings.suspect_ms / 1000:
+        if now_s >= self._started_s + self._members.pace.suspect_s:
             return True
         return bool(self._board.members) and all(
             member.state is not blackboard.MemberState.LISTED
@@ -165,17 +180,35 @@
         if self._ownership is not None and listed:
             self._ownership.window.record(listed, _now_s())
         self._members.take_list(listed)
+        if self._ownership is not None:
+            self._ownership.set_pace(self._members.pace)
         self.update()
 
     async def _beat_on(self) -> None:
         """Sends heartbeats, forever."""
-        interval_s = self._board.settings.heartbeat_ms / 1000
         while True:
             self.update()
+            self._renew_links()
             self._beat()
+            interval_s = self._members.pace.interval_s
             self._due_s = _now_s() + interval_s
             await asyncio.sleep(interval_s)
 
+    def _renew_links(self) -> None:
+        """Opens new links in place of those that have gone silent."""
+        now_s = _now_s()
+        pace = self._members.pace
+        limit_s = pace.suspect_s + 2 * pace.interval_s
+        for name, member in self._board.members.items():
+            if name == self._board.settings.vm:
+                continue
+            opened_s = self._opened_s.setdefault(name, now_s)
+            if policy.needs_new_link(
+                member.acknowledged_s, opened_s, now_s, limit_s
+            ):
+                self._opened_s[name] = now_s
+                self._outbox.reconnect(name)
+
     def _notice_pause(self) -> None:
         """Excuses the others' silence by an own pause, before any judging.
 
@@ -183,7 +216,7 @@
         of the heartbeat need not be the first to fire.
         """
         now_s = _now_s()
-        interval_s = self._board.settings.heartbeat_ms / 1000
+        interval_s = self._members.pace.interval_s
         pause_s = policy.compute_pause(self._due_s, now_s, interval_s)
         if pause_s > 0.0:
             self._members.excuse(pause_s)
@@ -198,9 +231,12 @@
         heartbeat = self._make_heartbeat(self._ownership, now_s)
         self._ownership.lease.record_sent(self._sequence, now_s)
         own = self._board.settings.vm
+        waiting, self._waiting = self._waiting, {}
         for name in self._board.members:
             if name != own:
                 self._outbox.send(name, heartbeat)
+                if name in waiting:
+                    self._outbox.send(name, waiting[name])
         if not self._members.leaving:
             holder = leases.Holder(own, self._board.incarnation)
             ack = self._ownership.grant(holder, heartbeat, now_s)
@@ -217,40 +253,45 @@
             ready=board.serving is blackboard.Serving.READY,
             revision=board.configuration.revision,
             confirmed_age_ms=(now_s - board.confirmed_s) * 1000,
-            lease_ms=board.settings.lease_ms,
-            searchers=tuple(board.owned.values()),
+            lease_ms=self._members.pace.lease_s * 1000,
+            searchers=self._told.choose(tuple(board.owned.values())),
             claims=tuple(owning.lease.get_claims()),
             lists=owning.get_lists_to_tell(),
             suspects=self._members.get_unheard(),
+            urgent=self._is_urgent(owning, now_s),
         )
 
+    def _is_urgent(self, owning: ownership.Ownership, now_s: float) -> bool:
+        """Tells whether somebody waits for the acknowledgements."""
+        revision = self._board.configuration.revision
+        changed = revision != self._revision
+        self._revision = revision
+        return changed or self._members.leaving or owning.waits(now_s)
+
     def _acknowledge(
         self,
         sender: str,
         member: blackboard.Member,
         message: messages.Heartbeat,
     ) -> None:
-        """Answers a heartbeat; a VM that leaves promises nothing more."""
+        """Answers a heartbeat; a VM that leaves promises nothing more.
+
+        An answer that is not urgent travels with our own next heartbeat,
+        since an envelope costs more than what is in it.
+        """
         if self._ownership is None:
             return
         now_s = _now_s()
-        if self._members.leaving:
-            ack = messages.HeartbeatAck(
-                sequence=message.sequence,
-                granted=False,
-                revision=self._board.configuration.revision,
-            )
-        else:
-            holder = leases.Holder(sender, member.incarnation)
-            ack = self._ownership.grant(holder, message, now_s)
+        holder = leases.Holder(sender, member.incarnation)
+        ack = self._ownership.grant(
+            holder, message, now_s, leaving=self._members.leaving
+        )
         if ack.granted:
             member.may_own_until_s = now_s + message.lease_ms / 1000
-        ack = msgspec.structs.replace(
-            ack,
-            confirmed_age_ms=(now_s - self._board.confirmed_s) * 1000,
-            incarnation=self._board.incarnation,
-        )
-        self._outbox.send(sender, ack)
+        if message.urgent:
+            self._outbox.send(sender, ack)
+        else:
+            self._waiting[sender] = ack
 
 
 def _now_s() -> float:
