--- a/tests/controllers/test_idempotency.py
+++ b/tests/controllers/test_idempotency.py
@@ -17,6 +17,7 @@
 from azureramp.policy import idempotency as policy
 from azureramp.ports.store import counting, memory
 from azureramp.ports.store import state as store_state
+from azureramp.ports.vmlist import api as vmlist_api
 
 Outcome = idempotency.Claimed | idempotency.Recorded | errors.Kind
 
@@ -600,3 +601,56 @@
         assert first.store.state.revision - before == 100
 
     run(go())
+
+
+def test_the_return_of_the_store_meets_no_stampede() -> None:
+    """A hospital's orders pile up while the store is down.
+
+    Every caller asks again as it is told. When the store returns, all are
+    waiting; it must meet no more than the share of the records, and all must
+    be served soon.
+    """
+
+    async def go() -> None:
+        state = store_state.State()
+        vms = [Vm(f"{number}", state) for number in range(8)]
+        listed = {
+            vm.board.settings.vm: blackboard.Member(
+                vmlist_api.Vm(vm.board.settings.vm, "a", "", "")
+            )
+            for vm in vms
+        }
+        for vm in vms:
+            vm.board.members.update(listed)
+            vm.store.faults = memory.Faults(down=True, delay_s=0.004)
+        served = 0
+
+        async def order(number: int) -> None:
+            nonlocal served
+            rng = random.Random(number)
+            while True:
+                vm = vms[rng.randrange(8)]
+                answer = await vm.records.claim("office", f"{number}", 1, "r")
+                if answer.is_ok():
+                    assert isinstance(answer.ok, idempotency.Claimed)
+                    served += 1
+                    await vm.records.finish(answer.ok, b"7")
+                    return
+                wait_ms = answer.error.get_retry_after_ms()
+                await asyncio.sleep(wait_ms / 1000)
+
+        orders = [asyncio.ensure_future(order(n)) for n in range(1500)]
+        await asyncio.sleep(15.0)
+        for vm in vms:
+            vm.store.faults.down = False
+        peak = 0
+        for _ in range(20):
+            before = state.revision
+            await asyncio.sleep(1.0)
+            peak = max(peak, state.revision - before)
+
+        assert peak <= 2 * record_bounds.RECORDS_PER_S
+        assert served == 1500
+        await asyncio.gather(*orders)
+
+    run(go())
--- /dev/null
+++ b/tests/policy/test_backoff.py
@@ -0,0 +1,74 @@
+"""When a failing service is called again."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from azureramp.policy import backoff
+
+PROBE_S = 2.0
+
+
+def make_failed(failures: int, seed: int = 1) -> tuple[backoff.Backoff, float]:
+    """Makes a backoff after so many failures, each as soon as allowed.
+
+    Returns:
+        The backoff, and the time of the last failure.
+    """
+    made = backoff.Backoff()
+    rng = random.Random(seed)
+    now_s = 0.0
+    for _ in range(failures):
+        now_s = max(now_s, made.until_s)
+        made.record_failure(now_s, rng)
+    return made, now_s
+
+
+def test_a_single_loss_stops_nobody() -> None:
+    made, now_s = make_failed(backoff.TOLERATED - 1)
+
+    assert made.may_call(now_s, PROBE_S)
+    assert made.get_wait_s(now_s) == 0.0
+
+
+@pytest.mark.parametrize(
+    ("failures", "ceiling_s"),
+    [(3, 0.2), (4, 0.4), (5, 0.8), (6, 1.6), (7, 3.0), (50, 3.0)],
+)
+def test_the_waits_double_and_are_spread(
+    failures: int, ceiling_s: float
+) -> None:
+    waits = set()
+    for seed in range(20):
+        made, now_s = make_failed(failures, seed)
+        waits.add(made.get_wait_s(now_s))
+
+    assert ceiling_s / 2 <= min(waits) < max(waits) <= ceiling_s
+    assert len(waits) == 20
+
+
+def test_one_caller_probes_and_the_others_wait_for_it() -> None:
+    made, _ = make_failed(5)
+    now_s = made.until_s
+
+    assert made.may_call(now_s, PROBE_S)
+    assert not made.may_call(now_s, PROBE_S)
+    assert not made.may_call(now_s + PROBE_S - 0.01, PROBE_S)
+    assert made.may_call(now_s + PROBE_S, PROBE_S)
+
+    made.record_success()
+    assert made.may_call(now_s, PROBE_S)
+    assert made.may_call(now_s, PROBE_S)
+
+
+def test_calls_that_fail_together_count_as_one_failure_more() -> None:
+    """An outage begins while a hundred calls are under way."""
+    made, now_s = make_failed(backoff.TOLERATED)
+    until_s = made.until_s
+
+    for _ in range(100):
+        made.record_failure(now_s, random.Random(1))
+
+    assert made.until_s == until_s
