--- a/src/azureramp/ports/web/pool.py
+++ b/src/azureramp/ports/web/pool.py
@@ -25,9 +25,10 @@
     """Makes exchanges with one address, over reused connections.
 
     A connection that a box in between has forgotten swallows what is written
-    to it, so an exchange on it ends by its timeout. Two rules bound that:
-    a connection idle for longer than `MAX_IDLE_S` is not used again, and a
-    timeout drops every idle connection, since they went the same way.
+    to it, so an exchange on it ends by its timeout, or by its caller's. Two
+    rules bound that: a connection idle for longer than `MAX_IDLE_S` is not
+    used again, and an exchange that was given up drops every idle connection,
+    since they went the same way.
     """
 
     __slots__ = ("_address", "_idle")
@@ -78,6 +79,9 @@
             except TimeoutError:
                 self.close()
                 return _fail(errors.Kind.STORE_OUTCOME_UNKNOWN, "timeout")
+            except asyncio.CancelledError:
+                self.close()
+                raise
             self._keep(connection)
             return expression.Ok(response)
 
