--- a/tests/controllers/records_machine.py
+++ b/tests/controllers/records_machine.py
@@ -18,6 +18,7 @@
 
 from azureramp import errors
 from azureramp.controllers import idempotency
+from azureramp.policy import record_bounds
 from azureramp.ports.store import memory
 from azureramp.ports.store import state as store_state
 from tests.controllers import records_vms
@@ -247,6 +248,20 @@
         """Time passes; holders of claims may be paused meanwhile."""
         self.run(asyncio.sleep(seconds))
 
+    @stateful.precondition(lambda machine: len(machine.attempts) > 2)
+    @stateful.rule()
+    def end_retention(self) -> None:
+        """The store works, and all records of before come to their end."""
+        for vm in self.vms:
+            vm.store.faults = memory.Faults()
+        # The virtual clock takes a day's sleep for one that never ends.
+        for _ in range(2):
+            half_s = record_bounds.RETENTION_S / 2 + record_bounds.WINDOW_S
+            self.run(asyncio.sleep(half_s))
+        self.told_unknown.clear()
+        for runs in self.runs.values():
+            runs.clear()
+
     @stateful.rule(
         number=st.integers(0, VMS - 1), faults=st.sampled_from(FAULTS)
     )
