--- a/src/azureramp/cli/main.py
+++ b/src/azureramp/cli/main.py
@@ -21,9 +21,7 @@
 )
 
 
-@click.group(
-    context_settings={"auto_envvar_prefix": options.ENVIRONMENT_PREFIX}
-)
+@click.group()
 def group() -> None:
     """Declares the resources of the query tier and shows its state.
 
@@ -41,6 +39,7 @@
     status,
     timeline,
 ):
+    options.name_variables(_module.command)
     group.add_command(_module.command)
 
 
@@ -81,17 +80,7 @@
             f"{param.make_metavar(error.ctx or click.Context(group))}: {text}"
         )
     flag = max(param.opts, key=len)
-    return f"{flag} ({get_variable(param, error.ctx)}): {text}"
-
-
-def get_variable(param: click.Option, ctx: click.Context | None) -> str:
-    """Returns the environment variable of a flag."""
-    if isinstance(param.envvar, str):
-        return param.envvar
-    prefix = options.ENVIRONMENT_PREFIX
-    if ctx is not None and ctx.auto_envvar_prefix:
-        prefix = ctx.auto_envvar_prefix
-    return f"{prefix}_{str(param.name).upper()}"
+    return f"{flag} ({param.envvar}): {text}"
 
 
 def main() -> None:
--- a/src/azureramp/cli/options.py
+++ b/src/azureramp/cli/options.py
@@ -4,13 +4,14 @@
 
 import dataclasses
 import functools
-import ipaddress
 import re
 from collections.abc import Callable
 from typing import Any
 
 import click
 
+from azureramp import settings
+
 ENVIRONMENT_PREFIX = "AZURERAMP"
 
 
@@ -44,13 +45,7 @@
         ctx: click.Context | None,
     ) -> str:
         """Checks one address."""
-        host, _, port = str(value).rpartition(":")
-        try:
-            ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
-            number = int(port)
-        except ValueError:
-            number = 0
-        if not 1 <= number <= 65535:
+        if not settings.is_address(str(value)):
             self.fail(f"{value!r} is not {self.allowed}", param, ctx)
         return str(value)
 
@@ -169,3 +164,15 @@
     for option in reversed(_OPTIONS):
         run = option(run)
     return run
+
+
+def name_variables(command: click.Command) -> None:
+    """Gives each flag that has no environment variable yet its own.
+
+    It is named after the command and the flag: `AZURERAMP_APPLY_DRY_RUN`.
+    """
+    for param in command.params:
+        if isinstance(param, click.Option) and param.envvar is None:
+            flag = max(param.opts, key=len).lstrip("-")
+            words = f"{ENVIRONMENT_PREFIX}_{command.name}_{flag}"
+            param.envvar = words.replace("-", "_").upper()
--- a/src/azureramp/policy/validation.py
+++ b/src/azureramp/policy/validation.py
@@ -8,13 +8,12 @@
 
 import dataclasses
 import enum
-import ipaddress
 import math
 import re
 import unicodedata
 from collections.abc import Iterable, Iterator
 
-from azureramp import resources
+from azureramp import resources, settings
 
 MAX_NAME_CHARACTERS = 128
 MAX_SLOTS = 10_000
@@ -236,7 +235,7 @@
     field: str, searcher: resources.Searcher
 ) -> Iterator[Problem]:
     yield from _check_name(f"{field}.name", searcher.name)
-    if not is_address(searcher.address):
+    if not settings.is_address(searcher.address):
         yield Problem(f"{field}.address", Rule.ADDRESS, searcher.address)
     yield from _check_bounds(f"{field}.slots", searcher.slots, 1, MAX_SLOTS)
     yield from _check_bounds(
@@ -247,20 +246,6 @@
     )
 
 
-def is_address(address: str) -> bool:
-    """Tells whether a text is `IP:port`."""
-    host, _, port = address.rpartition(":")
-    if host.startswith("[") and host.endswith("]"):
-        host = host[1:-1]
-    elif ":" in host:
-        return False
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        return False
-    return bool(re.fullmatch(r"[1-9][0-9]{0,4}", port)) and int(port) < 65536
-
-
 def _check_map(
     shard_map: resources.ShardMap, configuration: resources.Configuration
 ) -> Iterator[Problem]:
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -9,6 +9,16 @@
 CONNECTED = ["--address", "127.0.0.1:1", "--token", "t"]
 
 
+def test_a_flag_can_be_given_as_its_variable(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setenv("AZURERAMP_ADDRESS", "10.0.0.1:1, here")
+    monkeypatch.setenv("AZURERAMP_TOKEN", "t")
+
+    assert main.run(["status"]) == exits.Exit.USAGE
+    assert "AZURERAMP_ADDRESS): 'here' is not" in capsys.readouterr().err
+
+
 @pytest.mark.parametrize(
     ("arguments", "words"),
     [
