--- a/src/azureramp/controllers/answers.py
+++ b/src/azureramp/controllers/answers.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from azureramp import errors, messages, resources, texts
-from azureramp.policy import validation
+from azureramp.policy import rules
 from azureramp.ports.web import api as web_api
 
 RETRY_AFTER_MS_HEADER = "Azureramp-Retry-After-Ms"
@@ -32,7 +32,7 @@
     request_id: str = "",
     addresses: tuple[str, ...] = (),
     present: resources.Versioned | None = None,
-    problems: Sequence[validation.Problem] = (),
+    problems: Sequence[rules.Problem] = (),
 ) -> web_api.Response:
     """Makes the response to a failure, from the table of kinds.
 
@@ -71,7 +71,7 @@
     request_id: str = "",
     addresses: tuple[str, ...] = (),
     present: resources.Versioned | None = None,
-    problems: Sequence[validation.Problem] = (),
+    problems: Sequence[rules.Problem] = (),
 ) -> messages.ErrorAnswer:
     """Makes the body of the response to a failure; see `make_error`."""
     answer = failure.get_answer()
@@ -91,7 +91,7 @@
     )
 
 
-def _make_problem(problem: validation.Problem) -> messages.FieldProblem:
+def _make_problem(problem: rules.Problem) -> messages.FieldProblem:
     text = texts.RULES[problem.rule]
     return messages.FieldProblem(
         field=problem.field,
--- a/src/azureramp/controllers/configuration.py
+++ b/src/azureramp/controllers/configuration.py
@@ -15,8 +15,15 @@
 
 import expression
 
-from azureramp import blackboard, errors, events, messages, resources
-from azureramp.controllers import changes, majority, serving, store_link
+from azureramp import blackboard, messages, resources
+from azureramp.controllers import (
+    applied,
+    changes,
+    majority,
+    serving,
+    store_link,
+    writing,
+)
 from azureramp.controllers import outbox as outbox_module
 from azureramp.policy import propagation
 from azureramp.ports.store import api as store_api
@@ -30,11 +37,9 @@
 MAX_DOUBLINGS = 3
 """How often the time between failed confirmations doubles."""
 
-CONTACT_WAIT_S = 1.0
-"""How long a change waits for contact with a majority, in seconds."""
-
-MAX_EVENT_KEYS = 32
-"""Most changed resources that one event names."""
+TICK_SHARE = 0.5 / 1000
+ACCEPTING_TICK_SHARE = 0.05 / 1000
+"""Seconds between two ticks for each millisecond between heartbeats."""
 
 STORE = "store"
 """The source of entries that came from the store."""
@@ -60,9 +65,8 @@
         "_recorded",
         "_rng",
         "_serving",
-        "_store",
         "_turn",
-        "_writing",
+        "_writer",
         "on_change",
     )
 
@@ -75,7 +79,6 @@
         """Makes a controller that has nothing yet; see `run`."""
         self._board = board
         self._outbox = outbox
-        self._store = store
         self._copy = propagation.Copy()
         self._link = store_link.StoreLink(board, self._copy, store)
         self._majority = majority.Majority(board)
@@ -84,7 +87,15 @@
         self._rng = random.Random(f"{board.settings.vm}/{board.incarnation}")
         self._turn = 0
         self._recorded = 0
-        self._writing: set[asyncio.Task[None]] = set()
+        self._writer = writing.Writer(
+            board,
+            store,
+            self._copy,
+            self._link,
+            self._majority,
+            self._take_from_store,
+            self._tick,
+        )
         self.on_change: Callable[[], None] | None = None
 
     async def run(self) -> None:
@@ -126,7 +137,7 @@
             The stored resource, or why it is not stored.
         """
         kind = resources.get_kind(resource)
-        return await self._change(
+        return await self._writer.make(
             changes.Change(
                 kind,
                 resource.name,
@@ -140,7 +151,7 @@
         self, kind: str, name: str, expected: int
     ) -> expression.Result[resources.Versioned, changes.Refusal]:
         """Deletes a resource if its revision is the expected one."""
-        return await self._change(
+        return await self._writer.make(
             changes.Change(kind, name, None, expected, "")
         )
 
@@ -160,74 +171,11 @@
         )
         self._bring_into_force(self._copy.take_part(part), sender)
 
-    async def _change(
-        self, change: changes.Change
-    ) -> expression.Result[resources.Versioned, changes.Refusal]:
-        """Makes a change to its end, even if the operator goes away."""
-        done: asyncio.Future[
-            expression.Result[resources.Versioned, changes.Refusal]
-        ] = asyncio.get_running_loop().create_future()
-
-        async def make() -> None:
-            result = await self._write(change)
-            if not done.done():
-                done.set_result(result)
-
-        task = asyncio.create_task(make())
-        self._writing.add(task)
-        task.add_done_callback(self._writing.discard)
-        return await done
-
-    async def _write(
-        self, change: changes.Change
-    ) -> expression.Result[resources.Versioned, changes.Refusal]:
-        if not await self._wait_for_contact():
-            failure = errors.Failure(
-                errors.Kind.STALE_CONFIGURATION, "no majority of the VMs"
-            )
-            return expression.Error(changes.Refusal(failure))
-        result = await changes.write(self._store, change)
-        if result.is_error():
-            return expression.Error(result.error)
-        before = self._board.configuration.revision
-        entry = resources.Versioned(
-            change.resource, change.kind, change.name, result.ok
-        )
-        if result.ok == 0:
-            # It is known to be gone, but not since which revision.
-            changed = await self._link.confirm()
-            entry = self._copy.configuration.entries.get(
-                (change.kind, change.name), entry
-            )
-        else:
-            changed = self._copy.apply_newer([entry])
-            self._bring_into_force(changed, STORE, before)
-            changed = await self._link.catch_up(entry.revision)
-        if entry.revision == 0:
-            failure = errors.Failure(errors.Kind.STORE_OUTCOME_UNKNOWN)
-            return expression.Error(changes.Refusal(failure))
-        self._majority.add_unaccepted(
-            events.ConfigurationAccepted(
-                resource_kind=change.kind,
-                name=change.name,
-                revision=entry.revision,
-            )
-        )
-        if changed is not None:
-            self._bring_into_force(changed, STORE, before)
-        return expression.Ok(entry)
-
-    async def _wait_for_contact(self) -> bool:
-        """Waits a little for contact with a majority; tells if there is."""
-        loop = asyncio.get_running_loop()
-        until_s = loop.time() + CONTACT_WAIT_S
-        while True:
-            self._tick()
-            if self._majority.has_contact():
-                return True
-            if loop.time() >= until_s:
-                return False
-            await asyncio.sleep(self._board.settings.heartbeat_ms / 4000)
+    def _take_from_store(
+        self, changed: Sequence[resources.Versioned], before: int
+    ) -> None:
+        """Brings what the store told into force; see `writing.Take`."""
+        self._bring_into_force(changed, STORE, before)
 
     async def _run_watch(self) -> None:
         """Holds the watch while this VM is one of those that do."""
@@ -254,17 +202,21 @@
                 failures = 0 if changed is not None else failures + 1
                 if changed is not None:
                     self._install()
-                    self._bring_into_force(changed, STORE, before)
+                    self._take_from_store(changed, before)
                 self._tick()
             wait_s = self._board.settings.heartbeat_ms / 1000
             wait_s *= 2 ** min(failures, MAX_DOUBLINGS)
             await asyncio.sleep(wait_s * (0.5 + self._rng.random()))
 
     async def _run_ticks(self) -> None:
+        """Takes acknowledgements in, more often while a change needs them."""
         while True:
             self._tick()
             self._ask_for_missing()
-            await asyncio.sleep(self._board.settings.heartbeat_ms / 2000)
+            share = TICK_SHARE
+            if self._majority.is_accepting():
+                share = ACCEPTING_TICK_SHARE
+            await asyncio.sleep(self._board.settings.heartbeat_ms * share)
 
     def _tick(self) -> None:
         """Takes the acknowledgements in, and decides again what holds."""
@@ -336,41 +288,16 @@
         if not changed and revision == self._recorded:
             return
         self._recorded = revision
-        self._record(changed, source)
+        board.timeline.record(
+            applied.make_event(board.configuration, changed, source),
+            asyncio.get_running_loop().time(),
+        )
         self._changed.set()
         self._changed = asyncio.Event()
         self._tick()
         if changed and self.on_change is not None:
             self.on_change()
 
-    def _record(
-        self, changed: Sequence[resources.Versioned], source: str
-    ) -> None:
-        configuration = self._board.configuration
-        self._board.timeline.record(
-            events.ConfigurationApplied(
-                revision=configuration.revision,
-                source=source,
-                changed=tuple(
-                    f"{entry.kind}/{entry.name}"
-                    for entry in changed[:MAX_EVENT_KEYS]
-                ),
-                zones_out=tuple(
-                    name
-                    for name, zone in configuration.get_zones().items()
-                    if zone.state is resources.ZoneState.OUT
-                ),
-                leaving=tuple(
-                    name
-                    for name, server in (
-                        configuration.get_backend_servers().items()
-                    )
-                    if server.state is resources.ServerState.LEAVING
-                ),
-            ),
-            asyncio.get_running_loop().time(),
-        )
-
 
 def make(
     board: blackboard.Blackboard,
--- a/src/azureramp/controllers/dry_run.py
+++ b/src/azureramp/controllers/dry_run.py
@@ -6,7 +6,7 @@
 
 from azureramp import errors, messages, resources
 from azureramp.controllers import answers, resource_answers
-from azureramp.policy import validation
+from azureramp.policy import rules, validation
 
 
 def check(
@@ -54,7 +54,7 @@
     return resource_answers.CheckResult(entry=entry, before=before, error=error)
 
 
-def make_failure(problems: Sequence[validation.Problem]) -> errors.Failure:
+def make_failure(problems: Sequence[rules.Problem]) -> errors.Failure:
     """Makes the failure of an invalid resource; all problems in one line."""
     detail = "; ".join(
         f"{problem.field}: {problem.rule.value} {problem.value}".rstrip()
--- a/src/azureramp/controllers/majority.py
+++ b/src/azureramp/controllers/majority.py
@@ -12,6 +12,9 @@
 from azureramp import blackboard, events
 from azureramp.policy import contact, watching
 
+THIN_SHARE = 0.75
+"""Share of the window after which contact counts as thin."""
+
 
 class Majority:
     """Contact with a majority, acceptance, and the use of the store.
@@ -70,6 +73,14 @@
         now_s = asyncio.get_running_loop().time()
         return now_s < self.contact_s + self._get_window_s()
 
+    def is_accepting(self) -> bool:
+        """Tells whether a majority is in contact and may soon accept more."""
+        board = self._board
+        return (
+            board.accepted_revision < board.configuration.revision
+            and self.has_contact()
+        )
+
     def add_unaccepted(self, event: events.ConfigurationAccepted) -> None:
         """Has an event recorded once the change that it tells is accepted."""
         self._unaccepted.append(event)
@@ -96,15 +107,25 @@
         )
 
     def is_watcher(self) -> bool:
-        """Tells whether this VM should use the store now."""
+        """Tells whether this VM should use the store now.
+
+        While contact with a majority is thin, only VMs that acknowledged of
+        late count as live: a VM that is cut off must not wait for others to
+        ask for confirmation until it suspects them.
+        """
         board = self._board
         own = board.settings.vm
+        now_s = asyncio.get_running_loop().time()
+        since_s = -math.inf
+        if self._is_thin(now_s):
+            since_s = now_s - THIN_SHARE * self._get_window_s()
         live = [
             name
             for name, member in board.members.items()
-            if name != own and member.state is blackboard.MemberState.LIVE
+            if name != own
+            and member.state is blackboard.MemberState.LIVE
+            and member.acknowledged_s >= since_s
         ]
-        now_s = asyncio.get_running_loop().time()
         return watching.is_watcher(
             watching.compute_rank(own, live),
             len(live) + 1,
@@ -121,10 +142,13 @@
 
     def _get_interval_s(self, now_s: float) -> float:
         """Returns the time between confirmations, in seconds."""
-        window_s = self._get_window_s()
-        if now_s < self.contact_s + window_s / 2:
+        if not self._is_thin(now_s):
             return watching.IDLE_S
-        return min(watching.NEEDED_S, window_s / 4)
+        return min(watching.NEEDED_S, self._get_window_s() / 4)
+
+    def _is_thin(self, now_s: float) -> bool:
+        """Tells whether contact with a majority may soon be too old."""
+        return now_s >= self.contact_s + THIN_SHARE * self._get_window_s()
 
     def _get_window_s(self) -> float:
         return self._board.settings.confirm_ms / 1000
--- a/src/azureramp/controllers/resource_api.py
+++ b/src/azureramp/controllers/resource_api.py
@@ -17,7 +17,7 @@
     vm_status,
 )
 from azureramp.controllers import configuration as configuration_module
-from azureramp.policy import validation
+from azureramp.policy import rules, validation
 from azureramp.ports.web import api as web_api
 
 CHECK = "/v1/resources"
@@ -222,19 +222,19 @@
     return int(text)
 
 
-def _explain(error: msgspec.DecodeError) -> validation.Problem:
+def _explain(error: msgspec.DecodeError) -> rules.Problem:
     """Says which field could not be decoded."""
     words, _, place = str(error).partition(" - at `$")
     field = place.removesuffix("`").removeprefix(".") or "resource"
-    return validation.Problem(field, validation.Rule.TYPE, words)
+    return rules.Problem(field, rules.Rule.TYPE, words)
 
 
-def _make_mismatch(field: str, wanted: str) -> validation.Problem:
-    return validation.Problem(field, validation.Rule.TYPE, f"must be {wanted}")
+def _make_mismatch(field: str, wanted: str) -> rules.Problem:
+    return rules.Problem(field, rules.Rule.TYPE, f"must be {wanted}")
 
 
 def _refuse_problems(
-    problems: Sequence[validation.Problem],
+    problems: Sequence[rules.Problem],
 ) -> web_api.Response:
     return answers.make_error(
         dry_run.make_failure(problems), problems=problems[:MAX_PROBLEMS]
--- a/src/azureramp/policy/validation.py
+++ b/src/azureramp/policy/validation.py
@@ -1,64 +1,30 @@
 """Whether a resource may be declared, beside the ones in force.
 
-Each finding names the field and one rule of a closed list; the texts of the
-rules are in `texts`.
+Each finding names the field and one rule of a closed list, see `rules`; the
+texts of the rules are in `texts`.
 """
 
 from __future__ import annotations
 
-import dataclasses
-import enum
 import math
 import re
 import unicodedata
 from collections.abc import Iterable, Iterator
 
 from azureramp import resources, settings
+from azureramp.policy import rules
+
+_Problem = rules.Problem
+_Rule = rules.Rule
 
 MAX_NAME_CHARACTERS = 128
 MAX_SLOTS = 10_000
 MAX_WEIGHT = 1_000_000.0
 
 
-class Rule(enum.Enum):
-    """What a field must be; the value is the stable code."""
-
-    TYPE = "type"
-    EMPTY = "empty"
-    TOO_LONG = "too_long"
-    NOT_NFC = "not_nfc"
-    CHARACTER = "character"
-    BOUNDS = "bounds"
-    DUPLICATE = "duplicate"
-    UNKNOWN_REFERENCE = "unknown_reference"
-    STILL_REFERENCED = "still_referenced"
-    TOKEN_HASH = "token_hash"
-    ADDRESS = "address"
-    MAP_NAME = "map_name"
-    RANGE_EMPTY = "range_empty"
-    RANGE_GAP = "range_gap"
-    RANGE_OVERLAP = "range_overlap"
-    POLICY_NAME = "policy_name"
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Problem:
-    """One rule that one field breaks.
-
-    Attributes:
-        field: The field's path, such as `shards[1].low`.
-        rule: The rule.
-        value: The value that breaks it, or what it should be.
-    """
-
-    field: str
-    rule: Rule
-    value: str = ""
-
-
 def check(
     resource: resources.AnyResource, configuration: resources.Configuration
-) -> list[Problem]:
+) -> list[_Problem]:
     """Checks a resource that is to be created or changed.
 
     Args:
@@ -87,7 +53,7 @@
 
 def check_deletion(
     kind: str, name: str, configuration: resources.Configuration
-) -> list[Problem]:
+) -> list[_Problem]:
     """Checks that nothing in force refers to a resource to be deleted.
 
     Args:
@@ -121,21 +87,21 @@
         case "backend_server" if name in servers:
             gone = {searcher.name for searcher in servers[name].searchers}
             users = sorted(_find_maps_of(gone, configuration))
-    return [Problem("name", Rule.STILL_REFERENCED, user) for user in users]
+    return [_Problem("name", _Rule.STILL_REFERENCED, user) for user in users]
 
 
-def _check_name(field: str, name: str) -> Iterator[Problem]:
+def _check_name(field: str, name: str) -> Iterator[_Problem]:
     """Checks a name: both languages' letters, in one form only."""
     if not name:
-        yield Problem(field, Rule.EMPTY)
+        yield _Problem(field, _Rule.EMPTY)
     if len(name) > MAX_NAME_CHARACTERS:
-        yield Problem(field, Rule.TOO_LONG, str(MAX_NAME_CHARACTERS))
+        yield _Problem(field, _Rule.TOO_LONG, str(MAX_NAME_CHARACTERS))
     # The same letters in two forms would be two names that look the same.
     if unicodedata.normalize("NFC", name) != name:
-        yield Problem(field, Rule.NOT_NFC, name)
+        yield _Problem(field, _Rule.NOT_NFC, name)
     bad = [letter for letter in name if not _is_allowed(letter)]
     if bad or name != name.strip():
-        yield Problem(field, Rule.CHARACTER, ascii("".join(bad) or name))
+        yield _Problem(field, _Rule.CHARACTER, ascii("".join(bad) or name))
 
 
 def _is_allowed(letter: str) -> bool:
@@ -144,51 +110,51 @@
 
 def _check_names(
     field: str, names: Iterable[str], *, may_be_empty: bool = False
-) -> Iterator[Problem]:
+) -> Iterator[_Problem]:
     """Checks a list of names, each of which may be there once."""
     seen: set[str] = set()
     for number, name in enumerate(names):
         place = f"{field}[{number}]"
         yield from _check_name(place, name)
         if name in seen:
-            yield Problem(place, Rule.DUPLICATE, name)
+            yield _Problem(place, _Rule.DUPLICATE, name)
         seen.add(name)
     if not seen and not may_be_empty:
-        yield Problem(field, Rule.EMPTY)
+        yield _Problem(field, _Rule.EMPTY)
 
 
 def _check_known(
     field: str, names: Iterable[str], known: Iterable[str]
-) -> Iterator[Problem]:
+) -> Iterator[_Problem]:
     """Checks that what is referred to is there."""
     there = set(known)
     for number, name in enumerate(names):
         if name not in there:
             place = f"{field}[{number}]"
-            yield Problem(place, Rule.UNKNOWN_REFERENCE, name)
+            yield _Problem(place, _Rule.UNKNOWN_REFERENCE, name)
 
 
 def _check_bounds(
     field: str, value: float, low: float, high: float
-) -> Iterator[Problem]:
+) -> Iterator[_Problem]:
     if not (math.isfinite(value) and low <= value <= high):
-        yield Problem(field, Rule.BOUNDS, f"{low:g} … {high:g}")
+        yield _Problem(field, _Rule.BOUNDS, f"{low:g} … {high:g}")
 
 
-def _check_service(service: resources.Service) -> Iterator[Problem]:
+def _check_service(service: resources.Service) -> Iterator[_Problem]:
     yield from _check_names("indexes", service.indexes)
     yield from _check_names("shards", service.shards, may_be_empty=True)
 
 
 def _check_caller(
     caller: resources.Caller, configuration: resources.Configuration
-) -> Iterator[Problem]:
+) -> Iterator[_Problem]:
     if not re.fullmatch(r"[0-9a-f]{64}", caller.token_sha256):
-        yield Problem("token_sha256", Rule.TOKEN_HASH)
+        yield _Problem("token_sha256", _Rule.TOKEN_HASH)
     for other in configuration.get_callers().values():
         same = other.token_sha256 == caller.token_sha256
         if same and other.name != caller.name:
-            yield Problem("token_sha256", Rule.DUPLICATE, other.name)
+            yield _Problem("token_sha256", _Rule.DUPLICATE, other.name)
     yield from _check_names("services", caller.services)
     yield from _check_known(
         "services", caller.services, configuration.get_services()
@@ -198,13 +164,13 @@
 
 def _check_server(
     server: resources.BackendServer, configuration: resources.Configuration
-) -> Iterator[Problem]:
+) -> Iterator[_Problem]:
     if server.service not in configuration.get_services():
-        yield Problem("service", Rule.UNKNOWN_REFERENCE, server.service)
+        yield _Problem("service", _Rule.UNKNOWN_REFERENCE, server.service)
     if server.zone not in configuration.get_zones():
-        yield Problem("zone", Rule.UNKNOWN_REFERENCE, server.zone)
+        yield _Problem("zone", _Rule.UNKNOWN_REFERENCE, server.zone)
     if not server.searchers:
-        yield Problem("searchers", Rule.EMPTY)
+        yield _Problem("searchers", _Rule.EMPTY)
     servers = configuration.get_backend_servers()
     others = [
         searcher
@@ -218,9 +184,11 @@
         field = f"searchers[{number}]"
         yield from _check_searcher(field, searcher)
         if searcher.name in names:
-            yield Problem(f"{field}.name", Rule.DUPLICATE, searcher.name)
+            yield _Problem(f"{field}.name", _Rule.DUPLICATE, searcher.name)
         if searcher.address in addresses:
-            yield Problem(f"{field}.address", Rule.DUPLICATE, searcher.address)
+            yield _Problem(
+                f"{field}.address", _Rule.DUPLICATE, searcher.address
+            )
         names.add(searcher.name)
         addresses.add(searcher.address)
     before = servers.get(server.name)
@@ -228,15 +196,15 @@
         gone = {searcher.name for searcher in before.searchers}
         gone -= {searcher.name for searcher in server.searchers}
         for user in sorted(_find_maps_of(gone, configuration)):
-            yield Problem("searchers", Rule.STILL_REFERENCED, user)
+            yield _Problem("searchers", _Rule.STILL_REFERENCED, user)
 
 
 def _check_searcher(
     field: str, searcher: resources.Searcher
-) -> Iterator[Problem]:
+) -> Iterator[_Problem]:
     yield from _check_name(f"{field}.name", searcher.name)
     if not settings.is_address(searcher.address):
-        yield Problem(f"{field}.address", Rule.ADDRESS, searcher.address)
+        yield _Problem(f"{field}.address", _Rule.ADDRESS, searcher.address)
     yield from _check_bounds(f"{field}.slots", searcher.slots, 1, MAX_SLOTS)
     yield from _check_bounds(
         f"{field}.connections", searcher.connections, 2, MAX_SLOTS
@@ -248,12 +216,12 @@
 
 def _check_map(
     shard_map: resources.ShardMap, configuration: resources.Configuration
-) -> Iterator[Problem]:
+) -> Iterator[_Problem]:
     wanted = f"{shard_map.index}.{shard_map.version}"
     yield from _check_name("index", shard_map.index)
     yield from _check_bounds("version", shard_map.version, 1, 2**53)
     if shard_map.name != wanted:
-        yield Problem("name", Rule.MAP_NAME, wanted)
+        yield _Problem("name", _Rule.MAP_NAME, wanted)
     yield from _check_names(
         "shards", (shard.name for shard in shard_map.shards)
     )
@@ -269,26 +237,28 @@
         yield from _check_known(field, shard.searchers, searchers)
 
 
-def _check_ranges(shards: tuple[resources.Shard, ...]) -> Iterator[Problem]:
+def _check_ranges(
+    shards: tuple[resources.Shard, ...],
+) -> Iterator[_Problem]:
     """Checks that the ranges follow on each other without gap or overlap."""
     for number, shard in enumerate(shards):
         field = f"shards[{number}]"
         if shard.low >= shard.high:
-            yield Problem(f"{field}.high", Rule.RANGE_EMPTY, str(shard.high))
+            yield _Problem(f"{field}.high", _Rule.RANGE_EMPTY, str(shard.high))
         if shard.size < 0:
-            yield Problem(f"{field}.size", Rule.BOUNDS, "0 …")
+            yield _Problem(f"{field}.size", _Rule.BOUNDS, "0 …")
         end = shards[number - 1].high if number else shard.low
         if shard.low > end:
-            yield Problem(f"{field}.low", Rule.RANGE_GAP, str(end))
+            yield _Problem(f"{field}.low", _Rule.RANGE_GAP, str(end))
         if shard.low < end:
-            yield Problem(f"{field}.low", Rule.RANGE_OVERLAP, str(end))
+            yield _Problem(f"{field}.low", _Rule.RANGE_OVERLAP, str(end))
     if shards and not any(shard.size for shard in shards):
-        yield Problem("shards", Rule.BOUNDS, "size: 1 …")
+        yield _Problem("shards", _Rule.BOUNDS, "size: 1 …")
 
 
-def _check_policy(policy: resources.Policy) -> Iterator[Problem]:
+def _check_policy(policy: resources.Policy) -> Iterator[_Problem]:
     if policy.name != "default":
-        yield Problem("name", Rule.POLICY_NAME, "default")
+        yield _Problem("name", _Rule.POLICY_NAME, "default")
     yield from _check_bounds("hedge_budget", policy.hedge_budget, 0, 1)
     yield from _check_bounds("retry_budget", policy.retry_budget, 0, 1)
     yield from _check_bounds("queue_limit", policy.queue_limit, 1, 100_000)
--- a/src/azureramp/texts.py
+++ b/src/azureramp/texts.py
@@ -9,7 +9,7 @@
 import dataclasses
 
 from azureramp import errors
-from azureramp.policy import validation
+from azureramp.policy import rules
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -144,59 +144,59 @@
 }
 
 
-RULES: dict[validation.Rule, Text] = {
-    validation.Rule.TYPE: Text(
+RULES: dict[rules.Rule, Text] = {
+    rules.Rule.TYPE: Text(
         "The value has the wrong form.", "Az érték formája hibás."
     ),
-    validation.Rule.EMPTY: Text("It must not be empty.", "Nem lehet üres."),
-    validation.Rule.TOO_LONG: Text(
+    rules.Rule.EMPTY: Text("It must not be empty.", "Nem lehet üres."),
+    rules.Rule.TOO_LONG: Text(
         "It is too long; at most so many characters:",
         "Túl hosszú; legfeljebb ennyi karakter:",
     ),
-    validation.Rule.NOT_NFC: Text(
+    rules.Rule.NOT_NFC: Text(
         "It must be Unicode in the form NFC.",
         "Csak NFC alakú Unicode lehet.",
     ),
-    validation.Rule.CHARACTER: Text(
+    rules.Rule.CHARACTER: Text(
         "It holds a slash, a control character or outer spaces.",
         "Perjel, vezérlőkarakter vagy szélső szóköz van benne.",
     ),
-    validation.Rule.BOUNDS: Text(
+    rules.Rule.BOUNDS: Text(
         "It is out of bounds; allowed:", "Kívül esik a határokon; megengedett:"
     ),
-    validation.Rule.DUPLICATE: Text("It is there twice:", "Kétszer szerepel:"),
-    validation.Rule.UNKNOWN_REFERENCE: Text(
+    rules.Rule.DUPLICATE: Text("It is there twice:", "Kétszer szerepel:"),
+    rules.Rule.UNKNOWN_REFERENCE: Text(
         "It refers to something that is not declared:",
         "Olyasmire hivatkozik, ami nincs bejelentve:",
     ),
-    validation.Rule.STILL_REFERENCED: Text(
+    rules.Rule.STILL_REFERENCED: Text(
         "Something still refers to it:", "Még hivatkozik rá:"
     ),
-    validation.Rule.TOKEN_HASH: Text(
+    rules.Rule.TOKEN_HASH: Text(
         "It must be a SHA-256 in 64 lower-case hexadecimal digits.",
         "64 kisbetűs hexadecimális jegyű SHA-256 kell.",
     ),
-    validation.Rule.ADDRESS: Text(
+    rules.Rule.ADDRESS: Text(
         "It must be an IP address with a port, as 10.0.0.1:8080:",
         "IP-cím és port kell, mint 10.0.0.1:8080:",
     ),
-    validation.Rule.MAP_NAME: Text(
+    rules.Rule.MAP_NAME: Text(
         "It must be the index, a dot and the version:",
         "Az index, egy pont és a verzió kell:",
     ),
-    validation.Rule.RANGE_EMPTY: Text(
+    rules.Rule.RANGE_EMPTY: Text(
         "The range is empty; it must end after its first key:",
         "A tartomány üres; az első kulcs után kell végződnie:",
     ),
-    validation.Rule.RANGE_GAP: Text(
+    rules.Rule.RANGE_GAP: Text(
         "There is a gap before this range, from:",
         "Hézag van e tartomány előtt, innen:",
     ),
-    validation.Rule.RANGE_OVERLAP: Text(
+    rules.Rule.RANGE_OVERLAP: Text(
         "This range overlaps the one before, which ends at:",
         "Átfedi az előző tartományt, amelynek vége:",
     ),
-    validation.Rule.POLICY_NAME: Text(
+    rules.Rule.POLICY_NAME: Text(
         "There is one policy only; its name:",
         "Csak egy házirend van; a neve:",
     ),
--- a/tests/policy/test_validation.py
+++ b/tests/policy/test_validation.py
@@ -9,7 +9,7 @@
 import pytest
 
 from azureramp import resources, texts
-from azureramp.policy import validation
+from azureramp.policy import rules, validation
 
 SEARCHER = resources.Searcher(name="s-1", address="10.0.0.1:80")
 SERVER = resources.BackendServer(
@@ -156,7 +156,7 @@
     assert [problem.value for problem in problems] == users
 
 
-@pytest.mark.parametrize("rule", validation.Rule)
-def test_each_rule_has_a_text_in_both_languages(rule: validation.Rule) -> None:
+@pytest.mark.parametrize("rule", rules.Rule)
+def test_each_rule_has_a_text_in_both_languages(rule: rules.Rule) -> None:
     assert texts.RULES[rule].en
     assert texts.RULES[rule].hu
