--- a/src/azureramp/controllers/caller_api.py
+++ b/src/azureramp/controllers/caller_api.py
@@ -24,6 +24,7 @@
         "_coordinator",
         "_execute_decoder",
         "_next",
+        "_orders",
         "_prefix",
         "_query_decoder",
     )
@@ -36,6 +37,7 @@
     ) -> None:
         """Makes the interface; see `make`."""
         self._board = board
+        self._orders = addresses.Orders()
         self._coordinator = coordinator
         self._query_decoder = msgspec.json.Decoder(caller_input.QueryBody)
         self._execute_decoder = msgspec.json.Decoder(caller_input.ExecuteBody)
@@ -217,7 +219,7 @@
             for one in same
             if not one.revoked
         }
-        ordered = addresses.order(caller.name, weights, eligible)
+        ordered = self._orders.get(caller.name, weights, eligible)
         return tuple(members[name].vm.http_address for name in ordered)
 
     def _make_response(
