--- a/src/azureramp/controllers/owned_searcher.py
+++ b/src/azureramp/controllers/owned_searcher.py
@@ -131,6 +131,10 @@
             fingerprint=part.batch.fingerprint,
         )
 
+    def is_known(self) -> bool:
+        """Tells whether it was looked at since this VM owns it."""
+        return not self.reachable or bool(self.health and self.health.versions)
+
     def make_state(self, usable: bool) -> messages.SearcherState:
         """Makes what the other VMs are told of it.
 
--- a/src/azureramp/controllers/owner.py
+++ b/src/azureramp/controllers/owner.py
@@ -204,7 +204,11 @@
         self._publish()
 
     def _publish(self) -> None:
-        """Writes the owned searchers' states on the blackboard."""
+        """Writes the owned searchers' states on the blackboard.
+
+        A searcher that was just taken over and not looked at yet has no
+        state: what the others know from its last owner is better than none.
+        """
         has_lease = _now_s() < self._board.lease_until_s
         self._board.owned = {
             name: owned.make_state(
@@ -213,6 +217,7 @@
                 and (has_lease or not owned.is_cold())
             )
             for name, owned in self._holdings.owned.items()
+            if owned.is_known()
         }
 
 
--- a/src/azureramp/controllers/serving.py
+++ b/src/azureramp/controllers/serving.py
@@ -3,24 +3,32 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from azureramp import blackboard, events, resources
 
+HEAR_S = 3.0
+"""Longest time for which a VM that starts waits for the owners' word."""
+
 
 class Controller:
     """Keeps `board.serving`, from the rest of the board alone."""
 
-    __slots__ = ("_board",)
+    __slots__ = ("_board", "_knows", "_until_s")
 
     def __init__(self, board: blackboard.Blackboard) -> None:
         """Makes a controller of one process's state."""
         self._board = board
+        self._knows = False
+        self._until_s = math.inf
 
     def update(self) -> None:
         """Decides again, after a change or some time."""
         board = self._board
         now_s = asyncio.get_running_loop().time()
         decided = decide(board, now_s)
+        if decided is blackboard.Serving.READY and not self._has_heard(now_s):
+            decided = blackboard.Serving.STARTING
         if decided is board.serving:
             return
         board.serving = decided
@@ -31,6 +39,25 @@
             now_s,
         )
 
+    def _has_heard(self, now_s: float) -> bool:
+        """Tells whether this VM knows enough of the searchers to begin.
+
+        One that has just started has its configuration before the owners
+        have told it of their searchers. If it were advertised then, its
+        first callers would be told that no index version is served. It waits
+        for every owner's word, but not for long: one that is silent must not
+        keep a VM out.
+        """
+        board = self._board
+        if not self._knows:
+            self._until_s = min(self._until_s, now_s + HEAR_S)
+            states = board.get_searcher_states()
+            declared = bool(board.configuration.get_backend_servers())
+            told = all(name in states for name in board.owners)
+            heard = told and (bool(board.owners) or not declared)
+            self._knows = heard or now_s >= self._until_s
+        return self._knows
+
 
 def decide(board: blackboard.Blackboard, now_s: float) -> blackboard.Serving:
     """Decides whether a VM takes new work.
--- a/src/azureramp_standins/measuring/running.py
+++ b/src/azureramp_standins/measuring/running.py
@@ -276,12 +276,18 @@
     if scenario.incident is not scenarios.Incident.ZONE_CYCLE:
         return None
     zone = scenarios.LAYOUTS[scenario.layout].zones[1]
-    accepted = [
+    out_s = next(
         record.monotonic_s
         for record in past.records
         if isinstance(record.event, events.ConfigurationAccepted)
-    ]
-    out_s, back_s = accepted[0], accepted[-1]
+    )
+    back_s = next(
+        record.monotonic_s
+        for record in past.records
+        if isinstance(record.event, events.ConfigurationApplied)
+        and record.monotonic_s > out_s
+        and zone not in record.event.zones_out
+    )
     worked = [
         a.at_s for a in past.arrivals if a.zone == zone and a.at_s < back_s
     ]
