--- a/tests/controllers/test_idempotency_machine.py
+++ b/tests/controllers/test_idempotency_machine.py
@@ -200,6 +200,8 @@
         stateful.run_state_machine_as_test(
             records_machine.RecordsMachine,
             settings=hypothesis.settings(
-                SETTINGS, phases=[hypothesis.Phase.generate]
+                SETTINGS,
+                phases=[hypothesis.Phase.generate],
+                max_examples=600,
             ),
         )
