--- a/src/azureramp/controllers/gathering.py
+++ b/src/azureramp/controllers/gathering.py
@@ -96,8 +96,9 @@
         """
         header = self._attempts.header
         self._dispatcher.register(header.request_id, self)
-        loop = asyncio.get_running_loop()
-        timer = loop.call_at(header.answer_s, self._finish)
+        timer = asyncio.get_running_loop().call_at(
+            header.answer_s, self._finish
+        )
         try:
             self._begin()
             await self._finished
@@ -122,8 +123,7 @@
 
     def receive_late(self, part: int) -> None:
         """Learns that a sub-request runs for unusually long."""
-        if not self._finished.done():
-            self._watch.help_running_long(part)
+        self._watch.help_running_long(part)
 
     def _begin(self) -> None:
         """Sends the first attempts over the pinned version.
@@ -138,9 +138,7 @@
                 progress.waiting = True
         needed = len(self._attempts.state.progress)
         policy = self._dispatcher.get_topology().policy
-        measured = self._dispatcher.measured
-        measured.hedges.earn(needed, policy.hedge_budget)
-        measured.retries.earn(needed, policy.retry_budget)
+        self._dispatcher.measured.earn(needed, policy)
         self._board.metrics.count("part.needed", needed)
         self._start_first(waiting, self._snapshot.replicas)
         self._check_finished()
@@ -150,8 +148,7 @@
     def _start_held_back(self) -> None:
         """Sends what waited for the first part's survival."""
         held_back, self._held_back = self._held_back, []
-        if held_back:
-            self._start_first(held_back, None)
+        self._start_first(held_back, None)
 
     def _start_first(
         self,
@@ -182,7 +179,7 @@
             failed: The failure.
             paid: True if the retry needs no budget.
         """
-        if self._attempts.tally.crashes >= MOST_CRASHES:
+        if self.tally.crashes >= MOST_CRASHES:
             self._stop()
             return
         progress = self._attempts.state.progress[failed.attempt.shard.name]
@@ -214,7 +211,7 @@
         """
         if not failed.sent:
             return True
-        if self._attempts.header.isolated or self._attempts.tally.crashes:
+        if self._attempts.header.isolated or self.tally.crashes:
             return False
         return paid or self._dispatcher.measured.retries.spend()
 
@@ -237,7 +234,7 @@
         while self._held_back and not state.get_running():
             following = self._held_back.pop(0)
             following.waiting = False
-            if self._attempts.tally.crashes or not self._attempts.start(
+            if self.tally.crashes or not self._attempts.start(
                 (following,), "first"
             ):
                 state.give_up(following)
@@ -260,10 +257,10 @@
         header = self._attempts.header
         if self._former is not None or header.isolated:
             return False
-        measured = self._dispatcher.measured
-        needed_ms = measured.delays.get_index_ms(header.index, header.priority)
-        now_s = asyncio.get_running_loop().time()
-        if now_s + needed_ms / 1000 >= header.answer_s:
+        delays = self._dispatcher.measured.delays
+        needed_ms = delays.get_index_ms(header.index, header.priority)
+        left_s = header.answer_s - asyncio.get_running_loop().time()
+        if left_s * 1000 <= needed_ms:
             return False
         pinned = self._dispatcher.viewer.pin(header.index, after=header.version)
         if pinned.is_error() or not snapshots.is_whole(pinned.ok):
@@ -296,10 +293,7 @@
         if chosen is not self._attempts.state:
             self._on_pinned(chosen.ledger.shard_map.version)
             self._attempts.readopt(chosen)
-        failure = outcomes.judge(
-            chosen.ledger,
-            self._minimum,
-            self.tally,
-            bool(chosen.progress),
-        )
-        return chosen.ledger if failure is None else failure
+        permitted = bool(chosen.progress)
+        ledger = chosen.ledger
+        failure = outcomes.judge(ledger, self._minimum, self.tally, permitted)
+        return ledger if failure is None else failure
--- a/src/azureramp/controllers/measurements.py
+++ b/src/azureramp/controllers/measurements.py
@@ -4,6 +4,7 @@
 
 import random
 
+from azureramp import resources
 from azureramp.policy import admission, assembly, budgets, hedging, replicas
 
 
@@ -43,6 +44,11 @@
         self.running = 0
         self.random = rng
 
+    def earn(self, needed: int, policy: resources.Policy) -> None:
+        """Adds some needed calls' shares to the budgets."""
+        self.hedges.earn(needed, policy.hedge_budget)
+        self.retries.earn(needed, policy.retry_budget)
+
     def finish(
         self, place: hedging.Place, attempt: assembly.Attempt, now_s: float
     ) -> None:
--- a/src/azureramp/policy/assembly.py
+++ b/src/azureramp/policy/assembly.py
@@ -12,6 +12,9 @@
 REFUSALS = frozenset({errors.Kind.SHED, errors.Kind.VERSION_GONE})
 """Kinds by which a searcher replies that it did not begin."""
 
+MOST_WAIT_MS = 60_000
+"""Longest time to come back that is taken from a failure."""
+
 MAX_ATTEMPTS = 4
 """Most attempts for one shard of one query, hedges included."""
 
@@ -166,9 +169,8 @@
             case messages.PartFailed():
                 kind = read_kind(result.kind)
                 ran = result.sent and kind not in REFUSALS
-                return Failed(
-                    attempt, kind, result.sent, ran, result.retry_after_ms
-                )
+                wait_ms = min(max(0, result.retry_after_ms), MOST_WAIT_MS)
+                return Failed(attempt, kind, result.sent, ran, wait_ms)
             case messages.PartDone():
                 return self._take_done(attempt, result)
 
--- a/src/azureramp/policy/outcomes.py
+++ b/src/azureramp/policy/outcomes.py
@@ -49,11 +49,16 @@
     retry_after_ms: int = 0
 
     def add_merged(self, merged: assembly.Merged, took_ms: float) -> None:
-        """Counts a result."""
+        """Counts a result.
+
+        The stated service time is kept within the time that was measured
+        here; a nonsense one must not spoil the estimates that refuse work.
+        """
+        service_ms = min(max(0.0, merged.service_ms), took_ms)
         self.ran = True
         self.results += 1
-        self.service_ms += merged.service_ms
-        self.wait_ms += max(0.0, took_ms - merged.service_ms)
+        self.service_ms += service_ms
+        self.wait_ms += took_ms - service_ms
 
     def add_unanswered(self, elapsed_ms: float) -> None:
         """Counts a part without a result."""
--- a/tests/controllers/test_caller_api.py
+++ b/tests/controllers/test_caller_api.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 
 import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from azureramp import blackboard, errors, messages, resources
 from azureramp.controllers import caller_api
@@ -116,3 +119,215 @@
     answer = msgspec.json.decode(response.body, type=messages.AddressAnswer)
 
     assert sorted(answer.addresses) == ["http-vm-0", "http-vm-2"]
+
+
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+BODIES = (
+    st.binary(max_size=200)
+    | JSON.map(msgspec.json.encode)
+    | st.builds(
+        lambda changes: msgspec.json.encode(BODY | changes),
+        st.dictionaries(
+            st.sampled_from([*BODY, "key", "minimum_coverage", "operation"]),
+            JSON,
+            max_size=3,
+        ),
+    )
+    | st.integers(1, 50_000).map(
+        lambda depth: (
+            b'{"service":"claims","index":"cover","deadline_ms":50,"query":'
+            + b"[" * depth
+            + b"]" * depth
+            + b"}"
+        )
+    )
+)
+
+
+@settings(derandomize=True, database=None, deadline=None, max_examples=300)
+@given(
+    method=st.sampled_from(["GET", "POST", "PUT", "BAD", "X"]),
+    path=st.sampled_from(["/v1/query", "/v1/execute", "/v1/addresses", "/413"])
+    | st.text(max_size=20),
+    body=BODIES,
+    token=st.sampled_from([query_cell.TOKEN, "wrong"]),
+    key=st.text(max_size=20) | st.just("k" * 300),
+)
+def test_any_request_gets_a_clear_code_and_leaves_nothing_behind(
+    method: str, path: str, body: bytes, token: str, key: str
+) -> None:
+    async def main() -> tuple[web_api.Response, int, int, int]:
+        cell = query_cell.Cell(query_cell.Shape(shards=2))
+        fields = {"authorization": f"Bearer {token}", "idempotency-key": key}
+        request = web_api.Request(method, path, {}, fields, body)
+        response = await call(cell, request)
+        await asyncio.sleep(1.0)
+        dispatcher = cell.coordinator._dispatcher
+        left = len(dispatcher._receivers)
+        return response, cell.board.running, left, dispatcher.measured.running
+
+    response, *left = query_cell.run(main())
+
+    answer = msgspec.json.decode(response.body)
+    assert left == [0, 0, 0]
+    if response.status != 200:
+        kind = errors.Kind(answer["code"])
+        assert response.status == errors.ANSWERS[kind].status
+        assert kind is not errors.Kind.INTERNAL
+        assert "Traceback" not in response.body.decode()
+
+
+def test_a_revoked_caller_is_refused_from_the_next_request_on() -> None:
+    """A stolen token is revoked; nothing tells its user that it was known."""
+
+    async def main() -> tuple[web_api.Response, ...]:
+        cell = query_cell.Cell()
+        before = await call(cell, make_request())
+        clerk = cell.board.configuration.get_callers()["clerk"]
+        cell.put(msgspec.structs.replace(clerk, revoked=True))
+        after = await call(cell, make_request())
+        unknown = await call(cell, make_request(token="unknown"))
+        addresses = await call(
+            cell, make_request("/v1/addresses", method="GET")
+        )
+        return before, after, unknown, addresses
+
+    before, after, unknown, addresses = query_cell.run(main())
+
+    assert before.status == 200
+    assert after.status == addresses.status == 401
+    assert after == unknown
+    assert b"http-vm" not in after.body
+
+
+@pytest.mark.parametrize(
+    "serving", [blackboard.Serving.STARTING, blackboard.Serving.STALE]
+)
+def test_a_vm_without_the_newest_configuration_calls_no_token_unknown(
+    serving: blackboard.Serving,
+) -> None:
+    """A new caller comes to a VM that has not heard of it yet.
+
+    `unauthenticated` says never to ask again; it must go elsewhere instead,
+    and learn no address as long as nobody knows it.
+    """
+
+    async def main() -> web_api.Response:
+        cell = query_cell.Cell()
+        cell.board.serving = serving
+        return await call(cell, make_request(token="new"))
+
+    response = query_cell.run(main())
+    body = msgspec.json.decode(response.body, type=messages.ErrorAnswer)
+
+    assert body.code == errors.Kind.STALE_CONFIGURATION.value
+    assert body.addresses == ()
+
+
+@pytest.mark.parametrize(
+    ("minimum", "status", "coverage"), [(0.0, 200, 0.5), (0.6, 403, None)]
+)
+def test_shards_that_a_service_may_not_query_count_as_missing(
+    minimum: float, status: int, coverage: float | None
+) -> None:
+    async def main() -> tuple[web_api.Response, web_api.Response]:
+        cell = query_cell.Cell()
+        cell.put(
+            resources.Service(
+                name="claims", indexes=("cover",), shards=("0", "1", "2")
+            )
+        )
+        body = BODY | {"minimum_coverage": minimum}
+        asked = await call(cell, make_request(body=body))
+        operation = {
+            "service": "claims",
+            "index": "cover",
+            "key": 450,
+            "operation": {},
+            "deadline_ms": 500,
+        }
+        run = await call(
+            cell, make_request("/v1/execute", operation, idempotency_key="k")
+        )
+        return asked, run
+
+    asked, run = query_cell.run(main())
+
+    assert asked.status == status
+    assert run.status == 403
+    if coverage is not None:
+        assert msgspec.json.decode(asked.body)["coverage"] == coverage
+
+
+@settings(derandomize=True, database=None, deadline=None)
+@given(
+    st.lists(
+        st.builds(
+            messages.PartDone,
+            st.integers(-1, 4),
+            st.integers(0, 2),
+            st.sampled_from([0, 100, 50]),
+            st.sampled_from([100, 200, 150]),
+            st.sampled_from([b"[[1]]", b"[]", b"[[1", b"{}", b"", b"\xff"]),
+            st.floats(allow_nan=True),
+        )
+        | st.builds(
+            messages.PartFailed,
+            st.integers(-1, 4),
+            st.text(max_size=5)
+            | st.sampled_from([k.value for k in errors.Kind]),
+            st.booleans(),
+            st.integers(-5, 10**9),
+        ),
+        max_size=12,
+    )
+)
+def test_any_sub_reply_is_merged_only_if_it_is_whole_and_right(
+    results: list[messages.PartResult],
+) -> None:
+    async def main() -> web_api.Response:
+        cell = query_cell.Cell(query_cell.Shape(shards=2))
+        for searcher in cell.searchers.values():
+            searcher.behaviour = query_cell.stay_silent()
+        task = asyncio.ensure_future(call(cell, make_request()))
+        await asyncio.sleep(0.005)
+        for request_id in list(cell.coordinator._dispatcher._receivers):
+            for result in results:
+                cell.coordinator.receive_results(
+                    "vm-1",
+                    messages.PartResults(
+                        request_id=request_id, results=(result, result)
+                    ),
+                )
+        return await task
+
+    response = query_cell.run(main())
+
+    right = {
+        (r.low, r.high)
+        for r in results
+        if isinstance(r, messages.PartDone)
+        and r.version == 1
+        and r.items in (b"[[1]]", b"[]")
+    } & {(0, 100), (100, 200)}
+    answer = msgspec.json.decode(response.body)
+    if response.status == 200:
+        missing = {tuple(each) for each in answer["missing"]}
+        assert answer["coverage"] <= len(right) / 2
+        assert answer["complete"] == (not missing)
+    else:
+        assert answer["code"] in {kind.value for kind in errors.Kind}
+        assert answer["code"] != "internal" or any(
+            isinstance(r, messages.PartFailed) for r in results
+        )
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from azureramp import errors, resources
-from azureramp.policy import admission
+from azureramp.policy import admission, assembly, outcomes
 from tests.policy import query_parts
 
 SETTINGS = settings(derandomize=True, database=None, deadline=None)
@@ -143,6 +145,23 @@
     assert times.estimate_ms("cover", DEFERRABLE, 0.0) == 10.0
 
 
+@pytest.mark.parametrize(
+    ("stated_ms", "service_ms"),
+    [(8.0, 8.0), (-5.0, 0.0), (1e9, 20.0), (math.nan, 0.0), (math.inf, 20.0)],
+)
+def test_a_nonsense_service_time_does_not_spoil_the_estimates(
+    stated_ms: float, service_ms: float
+) -> None:
+    shard = query_parts.make_map([1]).shards[0]
+    attempt = query_parts.make_attempt(1, shard)
+    tally = outcomes.Tally()
+
+    tally.add_merged(assembly.Merged(attempt, (), stated_ms), 20.0)
+
+    assert tally.get_mean_service_ms() == service_ms
+    assert tally.get_mean_wait_ms() == 20.0 - service_ms
+
+
 def test_one_sick_searcher_does_not_shed_the_whole_index() -> None:
     one_of_sixty = admission.compute_refusal_ratio(1, 60)
     many = admission.compute_refusal_ratio(20, 60)
--- /dev/null
+++ b/tests/policy/test_identity.py
@@ -0,0 +1,106 @@
+"""Who a caller is, and what it may query."""
+
+from __future__ import annotations
+
+import pytest
+
+from azureramp import errors, resources
+from azureramp.policy import identity, topology
+from tests.policy import query_parts
+
+
+def make_caller(
+    name: str, token: str, revoked: bool = False
+) -> resources.Caller:
+    return resources.Caller(
+        name=name,
+        token_sha256=identity.hash_token(token).upper(),
+        services=("claims",),
+        revoked=revoked,
+    )
+
+
+def make_table(*declared: resources.AnyResource) -> topology.Topology:
+    """Indexes some resources."""
+    configuration = resources.Configuration()
+    kinds = {kind: name for name, kind in resources.KINDS.items()}
+    for resource in declared:
+        kind = kinds[type(resource)]
+        configuration.entries[kind, resource.name] = resources.Versioned(
+            resource, kind, resource.name, 1
+        )
+    return topology.build(configuration)
+
+
+TABLE = make_table(
+    make_caller("clerk", "good"),
+    make_caller("old", "gone", revoked=True),
+    make_caller("one", "shared"),
+    make_caller("two", "shared", revoked=True),
+    make_caller("long", "x" * 513),
+    make_caller("odd", "árvíztűrő"),
+    resources.Service(name="claims", indexes=("cover",), shards=("0",)),
+    resources.Service(name="ledger", indexes=("ledger",)),
+)
+
+
+@pytest.mark.parametrize(
+    ("authorization", "name"),
+    [
+        ("Bearer good", "clerk"),
+        ("bearer good", "clerk"),
+        ("Bearer árvíztűrő", "odd"),
+        ("", None),
+        ("Bearer ", None),
+        ("Bearer", None),
+        ("good", None),
+        ("Basic good", None),
+        ("Bearer Good", None),
+        ("Bearer good ", None),
+        ("Bearer gone", None),
+        ("Bearer shared", None),
+        ("Bearer " + "x" * 513, None),
+        ("Bearer \udcff", None),
+    ],
+)
+def test_only_the_whole_token_of_one_unrevoked_caller_is_known(
+    authorization: str, name: str | None
+) -> None:
+    found = identity.find_caller(TABLE.callers, authorization)
+
+    if name is None:
+        assert found.error == errors.Failure(errors.Kind.UNAUTHENTICATED)
+    else:
+        assert found.ok.name == name
+
+
+@pytest.mark.parametrize(
+    ("service", "index", "allowed"),
+    [
+        ("claims", "cover", True),
+        ("claims", "ledger", False),
+        ("ledger", "ledger", False),
+        ("unknown", "cover", False),
+        ("claims", "unknown", False),
+    ],
+)
+def test_a_caller_queries_only_what_its_services_name(
+    service: str, index: str, allowed: bool
+) -> None:
+    caller = make_caller("clerk", "good")
+
+    checked = identity.check_service(TABLE, caller, service, index)
+
+    assert checked.is_ok() == allowed
+    if not allowed:
+        assert checked.error == errors.Failure(errors.Kind.FORBIDDEN)
+
+
+def test_a_service_queries_only_the_shards_that_it_names() -> None:
+    shards = query_parts.make_map([1, 1]).shards
+
+    some = [identity.may_query(TABLE.services["claims"], s) for s in shards]
+    every = [identity.may_query(TABLE.services["ledger"], s) for s in shards]
+
+    assert some == [True, False]
+    assert every == [True, True]
