Wait for orders whose caller has gone when a VM stops

A run without an HTTP request was waited for only if this VM owned its searcher; else its record stayed claimed, and a retry was told 'unknown' for an order that had run.

--- a/src/azureramp/daemon/wiring.py
+++ b/src/azureramp/daemon/wiring.py
@@ -191,7 +191,7 @@
             self.board,
             self.membership,
             self.owner,
-            self._records,
+            _RunsAndRecords(self.coordinator, self._records),
             self._server,
         )
         cut = await stopping.run(cutting)
@@ -208,6 +208,30 @@
             await getattr(self._ports, port.name).close()
 
 
+class _RunsAndRecords:
+    """Drains first what may not be repeated, then the records.
+
+    A run whose caller has gone has no HTTP request any more that the server
+    would wait for, and its record can be written only after its end.
+    """
+
+    __slots__ = ("_coordinator", "_records")
+
+    def __init__(
+        self, runs: coordinator.Coordinator, records: idempotency.Records
+    ) -> None:
+        """Makes a drain of both."""
+        self._coordinator = runs
+        self._records = records
+
+    async def drain(self, limit_s: float) -> None:
+        """Waits for both, within a limit in seconds."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + limit_s
+        await self._coordinator.drain(limit_s)
+        await self._records.drain(max(0.0, end_s - loop.time()))
+
+
 async def _keep_running(
     name: str, run: Callable[[], Coroutine[Any, Any, None]]
 ) -> None:
