--- a/src/azureramp/policy/ramps.py
+++ b/src/azureramp/policy/ramps.py
@@ -22,6 +22,10 @@
 HISTORY = 64
 """How many latencies make the usual one, by their median."""
 
+REFRESH = 8
+"""After how many latencies the median is worked out anew: sorting them for
+each question took a tenth of a call's processor time."""
+
 SETTLED = 0.7
 """Latencies have settled if the later half's median is no lower than this
 share of the earlier half's: a searcher that warms up still gets faster."""
@@ -65,9 +69,11 @@
         "_cold_limit",
         "_failures",
         "_latencies_ms",
+        "_median_ms",
         "_slots",
         "_slow",
         "_streak",
+        "_unseen",
         "_usual_ms",
         "_watched_ms",
         "epoch",
@@ -94,6 +100,8 @@
         )
         self._slow: collections.deque[bool] = collections.deque(maxlen=RECENT)
         self._usual_ms = 0.0
+        self._median_ms = 0.0
+        self._unseen = 0
         self._streak = 0
         self._failures = 0
         self.limit = self._cold_limit
@@ -131,8 +139,8 @@
 
     def get_usual_ms(self) -> float:
         """Returns the usual service time, in milliseconds; 0 if unknown."""
-        if self.state is State.WARM and len(self._latencies_ms) >= RECENT:
-            return statistics.median_low(self._latencies_ms)
+        if self.state is State.WARM and self._median_ms:
+            return self._median_ms
         return self._usual_ms
 
     def get_expected_ms(self) -> float:
@@ -153,6 +161,7 @@
         """
         self._usual_ms = self.get_usual_ms()
         self._latencies_ms.clear()
+        self._median_ms = 0.0
         self._watched_ms.clear()
         self._slow.clear()
         self._streak = 0
@@ -213,6 +222,11 @@
         usual_ms = self.get_usual_ms()
         slow = usual_ms > 0 and took_ms > usual_ms * COLD_FACTOR
         self._latencies_ms.append(took_ms)
+        self._unseen += 1
+        known = len(self._latencies_ms)
+        if self._unseen >= REFRESH or RECENT <= known < HISTORY // 2:
+            self._unseen = 0
+            self._median_ms = statistics.median_low(self._latencies_ms)
         self._judge(slow)
 
     def _judge(self, slow: bool) -> None:
--- a/src/azureramp/ports/searchers/calls.py
+++ b/src/azureramp/ports/searchers/calls.py
@@ -27,10 +27,15 @@
     """One connection to a searcher."""
 
     async def call(
-        self, call: api.Call, may_write: Callable[[], bool]
+        self, call: api.Call, left_ms: float, may_write: Callable[[], bool]
     ) -> Outcome:
         """Makes a call.
 
+        Args:
+            call: The call.
+            left_ms: The deadline to tell, in milliseconds from now.
+            may_write: See `api.Searchers.call`.
+
         Raises:
             UnsentError: Nothing was written.
             BrokenError: The connection failed.
@@ -116,9 +121,13 @@
             outcome = expression.Error(
                 errors.Failure(errors.Kind.DEADLINE_PASSED, "no reply in time")
             )
-        return outcome.map_error(
-            lambda failure: api.CallFailure(failure, permission.given)
-        )
+        match outcome:
+            case expression.Result(tag="ok", ok=reply):
+                return expression.Ok(reply)
+            case expression.Result(error=failure):
+                return expression.Error(
+                    api.CallFailure(failure, permission.given)
+                )
 
     async def read_health(
         self, address: str, fresh: bool = False
@@ -161,7 +170,6 @@
         loop = asyncio.get_running_loop()
         permission.told_s = loop.time()
         left_ms = (until_s - permission.told_s) * 1000
-        told = dataclasses.replace(call, deadline_ms=left_ms)
         overdue = None
         if call.overdue_ms:
             overdue = loop.call_later(
@@ -175,7 +183,7 @@
         broke = False
         try:
             return check_reply(
-                call, await link.call(told, permission.ask), link
+                call, await link.call(call, left_ms, permission.ask), link
             )
         except web_connection.UnsentError:
             # The searcher closed an idle connection, or this process was
--- a/src/azureramp/ports/searchers/memory.py
+++ b/src/azureramp/ports/searchers/memory.py
@@ -54,7 +54,7 @@
         self.lose()
 
     async def call(
-        self, call: api.Call, may_write: Callable[[], bool]
+        self, call: api.Call, left_ms: float, may_write: Callable[[], bool]
     ) -> calls.Outcome:
         """Makes a call; see `calls.Link`."""
         if self._lost.done():
--- a/tests/controllers/test_owner.py
+++ b/tests/controllers/test_owner.py
@@ -191,6 +191,21 @@
     owning.run(scenario())
 
 
+def test_what_comes_too_late_takes_no_slot() -> None:
+    async def scenario() -> None:
+        bench = owning.make_bench()
+        await bench.start()
+        await warm(bench)
+        calls = bench.fleet.searchers["s1:1"].calls
+        bench.send("s1", request_id="late", remaining_ms=5.0)
+        await asyncio.sleep(0.1)
+
+        assert bench.get_kinds()["late"] == "deadline_too_short"
+        assert bench.fleet.searchers["s1:1"].calls == calls
+
+    owning.run(scenario())
+
+
 def test_a_cancelled_part_frees_its_slot_without_an_answer() -> None:
     async def scenario() -> None:
         searcher = owning.make_searcher("s1")
--- a/tests/controllers/test_poisoning.py
+++ b/tests/controllers/test_poisoning.py
@@ -347,6 +347,32 @@
     owning.run(scenario())
 
 
+def test_a_call_given_up_just_before_a_crash_is_charged_too() -> None:
+    """A caller hangs up, and a moment later the server crashes of its call.
+
+    The searcher had not yet heard of the end. Only an innocent call is in
+    flight any more, and would be charged alone.
+    """
+
+    async def scenario() -> None:
+        searcher = owning.make_searcher("s1", service_ms=300.0)
+        bench = owning.make_bench(searcher, cold_limit=2)
+        await bench.start()
+        bench.send("s1", request_id="bad", fingerprint=7)
+        bench.send("s1", request_id="good", fingerprint=8)
+        await asyncio.sleep(0.1)
+        bench.receive("asker", messages.Cancel(request_id="bad", parts=(1,)))
+        await asyncio.sleep(0.1)
+        searcher.crash()
+        await asyncio.sleep(0.1)
+
+        loop_s = asyncio.get_running_loop().time()
+        charged = [bench.board.blame.crashes(f, loop_s) for f in (7, 8)]
+        assert charged == [1, 1]
+
+    owning.run(scenario())
+
+
 def test_a_suspect_runs_alone_on_its_searcher() -> None:
     """One in flight beside a poison request would be blamed with it."""
 
