--- a/src/azureramp/controllers/dispatch_rules.py
+++ b/src/azureramp/controllers/dispatch_rules.py
@@ -75,7 +75,7 @@
         """Returns why a sub-request can't be queued; None if it can."""
         if owned.place.refusal is not None:
             return errors.Failure(owned.place.refusal)
-        if not owned.reachable:
+        if not owned.reachable and owned.health is not None:
             return errors.Failure(
                 errors.Kind.CONNECTION_LOST, "the searcher is down"
             )
--- a/src/azureramp/controllers/handoffs.py
+++ b/src/azureramp/controllers/handoffs.py
@@ -161,6 +161,7 @@
                 limit=owned.ramp.limit,
                 service_ms=owned.ramp.get_usual_ms(),
                 running_ms=owned.get_longest_s(now_s) * 1000,
+                versions=owned.health.versions if owned.health else (),
             ),
         )
 
--- a/src/azureramp/controllers/owned_searcher.py
+++ b/src/azureramp/controllers/owned_searcher.py
@@ -7,6 +7,9 @@
 from azureramp.policy import queues, ramps
 from azureramp.ports.searchers import api as searchers_api
 
+UNCONFIRMED = -1
+"""No count of lost connections is this, so the searcher is looked at first."""
+
 Part = parts.Part
 
 
--- a/src/azureramp/controllers/ownership_changes.py
+++ b/src/azureramp/controllers/ownership_changes.py
@@ -89,6 +89,7 @@
             self._resume(owned, received)
         self._holdings.owned[name] = owned
         self._open(owned)
+        owned.confirmed_lost = owned_searcher.UNCONFIRMED
         self._record_owner(name, True, "handoff" if received else "lease_end")
         self._prober.probe(owned)
 
@@ -99,10 +100,13 @@
         message = received.message
         if message.incarnation:
             owned.ramp.resume(message.limit, message.service_ms)
-            # The first health read compares the incarnation with this one.
+            # Taken for there, so that nobody finds it unusable meanwhile;
+            # but nothing is sent until the first health read has compared
+            # the incarnation with this one.
             owned.health = searchers_api.Health(
-                message.incarnation, False, message.in_use, ()
+                message.incarnation, False, message.in_use, message.versions
             )
+            owned.reachable = True
         hold_slots(owned, received.sender, message)
 
     def _open(self, owned: OwnedSearcher) -> None:
--- a/src/azureramp/controllers/probing.py
+++ b/src/azureramp/controllers/probing.py
@@ -152,7 +152,10 @@
     ) -> None:
         """Takes a searcher's report in."""
         known = owned.health
-        lost_all = before.open == 0 and before.lost != owned.confirmed_lost
+        lost_all = before.open == 0 and owned.confirmed_lost not in (
+            before.lost,
+            owned_searcher.UNCONFIRMED,
+        )
         if known is not None and known.incarnation != health.incarnation:
             owned.ramp.turn_cold("incarnation")
         elif known is not None and owned.reachable and lost_all:
--- a/src/azureramp/messages.py
+++ b/src/azureramp/messages.py
@@ -307,6 +307,7 @@
         service_ms: The median service time, in milliseconds.
         running_ms: The longest time that what still runs may take, in
             milliseconds: each call ends at its deadline.
+        versions: The `index.version` names that it serves.
     """
 
     searcher: str
@@ -315,6 +316,7 @@
     limit: int
     service_ms: float
     running_ms: float = 0.0
+    versions: tuple[str, ...] = ()
 
 
 class HandoffDone(Message, frozen=True, kw_only=True, tag="handoff_done"):
--- a/tests/controllers/test_handoffs.py
+++ b/tests/controllers/test_handoffs.py
@@ -74,6 +74,32 @@
     owning.run(scenario())
 
 
+def test_right_after_a_handoff_the_new_owner_takes_work() -> None:
+    """A VM is replaced; its searchers go to another one in that moment.
+
+    Until the new owner has looked at them itself, some milliseconds, it must
+    neither refuse their work nor call them unusable: with all replicas of a
+    shard handed off together, queries would be refused for want of them.
+    """
+
+    async def scenario() -> None:
+        first, second = make_pair(owning.make_searcher("s1"))
+        await first.start()
+        await second.start()
+        see_owner(second, "vm2")
+        see_owner(first, "vm2")
+        await asyncio.sleep(0.002)
+        state = second.board.owned["s1"]
+        second.send("s1", request_id="at once")
+        await asyncio.sleep(0.2)
+
+        assert state.usable
+        assert state.versions == (owning.VERSION,)
+        assert second.get_kinds() == {"at once": "ok"}
+
+    owning.run(scenario())
+
+
 @pytest.mark.parametrize("lost", [0, 1, 2])
 def test_a_lost_handoff_is_sent_again(lost: int) -> None:
     async def scenario() -> None:
--- /dev/null
+++ b/tests/standins/test_searcher.py
@@ -0,0 +1,101 @@
+"""The searcher's stand-in, as a process of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from typing import Any
+
+import msgspec
+
+from azureramp import errors
+from azureramp.ports.searchers import http
+from azureramp.ports.web import connection as web_connection
+from azureramp_standins import searcher as standin
+from tests.ports.searchers import harness
+
+VERSIONS = ("--version", "arrears.1", "--version", "arrears.2")
+
+
+@contextlib.asynccontextmanager
+async def start(
+    address: str, *flags: str
+) -> AsyncIterator[subprocess.Popen[bytes]]:
+    """Starts the process, waits until it answers, and ends it."""
+    command = [sys.executable, "-m", "azureramp_standins.searcher"]
+    command += ["--address", address, "--name", "s1", *VERSIONS, *flags]
+    process = subprocess.Popen(command)
+    try:
+        for _ in range(500):
+            opened = await web_connection.connect(address, 1.0)
+            if opened.is_ok():
+                opened.ok.abort()
+                break
+            await asyncio.sleep(0.02)
+        yield process
+    finally:
+        process.terminate()
+        await asyncio.to_thread(process.wait)
+
+
+async def ask(address: str, method: str, path: str, body: bytes = b"") -> Any:
+    """Sends a request and decodes its answer."""
+    opened = await web_connection.connect(address, 1.0)
+    response = await opened.ok.exchange(method, path, (), body)
+    opened.ok.abort()
+    return msgspec.json.decode(response.body)
+
+
+def test_it_serves_a_range_of_one_version_and_keeps_effects() -> None:
+    async def scenario() -> None:
+        address = harness.find_free_address()
+        async with start(address, "--incarnation", "4") as process:
+            port = http.make()
+            text = b'{"text":"ni"}'
+            replies = [
+                await port.call(
+                    harness.make_call(address, version=version, body=text),
+                    lambda: True,
+                )
+                for version in (1, 2)
+            ]
+            grant = harness.make_call(
+                address, body=b'{"grant":"BF-1"}', repeatable=False
+            )
+            await port.call(grant, lambda: True)
+            effects = await ask(address, "GET", "/v1/effects")
+            health = await port.read_health(address)
+            await port.close()
+            process.terminate()
+            code = await asyncio.to_thread(process.wait)
+
+        old, new = (msgspec.json.decode(reply.ok.items) for reply in replies)
+        assert len(old) < len(new)
+        assert all(0 <= item["key"] < 1200 for item in new)
+        assert effects == [{"call_id": "r1/1", "query": {"grant": "BF-1"}}]
+        assert health.ok.incarnation == 4
+        assert code == 0
+
+    asyncio.run(scenario())
+
+
+def test_it_crashes_when_told_to() -> None:
+    async def scenario() -> None:
+        address = harness.find_free_address()
+        async with start(address) as process:
+            await ask(address, "POST", "/v1/faults", b'{"crash":"poison"}')
+            port = http.make()
+            result = await port.call(
+                harness.make_call(address, body=b'{"text":"poison"}'),
+                lambda: True,
+            )
+            code = await asyncio.to_thread(process.wait)
+            await port.close()
+
+        assert result.error.failure.kind is errors.Kind.CONNECTION_LOST
+        assert code == standin.CRASH_STATUS
+
+    asyncio.run(scenario())
