--- a/src/azureramp/controllers/handoffs.py
+++ b/src/azureramp/controllers/handoffs.py
@@ -162,6 +162,7 @@
                 service_ms=owned.ramp.get_usual_ms(),
                 running_ms=owned.get_longest_s(now_s) * 1000,
                 versions=owned.health.versions if owned.health else (),
+                slow=owned.ramp.count_slow(),
             ),
         )
 
--- a/src/azureramp/controllers/ownership_changes.py
+++ b/src/azureramp/controllers/ownership_changes.py
@@ -99,7 +99,7 @@
         """Goes on where the former owner was."""
         message = received.message
         if message.incarnation:
-            owned.ramp.resume(message.limit, message.service_ms)
+            owned.ramp.resume(message.limit, message.service_ms, message.slow)
             # Taken for there, so that nobody finds it unusable meanwhile;
             # but nothing is sent until the first health read has compared
             # the incarnation with this one.
--- a/src/azureramp/messages.py
+++ b/src/azureramp/messages.py
@@ -308,6 +308,7 @@
         running_ms: The longest time that what still runs may take, in
             milliseconds: each call ends at its deadline.
         versions: The `index.version` names that it serves.
+        slow: How many of its recent calls were slow.
     """
 
     searcher: str
@@ -317,6 +318,7 @@
     service_ms: float
     running_ms: float = 0.0
     versions: tuple[str, ...] = ()
+    slow: int = 0
 
 
 class HandoffDone(Message, frozen=True, kw_only=True, tag="handoff_done"):
