--- a/src/azureramp/controllers/owned_searcher.py
+++ b/src/azureramp/controllers/owned_searcher.py
@@ -107,6 +107,26 @@
             return False
         return in_use < self.ramp.limit
 
+    def make_call(
+        self, part: Part, now_s: float, lease_s: float
+    ) -> searchers_api.Call:
+        """Makes the port's call of a sub-request.
+
+        Args:
+            part: The sub-request.
+            now_s: The time.
+            lease_s: How long a cold searcher's call may take, in seconds.
+        """
+        left_s = part.deadline_s - now_s
+        if self.is_cold():
+            # After the lease another VM may own the searcher, and count on
+            # nothing of ours still running in it.
+            left_s = min(left_s, lease_s)
+        expected_ms = self.ramp.get_expected_ms()
+        return part.make_call(
+            self.get_address(), left_s, expected_ms, self.is_cold()
+        )
+
     def make_dispatched(
         self, part: Part, lease_until_s: float
     ) -> events.PartDispatched:
--- a/src/azureramp/controllers/part_runner.py
+++ b/src/azureramp/controllers/part_runner.py
@@ -17,6 +17,7 @@
     poisoning,
     probing,
     replies,
+    trial_queue,
 )
 from azureramp.policy import queues
 from azureramp.ports.searchers import api as searchers_api
@@ -42,12 +43,11 @@
         "_holdings",
         "_late",
         "_outcomes",
-        "_poisoning",
         "_port",
         "_prober",
         "_replies",
         "_rules",
-        "_trial_queue",
+        "_trials",
         "on_released",
     )
 
@@ -68,14 +68,13 @@
         self._port = port
         self._directory = places
         self._holdings = holdings
-        self._poisoning = suspects
         self._prober = prober
         self._replies = answers
         self._rules = dispatch_rules.DispatchRules(
             board, holdings, suspects, prober
         )
         self._outcomes = part_outcomes.PartOutcomes(board, suspects, prober)
-        self._trial_queue: dict[int, list[Part]] = {}
+        self._trials = trial_queue.TrialQueue(suspects)
         self.on_released: Callable[[OwnedSearcher], None] = _ignore
 
     def take(self, part: Part) -> None:
@@ -89,7 +88,7 @@
             self.fail(part, refusal)
             return
         self._holdings.parts[part.key] = (owned, part)
-        if not self._poisoning.needs_trial(part) or self._try_begin(part):
+        if self._trials.admit(part):
             self._push(owned, part)
             self.pump(owned)
 
@@ -106,9 +105,7 @@
         if part.task is not None:
             part.task.cancel()
             return
-        waiting = self._trial_queue.get(part.batch.fingerprint, [])
-        if part in waiting:
-            waiting.remove(part)
+        self._trials.remove(part)
         owned.queue.remove(part)
         self.fail(part, errors.Failure(errors.Kind.CANCELLED))
 
@@ -155,11 +152,8 @@
         """Gives back all that waits for a searcher, unsent."""
         for waiting in owned.queue.clear():
             self.fail(waiting.content, failure)
-        for parts in self._trial_queue.values():
-            for part in tuple(parts):
-                if part.request.searcher == owned.get_name():
-                    parts.remove(part)
-                    self.fail(part, failure)
+        for part in self._trials.remove_all(owned.get_name()):
+            self.fail(part, failure)
 
     def fail(self, part: Part, failure: errors.Failure) -> None:
         """Ends a sub-request that has no result."""
@@ -170,15 +164,6 @@
             part, replies.make_failed(part.request.part, failure, part.sent)
         )
 
-    def _try_begin(self, part: Part) -> bool:
-        """Begins a sub-request's trial, or lets it wait for another's end."""
-        part.alone = part.batch.isolated or self._poisoning.is_suspect(part)
-        fingerprint = part.batch.fingerprint
-        if self._poisoning.trials.try_begin(fingerprint, part.key):
-            return True
-        self._trial_queue.setdefault(fingerprint, []).append(part)
-        return False
-
     def _push(self, owned: OwnedSearcher, part: Part) -> None:
         """Adds a sub-request to its searcher's queue."""
         policy = self._directory.get_policy()
@@ -206,7 +191,7 @@
         """Runs one sub-request on its searcher, to its result."""
         try:
             result = await self._port.call(
-                self._make_call(owned, part),
+                owned.make_call(part, _now_s(), self._rules.get_lease_s()),
                 lambda: self._may_write(owned, part),
             )
             if not part.again:
@@ -232,22 +217,6 @@
             self.fail(part, errors.Failure(errors.Kind.CANCELLED))
         self._free(owned)
 
-    def _make_call(
-        self, owned: OwnedSearcher, part: Part
-    ) -> searchers_api.Call:
-        """Makes the port's call of a sub-request."""
-        left_s = part.deadline_s - _now_s()
-        if owned.is_cold():
-            # After the lease another VM may own the searcher, and count on
-            # nothing of ours still running in it.
-            left_s = min(left_s, self._rules.get_lease_s())
-        return part.make_call(
-            owned.get_address(),
-            left_s,
-            owned.ramp.get_expected_ms(),
-            owned.is_cold(),
-        )
-
     def _may_write(self, owned: OwnedSearcher, part: Part) -> bool:
         """Decides right before the first byte, and records the dispatch."""
         match self._rules.decide_writing(owned, part):
@@ -307,16 +276,16 @@
     def _forget(self, part: Part) -> None:
         """Forgets a sub-request that has ended."""
         self._holdings.parts.pop(part.key, None)
-        fingerprint = part.batch.fingerprint
-        if self._poisoning.trials.end(fingerprint, part.key):
-            asyncio.get_running_loop().call_soon(self._go_on, fingerprint)
+        if self._trials.end(part):
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._go_on, part.batch.fingerprint)
 
     def _go_on(self, fingerprint: int) -> None:
         """Takes what waited for a trial's end.
 
         After a success all start; else the first begins the next trial.
         """
-        for part in self._trial_queue.pop(fingerprint, []):
+        for part in self._trials.take(fingerprint):
             self.take(part)
 
 
