--- a/src/azureramp/ports/peers/nng.py
+++ b/src/azureramp/ports/peers/nng.py
@@ -33,6 +33,11 @@
 CLOSE_S = 0.1
 """How long closing waits for the queues to empty, in seconds."""
 
+TASK_THREADS = 3
+"""Threads in which nng moves messages. By default it starts two for each
+core and some more, which is memory, and wake-ups that the messages of one
+Python process don't need."""
+
 _logger = logbook.Logger("azureramp.peers")
 
 
@@ -89,6 +94,7 @@
     async def start(self, handler: api.Handler) -> None:
         """Begins to receive; see `api.Peers`."""
         self._handler = handler
+        limit_threads()
         pull = pynng.Pull0(
             recv_buffer_size=RECEIVE_LENGTH, recv_max_size=MAX_BYTES
         )
@@ -183,6 +189,17 @@
             self._metrics.count("peer.stale")
 
 
+def limit_threads() -> None:
+    """Limits nng's threads; without effect once it has started them."""
+    for parameter, threads in (
+        (pynng.lib.NNG_INIT_NUM_TASK_THREADS, TASK_THREADS),
+        (pynng.lib.NNG_INIT_NUM_EXPIRE_THREADS, 1),
+        (pynng.lib.NNG_INIT_NUM_POLLER_THREADS, 1),
+        (pynng.lib.NNG_INIT_NUM_RESOLVER_THREADS, 1),
+    ):
+        pynng.lib.nng_init_set_parameter(parameter, threads)
+
+
 def make(
     vm: str,
     address: str,
