--- a/src/azureramp/ports/searchers/memory.py
+++ b/src/azureramp/ports/searchers/memory.py
@@ -36,7 +36,7 @@
         self._lost: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
         )
-        searcher.links.add(self)
+        searcher.links[self] = None
         searcher.most_links = max(searcher.most_links, len(searcher.links))
 
     def is_reusable(self) -> bool:
@@ -47,7 +47,7 @@
         """Breaks the connection, from the searcher's side."""
         if not self._lost.done():
             self._lost.set_result(None)
-        self._searcher.links.discard(self)
+        self._searcher.links.pop(self, None)
 
     def abort(self) -> None:
         """Closes at once."""
@@ -61,6 +61,7 @@
             raise web_connection.UnsentError("closed")
         if not may_write():
             raise web_connection.UnsentError("not allowed")
+        began_s = asyncio.get_running_loop().time()
         serving = asyncio.ensure_future(self._serve(call))
         try:
             either: set[asyncio.Future[Any]] = {serving, self._lost}
@@ -74,6 +75,7 @@
         finally:
             serving.cancel()
         self.proven_s = asyncio.get_running_loop().time()
+        self._searcher.note_reply(self.proven_s - began_s)
         return outcome
 
     async def _serve(self, call: api.Call) -> calls.Outcome:
