End the faults of a pair in reverse, and never start a VM in its last millisecond

Two false alarms of the pairs. zone_out+store_down: the operator's undoing of the first fault needed the store that the second one had taken. planned_stop and others: 'went back from revision 44 to 41' was an event of the old process sorted after the new one's start, both in one millisecond of virtual time.

--- a/src/azureramp_standins/cluster.py
+++ b/src/azureramp_standins/cluster.py
@@ -40,6 +40,9 @@
 READY_S = 60.0
 """Longest wait until all VMs are ready, in virtual seconds."""
 
+START_S = 0.002
+"""Least time from the end of a VM's process to the start of its next."""
+
 CHANGE_TRIES = 20
 CHANGE_GAP_S = 0.25
 """How often, and how far apart, an operator tries a change again."""
@@ -231,6 +234,9 @@
         """Starts a VM's daemon."""
         vm = self.vms[name]
         vm.starts += 1
+        # Events of two processes of one VM within a millisecond could not be
+        # told apart by their clocks; no process starts as fast as that.
+        await asyncio.sleep(START_S)
         vm.store = store_memory.MemoryStore(self.state)
         loop = asyncio.get_running_loop()
         timeline = events.Timeline(name, wall=loop.time)
--- a/src/azureramp_standins/matrix/cells.py
+++ b/src/azureramp_standins/matrix/cells.py
@@ -154,7 +154,9 @@
             await fault.begin(place)
         left_s = until_s - asyncio.get_running_loop().time()
         await asyncio.sleep(max(0.0, left_s))
-        for fault in self._faults:
+        # The last one first: what an operator must undo may need what the
+        # other fault took away.
+        for fault in reversed(self._faults):
             await fault.end(place)
 
     async def _change(self) -> None:
