Hand searchers to a new VM only once it says that it takes them

A restarted VM was an owner to the others as soon as it had a configuration, up to a second before it had heard them all and knew of it itself; what was handed to it had no owner meanwhile. Seen by a test with links that open late.

--- a/src/azureramp/blackboard.py
+++ b/src/azureramp/blackboard.py
@@ -46,6 +46,7 @@
         incarnation: Its process's incarnation; 0 while unknown.
         heard_s: When it was last heard.
         ready: True if it serves callers.
+        owns: True once it takes searchers over.
         revision: Its configuration revision.
         confirmed_s: When the platform had confirmed its revision, at the
             earliest, on this VM's clock.
@@ -66,6 +67,7 @@
     incarnation: int = 0
     heard_s: float = -math.inf
     ready: bool = False
+    owns: bool = False
     revision: int = 0
     confirmed_s: float = -math.inf
     may_own_until_s: float = -math.inf
--- a/src/azureramp/controllers/members.py
+++ b/src/azureramp/controllers/members.py
@@ -19,10 +19,11 @@
 
     Attributes:
         leaving: True once this VM itself shuts down.
+        informed: True once this process has had time to hear the others.
         pace: The times that fit the size of the list read last.
     """
 
-    __slots__ = ("_board", "_left", "_suspects", "leaving", "pace")
+    __slots__ = ("_board", "_left", "_suspects", "informed", "leaving", "pace")
 
     def __init__(self, board: blackboard.Blackboard) -> None:
         """Makes a table of nobody."""
@@ -30,6 +31,7 @@
         self._left: set[str] = set()
         self._suspects: dict[str, frozenset[str]] = {}
         self.leaving = False
+        self.informed = False
         self.pace = self._compute_pace(1)
 
     def _compute_pace(self, vms: int) -> pace.Pace:
@@ -63,6 +65,7 @@
         """Takes what a VM tells of itself."""
         now_s = _now_s()
         member.ready = message.ready
+        member.owns = message.owns
         member.revision = message.revision
         member.confirmed_s = now_s - message.confirmed_age_ms / 1000
         if message.searchers is not None:
@@ -132,20 +135,22 @@
     def get_candidates(self) -> list[ownership.Candidate]:
         """Returns the VMs that may own searchers, this one included.
 
-        A VM without a configuration knows no searchers yet.
+        A VM that has just begun knows neither searchers nor the other VMs.
+        Until it says that it takes searchers over, the present owners must
+        keep theirs: handed to it they would have no owner for a while.
         """
         now_s = _now_s()
         members = self._board.members
         candidates = [
             ownership.Candidate(name, members[name].vm.zone)
             for name, sighting in self._get_sightings().items()
-            if members[name].revision > 0
+            if members[name].owns
             and policy.may_own(
                 policy.Standing(members[name].state.value), sighting, now_s
             )
         ]
         own = members.get(self._board.settings.vm)
-        if own is not None and not self.leaving and own.revision > 0:
+        if own is not None and own.owns:
             candidates.append(ownership.Candidate(own.vm.name, own.vm.zone))
         return candidates
 
@@ -175,6 +180,7 @@
         name = member.vm.name
         member.incarnation = incarnation
         member.ready = False
+        member.owns = False
         member.revision = 0
         member.searchers = ()
         self._left.discard(name)
@@ -189,6 +195,11 @@
             return
         own.heard_s = now_s
         own.incarnation = self._board.incarnation
+        own.owns = (
+            self.informed
+            and not self.leaving
+            and self._board.configuration.revision > 0
+        )
         own.ready = self._board.serving is blackboard.Serving.READY
         own.revision = self._board.configuration.revision
         own.confirmed_s = self._board.confirmed_s
--- a/src/azureramp/controllers/membership.py
+++ b/src/azureramp/controllers/membership.py
@@ -128,6 +128,9 @@
         self._members.judge()
         if not self._knows_enough(now_s):
             return
+        if not self._members.informed:
+            self._members.informed = True
+            self._members.judge()
         candidates = self._members.get_candidates()
         changed = self._ownership.update_owners(candidates, now_s)
         self._ownership.update_lease(now_s)
@@ -247,6 +250,7 @@
     ) -> messages.Heartbeat:
         """Makes the next heartbeat."""
         board = self._board
+        own = board.members.get(board.settings.vm)
         return messages.Heartbeat(
             sequence=self._sequence,
             leaving=self._members.leaving,
@@ -258,6 +262,7 @@
             claims=tuple(owning.lease.get_claims()),
             lists=owning.get_lists_to_tell(),
             suspects=self._members.get_unheard(),
+            owns=own is not None and own.owns,
             urgent=self._is_urgent(owning, now_s),
         )
 
--- a/src/azureramp/messages.py
+++ b/src/azureramp/messages.py
@@ -178,6 +178,7 @@
     "leaving": "l",
     "lease_ms": "m",
     "lists": "t",
+    "owns": "o",
     "ready": "r",
     "refused": "f",
     "revision": "v",
@@ -215,6 +216,7 @@
         lists: The names in the VM lists that it has read of late, if they
             were several.
         suspects: The listed VMs that it does not hear.
+        owns: True once the sender takes searchers over.
         urgent: True if the acknowledgement should come at once; else it may
             wait for the answerer's own next heartbeat.
     """
@@ -229,6 +231,7 @@
     claims: tuple[int, ...] = ()
     lists: tuple[tuple[str, ...], ...] = ()
     suspects: tuple[str, ...] = ()
+    owns: bool = False
     urgent: bool = False
 
 
--- a/tests/controllers/test_membership.py
+++ b/tests/controllers/test_membership.py
@@ -255,6 +255,31 @@
     run(test)
 
 
+def test_a_new_vm_owns_nothing_before_it_has_heard_the_others() -> None:
+    """A VM is replaced; it hears the others later than they hear it.
+
+    Were it taken for an owner at once, the searchers handed to it would have
+    no owner until it knows that it is one, and answers would be short.
+    """
+
+    async def test(cell: Cell) -> None:
+        await cell.nodes.pop("vm0").stop()
+        await asyncio.sleep(SETTLE_S)
+        others = ("vm1", "vm2", "vm3", "vm4")
+        cell.network.faults.cut = {(vm, "vm0") for vm in others}
+        node = await cell.start("vm0", incarnation=2)
+        await asyncio.sleep(0.9)
+        for board in cell.get_boards("vm0"):
+            assert "vm0" not in board.owners.values()
+        cell.network.faults.cut = set()
+        await asyncio.sleep(0.4)
+        assert "vm0" in node.board.owners.values()
+        await asyncio.sleep(SETTLE_S)
+        assert_agreed(cell.get_boards())
+
+    run(test)
+
+
 def test_a_leaving_vm_gives_its_searchers_up_within_a_beat() -> None:
     async def test(cell: Cell) -> None:
         cell.nodes["vm0"].membership.announce_leaving()
