Dial a lost link again each 0.2 s instead of each second

The handoff to a restarted VM got lost while the link to it was down. Not stable yet, so the test may still fail.

--- a/src/azureramp/ports/peers/nng.py
+++ b/src/azureramp/ports/peers/nng.py
@@ -29,7 +29,10 @@
 """Most envelopes that one turn of the event loop reads."""
 
 REDIAL_MIN_MS = 50
-REDIAL_MAX_MS = 1000
+REDIAL_MAX_MS = 200
+"""Longest time between two attempts to connect. A handoff to a VM that has
+just restarted gets lost while the link is down, so it is short."""
+
 CLOSE_S = 0.1
 """How long closing waits for the queues to empty, in seconds."""
 
