--- /dev/null
+++ b/src/azureramp/controllers/links.py
@@ -0,0 +1,42 @@
+"""Replacing the links to other VMs that have gone silent."""
+
+from __future__ import annotations
+
+import asyncio
+
+from azureramp import blackboard
+from azureramp.controllers import outbox as outbox_module
+from azureramp.policy import membership as policy
+from azureramp.policy import pace
+
+
+class Links:
+    """Knows when the link to each VM was opened."""
+
+    __slots__ = ("_board", "_opened_s", "_outbox")
+
+    def __init__(
+        self, board: blackboard.Blackboard, outbox: outbox_module.Outbox
+    ) -> None:
+        """Makes one that knows of no link."""
+        self._board = board
+        self._outbox = outbox
+        self._opened_s: dict[str, float] = {}
+
+    def renew(self, times: pace.Pace) -> None:
+        """Opens new links in place of those that have gone silent.
+
+        Args:
+            times: The times that fit the size of the cell.
+        """
+        now_s = asyncio.get_running_loop().time()
+        limit_s = times.suspect_s + 2 * times.interval_s
+        for name, member in self._board.members.items():
+            if name == self._board.settings.vm:
+                continue
+            opened_s = self._opened_s.setdefault(name, now_s)
+            if policy.needs_new_link(
+                member.acknowledged_s, opened_s, now_s, limit_s
+            ):
+                self._opened_s[name] = now_s
+                self._outbox.reconnect(name)
--- a/src/azureramp/controllers/membership.py
+++ b/src/azureramp/controllers/membership.py
@@ -9,9 +9,9 @@
 import logbook
 
 from azureramp import blackboard, messages
+from azureramp.controllers import links, ownership
 from azureramp.controllers import members as members_module
 from azureramp.controllers import outbox as outbox_module
-from azureramp.controllers import ownership
 from azureramp.policy import leases, telling
 from azureramp.policy import membership as policy
 from azureramp.ports.vmlist import api as vmlist_api
@@ -34,8 +34,8 @@
     __slots__ = (
         "_board",
         "_due_s",
+        "_links",
         "_members",
-        "_opened_s",
         "_outbox",
         "_ownership",
         "_revision",
@@ -67,7 +67,7 @@
         self._sequence = board.incarnation << SEQUENCE_BITS
         self._stale = False
         self._revision = 0
-        self._opened_s: dict[str, float] = {}
+        self._links = links.Links(board, outbox)
         self._waiting: dict[str, messages.HeartbeatAck] = {}
         self._told = telling.States()
         self.on_owners: Callable[[], None] | None = None
@@ -191,27 +191,12 @@
         """Sends heartbeats, forever."""
         while True:
             self.update()
-            self._renew_links()
+            self._links.renew(self._members.pace)
             self._beat()
             interval_s = self._members.pace.interval_s
             self._due_s = _now_s() + interval_s
             await asyncio.sleep(interval_s)
 
-    def _renew_links(self) -> None:
-        """Opens new links in place of those that have gone silent."""
-        now_s = _now_s()
-        pace = self._members.pace
-        limit_s = pace.suspect_s + 2 * pace.interval_s
-        for name, member in self._board.members.items():
-            if name == self._board.settings.vm:
-                continue
-            opened_s = self._opened_s.setdefault(name, now_s)
-            if policy.needs_new_link(
-                member.acknowledged_s, opened_s, now_s, limit_s
-            ):
-                self._opened_s[name] = now_s
-                self._outbox.reconnect(name)
-
     def _notice_pause(self) -> None:
         """Excuses the others' silence by an own pause, before any judging.
 
