--- a/src/azureramp/controllers/record_memory.py
+++ b/src/azureramp/controllers/record_memory.py
@@ -7,7 +7,7 @@
 import math
 
 from azureramp import errors
-from azureramp.policy import idempotency
+from azureramp.policy import idempotency, record_bounds
 
 MAX_REMEMBERED = 1000
 """How many outcomes this VM replays without asking the store."""
@@ -83,10 +83,16 @@
     def remember(
         self, claimed: Claimed, outcome: idempotency.Outcome, now_s: float
     ) -> None:
-        """Ends a claim and keeps its outcome for retries."""
+        """Ends a claim and keeps its outcome for retries.
+
+        A holder that says its last word after the retention has no say any
+        more: the key is free, and another run of it may have begun.
+        """
         self.drop(claimed)
-        record = idempotency.complete(claimed.record, outcome)
-        self.keep(claimed.store_key, record, now_s)
+        began_s = claimed.may_dispatch_until_s - idempotency.DISPATCH_S
+        if now_s + REMEMBERED_S < began_s + record_bounds.RETENTION_S:
+            record = idempotency.complete(claimed.record, outcome)
+            self.keep(claimed.store_key, record, now_s)
 
     def keep(
         self, store_key: str, record: idempotency.Record, now_s: float
--- a/tests/controllers/test_idempotency_outage.py
+++ b/tests/controllers/test_idempotency_outage.py
@@ -111,6 +111,28 @@
     records_vms.run(go())
 
 
+def test_a_last_word_after_the_retention_is_not_told_again() -> None:
+    """A run's end is noticed more than a day after its claim.
+
+    The key is free by then and may be used anew, so the old outcome must not
+    be told as the new request's.
+    """
+
+    async def go() -> None:
+        first, second = records_vms.make_two()
+        claimed = await first.claim_right()
+        for _ in range(2):
+            await asyncio.sleep(
+                record_bounds.RETENTION_S / 2 + record_bounds.WINDOW_S
+            )
+        await first.records.finish(claimed, b"7")
+
+        await first.claim_right()
+        assert await second.claim() is errors.Kind.IN_PROGRESS
+
+    records_vms.run(go())
+
+
 def test_a_lost_lease_costs_one_refusal() -> None:
     async def go() -> None:
         first, _ = records_vms.make_two()
