End the fake searchers' tasks too when a test's loop closes

A cancelled fake call started the next of its queue, which nobody awaited: the run printed 'Task was destroyed but it is pending' eighteen times.

--- a/tests/controllers/query_cell.py
+++ b/tests/controllers/query_cell.py
@@ -58,10 +58,12 @@
         result: _T = loop.run_until_complete(main)
         return result
     finally:
-        left = asyncio.all_tasks(loop)
-        for task in left:
-            task.cancel()
-        loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
+        # A cancelled fake call starts the next of its queue.
+        while left := asyncio.all_tasks(loop):
+            for task in left:
+                task.cancel()
+            ended = asyncio.gather(*left, return_exceptions=True)
+            loop.run_until_complete(ended)
         loop.close()
 
 
