End running changes with the process

Nothing of a stopped process may go on in a test's loop (seen by reading; it does not mend the failing pair below).

Failing: tests/matrix/test_grid.py pair28-configuration.write (vm-2 went back from revision 44 to 41; passes on main, cause not found) and pair10-configuration.watch (fails on main too).

--- a/src/azureramp/controllers/configuration.py
+++ b/src/azureramp/controllers/configuration.py
@@ -100,10 +100,13 @@
 
     async def run(self) -> None:
         """Follows the store and the peers, forever."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._run_watch())
-            group.create_task(self._run_confirmation())
-            group.create_task(self._run_ticks())
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._run_watch())
+                group.create_task(self._run_confirmation())
+                group.create_task(self._run_ticks())
+        finally:
+            self._writer.cancel()
 
     async def wait_beyond(self, revision: int, wait_s: float) -> None:
         """Waits until a revision is passed, or the time is over."""
--- a/src/azureramp/controllers/writing.py
+++ b/src/azureramp/controllers/writing.py
@@ -72,6 +72,11 @@
         task.add_done_callback(self._tasks.discard)
         return await asyncio.shield(task)
 
+    def cancel(self) -> None:
+        """Gives up on changes that run, as the process ends."""
+        for task in self._tasks:
+            task.cancel()
+
     async def _make(self, change: changes.Change) -> Result:
         if not await self._wait_for_contact():
             return _refuse(
