--- a/src/azureramp_standins/cluster.py
+++ b/src/azureramp_standins/cluster.py
@@ -371,7 +371,14 @@
         daemon = self.vms[vm].daemon
         if daemon is None:
             return web_api.Response(status=0)
-        return await daemon.handle(request)
+        try:
+            return await daemon.handle(request)
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            # The VM was killed under the request: no answer ever comes.
+            return web_api.Response(status=0)
 
 
 def search_every_hundredth(call: searchers_api.Call) -> bytes:
