--- a/src/azureramp_standins/measuring/report.py
+++ b/src/azureramp_standins/measuring/report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pathlib
+from typing import Any
 
 import msgspec
 
@@ -68,37 +69,44 @@
 
 
 def draw(rows: list[running.Row], path: pathlib.Path) -> None:
-    """Draws tail latency and extra calls by load, for each variant."""
+    """Draws tail latency and extra calls by load, a line for each variant."""
     import matplotlib
 
     matplotlib.use("Agg")
     from matplotlib import pyplot
 
-    figure, (left, right) = pyplot.subplots(1, 2, figsize=(11, 4.5))
     chosen = [r for r in rows if r.stragglers and r.incident == "none"]
-    for variant in dict.fromkeys(row.variant for row in chosen):
-        own = sorted(
-            (r for r in chosen if r.variant == variant), key=lambda r: r.load
+    layouts = list(dict.fromkeys(row.layout for row in chosen))
+    figure, axes = pyplot.subplots(
+        len(layouts), 2, figsize=(11, 4 * len(layouts)), squeeze=False
+    )
+    for (left, right), layout in zip(axes, layouts, strict=True):
+        own = [row for row in chosen if row.layout == layout]
+        _draw_lines(left, own, "p99_urgent_ms")
+        _draw_lines(right, own, "calls_per_needed")
+        left.set(
+            ylabel="p99 of urgent answers (ms)",
+            yscale="log",
+            title=f"{layout}: tail with 1 % stragglers",
         )
-        loads = [100 * row.load for row in own]
-        left.plot(loads, [r.p99_ms for r in own], marker="o", label=variant)
-        right.plot(
-            loads, [r.calls_per_needed for r in own], marker="o", label=variant
+        right.set(
+            ylabel="calls for each needed call",
+            title=f"{layout}: extra load on searchers",
         )
-    left.set(
-        xlabel="load (%)",
-        ylabel="p99 of answers (ms)",
-        yscale="log",
-        title="Tail latency with 1 % stragglers",
-    )
-    right.set(
-        xlabel="load (%)",
-        ylabel="calls for each needed call",
-        title="Extra load on searchers",
-    )
-    for axes in (left, right):
-        axes.grid(alpha=0.3)
-        axes.legend()
     figure.tight_layout()
-    figure.savefig(path, dpi=110)
+    figure.savefig(path, dpi=90)
     pyplot.close(figure)
+
+
+def _draw_lines(axes: Any, rows: list[running.Row], field: str) -> None:
+    """Draws one figure by load, a line for each variant."""
+    for variant in dict.fromkeys(row.variant for row in rows):
+        points = sorted(
+            (100 * row.load, getattr(row, field))
+            for row in rows
+            if row.variant == variant
+        )
+        axes.plot(*zip(*points, strict=True), marker="o", label=variant)
+    axes.set(xlabel="load (%)")
+    axes.grid(alpha=0.3)
+    axes.legend()
