Split the timeline off the events, the answers off the peer messages, and the

faults' changes off their table

Each held two things that a reader looks for apart: the closed list of events and the clock that orders them; what daemons say to each other and what callers get; which faults there are and how they are brought about.

--- a/src/azureramp/blackboard.py
+++ b/src/azureramp/blackboard.py
@@ -11,7 +11,13 @@
 import enum
 import math
 
-from azureramp import events, messages, metrics, resources, settings
+from azureramp import (
+    messages,
+    metrics,
+    resources,
+    settings,
+    timelines,
+)
 from azureramp.policy import poison
 from azureramp.ports.vmlist import api as vmlist_api
 
@@ -137,7 +143,7 @@
         self,
         daemon_settings: settings.Settings,
         incarnation: int,
-        timeline: events.Timeline,
+        timeline: timelines.Timeline,
         counters: metrics.Metrics,
     ) -> None:
         """Makes the state of a process that has just begun."""
--- a/src/azureramp/cli/changing.py
+++ b/src/azureramp/cli/changing.py
@@ -8,7 +8,7 @@
 import expression
 import msgspec
 
-from azureramp import errors, messages, resources
+from azureramp import errors, resources, responses
 from azureramp.cli import client as client_module
 from azureramp.cli import exits, output
 from azureramp.controllers import resource_answers
@@ -16,7 +16,7 @@
 POLL_S = 0.1
 """Time between two looks at who has a change in force, in seconds."""
 
-_Entry = expression.Result[resources.Versioned, messages.ErrorAnswer]
+_Entry = expression.Result[resources.Versioned, responses.ErrorAnswer]
 
 
 async def put(
@@ -51,7 +51,7 @@
 
 async def get(
     client: client_module.Client, kind: str, name: str
-) -> expression.Result[resources.Versioned | None, messages.ErrorAnswer]:
+) -> expression.Result[resources.Versioned | None, responses.ErrorAnswer]:
     """Reads a resource; None if there is none."""
     result = await client.call(
         resources.Versioned, "GET", f"/v1/resources/{kind}/{name}"
--- a/src/azureramp/cli/client.py
+++ b/src/azureramp/cli/client.py
@@ -10,7 +10,7 @@
 import expression
 import msgspec
 
-from azureramp import errors, messages, texts
+from azureramp import errors, responses, texts
 from azureramp.cli import options
 from azureramp.ports.web import api as web_api
 from azureramp.ports.web import connection
@@ -25,11 +25,11 @@
     kind: errors.Kind,
     detail: str = "",
     ran: errors.Ran | None = None,
-) -> messages.ErrorAnswer:
+) -> responses.ErrorAnswer:
     """Makes the answer for a failure that the tool itself found."""
     answer = errors.ANSWERS[kind]
     text = texts.KINDS[kind]
-    return messages.ErrorAnswer(
+    return responses.ErrorAnswer(
         code=kind.value,
         ran=(ran or answer.ran).value,
         retry=answer.retry.value,
@@ -61,7 +61,7 @@
         query: Mapping[str, str | int] | None = None,
         body: bytes = b"",
         wait_s: float = 0.0,
-    ) -> expression.Result[_T, messages.ErrorAnswer]:
+    ) -> expression.Result[_T, responses.ErrorAnswer]:
         """Calls the first entry VM that takes the request.
 
         A change whose answer was lost is sent to the next VM too: its
@@ -86,7 +86,7 @@
         failure = make_error_answer(
             errors.Kind.CONNECTION_LOST, ran=errors.Ran.NOT_RUN
         )
-        unsettled: messages.ErrorAnswer | None = None
+        unsettled: responses.ErrorAnswer | None = None
         for address in self.common.addresses:
             result = await self._exchange(address, method, target, body, wait_s)
             if result.is_ok() and result.ok.status < 300:
@@ -112,7 +112,7 @@
         target: str,
         body: bytes,
         wait_s: float,
-    ) -> expression.Result[web_api.Response, messages.ErrorAnswer]:
+    ) -> expression.Result[web_api.Response, responses.ErrorAnswer]:
         """Makes one exchange on a connection of its own."""
         connected = await connection.connect(address, CONNECT_S)
         if connected.is_error():
@@ -151,7 +151,7 @@
         return expression.Ok(response)
 
 
-def _is_for_others(failure: messages.ErrorAnswer) -> bool:
+def _is_for_others(failure: responses.ErrorAnswer) -> bool:
     """Tells whether another VM may answer where this one failed."""
     return failure.retry == errors.Retry.OTHER_ADDRESS.value or (
         failure.code
@@ -166,7 +166,7 @@
 
 def _decode(
     response: web_api.Response, answer: type[_T]
-) -> expression.Result[_T, messages.ErrorAnswer]:
+) -> expression.Result[_T, responses.ErrorAnswer]:
     """Reads an answer; a foreign one is told as a failure."""
     try:
         return expression.Ok(msgspec.json.decode(response.body, type=answer))
@@ -176,10 +176,10 @@
         )
 
 
-def _decode_error(response: web_api.Response) -> messages.ErrorAnswer:
+def _decode_error(response: web_api.Response) -> responses.ErrorAnswer:
     """Reads an error's answer; a foreign one is told by its status."""
     try:
-        return msgspec.json.decode(response.body, type=messages.ErrorAnswer)
+        return msgspec.json.decode(response.body, type=responses.ErrorAnswer)
     except msgspec.DecodeError:
         return make_error_answer(
             errors.Kind.INTERNAL, f"HTTP status {response.status}"
--- a/src/azureramp/cli/output.py
+++ b/src/azureramp/cli/output.py
@@ -9,7 +9,7 @@
 import msgspec
 import yaml
 
-from azureramp import messages, resources, texts
+from azureramp import resources, responses, texts
 from azureramp.cli import exits, options
 
 
@@ -40,7 +40,7 @@
 
 
 def print_error(
-    answer: messages.ErrorAnswer, common: options.Common, subject: str = ""
+    answer: responses.ErrorAnswer, common: options.Common, subject: str = ""
 ) -> exits.Exit:
     """Prints an error in the operator's language, its code first.
 
--- a/src/azureramp/cli/selecting.py
+++ b/src/azureramp/cli/selecting.py
@@ -5,7 +5,7 @@
 import dataclasses
 from collections.abc import Iterable, Iterator
 
-from azureramp import events
+from azureramp import events, timelines
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -28,8 +28,8 @@
 
 
 def select(
-    records: Iterable[events.Record], wanted: Wanted
-) -> Iterator[events.Record]:
+    records: Iterable[timelines.Record], wanted: Wanted
+) -> Iterator[timelines.Record]:
     """Selects the wanted events, in their order."""
     kept = list(records)
     if wanted.request:
@@ -46,7 +46,9 @@
         yield record
 
 
-def _select_key(records: list[events.Record], key: str) -> list[events.Record]:
+def _select_key(
+    records: list[timelines.Record], key: str
+) -> list[timelines.Record]:
     """Selects the events of every request that came with a key."""
     requests = {
         _get(record, "request_id")
@@ -63,8 +65,8 @@
 
 
 def _select_zone(
-    records: list[events.Record], zone: str
-) -> list[events.Record]:
+    records: list[timelines.Record], zone: str
+) -> list[timelines.Record]:
     """Selects the events that concern a zone.
 
     Those are the ones that name it, what became of the sub-requests that
@@ -94,5 +96,5 @@
             return False
 
 
-def _get(record: events.Record, field: str) -> str:
+def _get(record: timelines.Record, field: str) -> str:
     return str(getattr(record.event, field, ""))
--- a/src/azureramp/cli/timeline.py
+++ b/src/azureramp/cli/timeline.py
@@ -10,7 +10,7 @@
 import click
 import msgspec
 
-from azureramp import events
+from azureramp import timelines
 from azureramp.cli import client as client_module
 from azureramp.cli import exits, options, output, selecting
 from azureramp.controllers import resource_answers
@@ -53,7 +53,7 @@
         dropped: How many earlier records each VM has dropped, if any.
     """
 
-    timelines: list[list[events.Record]] = dataclasses.field(
+    timelines: list[list[timelines.Record]] = dataclasses.field(
         default_factory=list
     )
     missing: list[str] = dataclasses.field(default_factory=list)
@@ -108,7 +108,7 @@
     if status.is_error():
         return output.print_error(status.error, common)
     collected = await collect(common, status.ok.members)
-    merged = events.merge(collected.timelines)
+    merged = timelines.merge(collected.timelines)
     for record in selecting.select(merged, wanted or selecting.Wanted()):
         click.echo(format_record(record, form))
     _print_gaps(common, collected, form)
@@ -136,7 +136,7 @@
 
 async def _read(client: client_module.Client, collected: Collected) -> bool:
     """Reads the whole timeline of one VM; False if it does not answer."""
-    records: list[events.Record] = []
+    records: list[timelines.Record] = []
     collected.timelines.append(records)
     after = 0
     while True:
@@ -156,11 +156,11 @@
         after = records[-1].clock
 
 
-def format_record(record: events.Record, form: str) -> str:
+def format_record(record: timelines.Record, form: str) -> str:
     """Formats an event as a line of text or of JSON."""
     fields: dict[str, Any] = msgspec.to_builtins(record.event)
     name = fields.pop("event")
-    at = events.format_utc(record.at_s)
+    at = timelines.format_utc(record.at_s)
     if form == "json":
         line = {"at": at, "clock": record.clock, "vm": record.vm}
         line |= {"event": name} | fields
--- a/src/azureramp/controllers/answers.py
+++ b/src/azureramp/controllers/answers.py
@@ -8,7 +8,12 @@
 
 import msgspec
 
-from azureramp import errors, messages, resources, texts
+from azureramp import (
+    errors,
+    resources,
+    responses,
+    texts,
+)
 from azureramp.policy import rules
 from azureramp.ports.web import api as web_api
 
@@ -72,11 +77,11 @@
     addresses: tuple[str, ...] = (),
     present: resources.Versioned | None = None,
     problems: Sequence[rules.Problem] = (),
-) -> messages.ErrorAnswer:
+) -> responses.ErrorAnswer:
     """Makes the body of the response to a failure; see `make_error`."""
     answer = failure.get_answer()
     text = texts.KINDS[failure.kind]
-    return messages.ErrorAnswer(
+    return responses.ErrorAnswer(
         code=failure.kind.value,
         ran=answer.ran.value,
         retry=answer.retry.value,
@@ -91,9 +96,9 @@
     )
 
 
-def _make_problem(problem: rules.Problem) -> messages.FieldProblem:
+def _make_problem(problem: rules.Problem) -> responses.FieldProblem:
     text = texts.RULES[problem.rule]
-    return messages.FieldProblem(
+    return responses.FieldProblem(
         field=problem.field,
         rule=problem.rule.value,
         value=problem.value,
--- a/src/azureramp/controllers/caller_api.py
+++ b/src/azureramp/controllers/caller_api.py
@@ -9,7 +9,12 @@
 import expression
 import msgspec
 
-from azureramp import blackboard, errors, messages, resources
+from azureramp import (
+    blackboard,
+    errors,
+    resources,
+    responses,
+)
 from azureramp.controllers import answers, caller_input
 from azureramp.controllers import coordinator as coordinator_controller
 from azureramp.policy import addresses, identity
@@ -143,7 +148,7 @@
         if identified.is_error():
             return self._make_error(identified.error, None)
         return answers.make_ok(
-            messages.AddressAnswer(
+            responses.AddressAnswer(
                 addresses=self._order_addresses(identified.ok),
                 lifetime_ms=self._board.settings.address_lifetime_ms,
             )
@@ -225,7 +230,7 @@
     def _make_response(
         self,
         result: expression.Result[
-            messages.QueryAnswer | messages.ExecuteAnswer, errors.Failure
+            responses.QueryAnswer | responses.ExecuteAnswer, errors.Failure
         ],
         request_id: str,
         caller: resources.Caller,
--- a/src/azureramp/controllers/coordinator.py
+++ b/src/azureramp/controllers/coordinator.py
@@ -9,7 +9,13 @@
 import expression
 import msgspec
 
-from azureramp import blackboard, errors, messages, resources
+from azureramp import (
+    blackboard,
+    errors,
+    messages,
+    resources,
+    responses,
+)
 from azureramp.controllers import (
     admitting,
     dispatching,
@@ -47,7 +53,7 @@
 
 Execute = execution.Execute
 
-Answered = expression.Result[messages.QueryAnswer, errors.Failure]
+Answered = expression.Result[responses.QueryAnswer, errors.Failure]
 
 
 class Coordinator:
@@ -86,7 +92,7 @@
 
     async def execute(
         self, request: execution.Execute
-    ) -> expression.Result[messages.ExecuteAnswer, errors.Failure]:
+    ) -> expression.Result[responses.ExecuteAnswer, errors.Failure]:
         """Runs a request that may not be repeated; see `execution`."""
         return await self._executor.execute(request)
 
@@ -157,7 +163,7 @@
             return expression.Error(outcome)
         took_s = asyncio.get_running_loop().time() - started_s
         return expression.Ok(
-            messages.QueryAnswer(
+            responses.QueryAnswer(
                 request_id=asked.request_id,
                 index=asked.index,
                 version=outcome.shard_map.version,
--- a/src/azureramp/controllers/dry_run.py
+++ b/src/azureramp/controllers/dry_run.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 
-from azureramp import errors, messages, resources
+from azureramp import errors, resources, responses
 from azureramp.controllers import answers, resource_answers
 from azureramp.policy import rules, validation
 
@@ -38,7 +38,7 @@
     if before is not None and before.resource is None:
         before = None
     entry = resources.Versioned(resource, kind, resource.name, 0)
-    error: messages.ErrorAnswer | None = None
+    error: responses.ErrorAnswer | None = None
     problems = validation.check(resource, trial)
     revision = before.revision if before else 0
     if problems:
--- a/src/azureramp/controllers/execution.py
+++ b/src/azureramp/controllers/execution.py
@@ -15,7 +15,12 @@
 import msgspec
 import xxhash
 
-from azureramp import blackboard, errors, messages, resources
+from azureramp import (
+    blackboard,
+    errors,
+    resources,
+    responses,
+)
 from azureramp.controllers import (
     admitting,
     dispatching,
@@ -63,7 +68,7 @@
         ...
 
 
-Answered = expression.Result[messages.ExecuteAnswer, errors.Failure]
+Answered = expression.Result[responses.ExecuteAnswer, errors.Failure]
 
 
 class Executor:
@@ -169,7 +174,7 @@
             return expression.Error(outcome), 0
         took_s = asyncio.get_running_loop().time() - started_s
         replayed = outcome.request_id != request.request_id
-        answer = messages.ExecuteAnswer(
+        answer = responses.ExecuteAnswer(
             request_id=outcome.request_id,
             idempotency_key=request.idempotency_key,
             replayed=replayed,
--- a/src/azureramp/controllers/request_log.py
+++ b/src/azureramp/controllers/request_log.py
@@ -6,7 +6,12 @@
 
 import expression
 
-from azureramp import blackboard, errors, events, messages
+from azureramp import (
+    blackboard,
+    errors,
+    events,
+    responses,
+)
 from azureramp.controllers import admitting, dispatching
 
 
@@ -43,7 +48,7 @@
     def record_query_answered(
         self,
         request_id: str,
-        result: expression.Result[messages.QueryAnswer, errors.Failure],
+        result: expression.Result[responses.QueryAnswer, errors.Failure],
         started_s: float,
     ) -> None:
         """Records and counts the answer to a query."""
@@ -69,7 +74,7 @@
         self,
         request_id: str,
         idempotency_key: str,
-        result: expression.Result[messages.ExecuteAnswer, errors.Failure],
+        result: expression.Result[responses.ExecuteAnswer, errors.Failure],
         version: int,
         started_s: float,
     ) -> None:
--- a/src/azureramp/controllers/resource_answers.py
+++ b/src/azureramp/controllers/resource_answers.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from azureramp import events, messages, resources
+from azureramp import resources, responses, timelines
 
 
 class ChangeState(enum.Enum):
@@ -84,7 +84,7 @@
 
     entry: resources.Versioned
     before: resources.Versioned | None = None
-    error: messages.ErrorAnswer | None = None
+    error: responses.ErrorAnswer | None = None
 
 
 class CheckAnswer(msgspec.Struct, frozen=True, kw_only=True):
@@ -172,4 +172,4 @@
     vm: str
     dropped: int
     more: bool
-    records: tuple[events.Record, ...]
+    records: tuple[timelines.Record, ...]
--- a/src/azureramp/daemon/process.py
+++ b/src/azureramp/daemon/process.py
@@ -9,7 +9,7 @@
 import logbook
 import statsd
 
-from azureramp import events, metrics, settings
+from azureramp import metrics, settings, timelines
 from azureramp.daemon import wiring
 from azureramp.ports.peers import nng
 from azureramp.ports.searchers import http as searchers_http
@@ -35,7 +35,7 @@
         The process's exit code.
     """
     counters = make_metrics(daemon_settings)
-    timeline = events.Timeline(daemon_settings.vm)
+    timeline = timelines.Timeline(daemon_settings.vm)
     incarnation = time.time_ns() // 1000
     ports = wiring.Ports(
         store=store_counting.CountingStore(
--- a/src/azureramp/daemon/wiring.py
+++ b/src/azureramp/daemon/wiring.py
@@ -14,7 +14,15 @@
 
 import logbook
 
-from azureramp import blackboard, errors, events, messages, metrics, settings
+from azureramp import (
+    blackboard,
+    errors,
+    events,
+    messages,
+    metrics,
+    settings,
+    timelines,
+)
 from azureramp.controllers import (
     answers,
     caller_api,
@@ -259,7 +267,7 @@
 def make(
     daemon_settings: settings.Settings,
     incarnation: int,
-    timeline: events.Timeline,
+    timeline: timelines.Timeline,
     counters: metrics.Metrics,
     ports: Ports,
 ) -> Daemon:
--- a/src/azureramp/invariants/answers.py
+++ b/src/azureramp/invariants/answers.py
@@ -6,7 +6,7 @@
 import fractions
 from collections.abc import Iterator
 
-from azureramp import events, resources
+from azureramp import events, resources, timelines
 from azureramp.invariants import history
 
 COVERAGE_TOLERANCE = 1e-6
@@ -140,7 +140,7 @@
 
 def _get_answers(
     past: history.History,
-) -> Iterator[tuple[events.Record, events.RequestAnswered]]:
+) -> Iterator[tuple[timelines.Record, events.RequestAnswered]]:
     """Yields the answers to queries, with their records."""
     for record in past.records:
         if isinstance(record.event, events.RequestAnswered):
--- a/src/azureramp/invariants/history.py
+++ b/src/azureramp/invariants/history.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from azureramp import events, resources
+from azureramp import resources, timelines
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -129,7 +129,7 @@
         bounds: The stated bounds.
     """
 
-    records: list[events.Record] = dataclasses.field(default_factory=list)
+    records: list[timelines.Record] = dataclasses.field(default_factory=list)
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     received: list[Received] = dataclasses.field(default_factory=list)
     stops: list[Stop] = dataclasses.field(default_factory=list)
--- a/src/azureramp/logs.py
+++ b/src/azureramp/logs.py
@@ -8,7 +8,7 @@
 import logbook
 import msgspec
 
-from azureramp import events
+from azureramp import timelines
 
 
 class JsonLinesHandler(logbook.StreamHandler):  # type: ignore[misc]
@@ -28,7 +28,7 @@
     def _format(self, record: Any, handler: Any) -> str:
         """Makes the line."""
         line: dict[str, Any] = {
-            "at": events.format_utc(record.time.timestamp()),
+            "at": timelines.format_utc(record.time.timestamp()),
             "level": record.level_name.lower(),
             "vm": self._vm,
             "channel": record.channel,
--- a/src/azureramp/policy/coverage.py
+++ b/src/azureramp/policy/coverage.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from azureramp import messages, resources
+from azureramp import messages, resources, responses
 
 
 class Ledger:
@@ -87,17 +87,17 @@
         names = {s.name for s in self.shard_map.shards if s.name not in lost}
         return self._measure(names)
 
-    def get_missing(self) -> tuple[messages.KeyRange, ...]:
+    def get_missing(self) -> tuple[responses.KeyRange, ...]:
         """Returns the ranges not held, ascending, neighbours joined."""
-        missing: list[messages.KeyRange] = []
+        missing: list[responses.KeyRange] = []
         for shard in self.shard_map.shards:
             if shard.name in self._held:
                 continue
             if missing and missing[-1].high == shard.low:
-                joined = messages.KeyRange(missing[-1].low, shard.high)
+                joined = responses.KeyRange(missing[-1].low, shard.high)
                 missing[-1] = joined
             else:
-                missing.append(messages.KeyRange(shard.low, shard.high))
+                missing.append(responses.KeyRange(shard.low, shard.high))
         return tuple(missing)
 
     def get_items(self, shard: resources.Shard) -> bytes:
--- a/src/azureramp/ports/peers/memory.py
+++ b/src/azureramp/ports/peers/memory.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from azureramp import events, messages
+from azureramp import messages, timelines
 from azureramp.ports.peers import api, freshness
 
 
@@ -136,7 +136,7 @@
         vm: str,
         address: str,
         incarnation: int,
-        timeline: events.Timeline,
+        timeline: timelines.Timeline,
     ) -> None:
         """Makes the links of one VM."""
         self._network = network
--- a/src/azureramp/ports/peers/nng.py
+++ b/src/azureramp/ports/peers/nng.py
@@ -13,7 +13,7 @@
 import msgspec
 import pynng
 
-from azureramp import events, messages, metrics
+from azureramp import messages, metrics, timelines
 from azureramp.ports.peers import api, authentication, freshness
 
 QUEUE_LENGTH = 128
@@ -67,7 +67,7 @@
         vm: str,
         address: str,
         incarnation: int,
-        timeline: events.Timeline,
+        timeline: timelines.Timeline,
         counters: metrics.Metrics,
         key: str,
     ) -> None:
@@ -207,7 +207,7 @@
     vm: str,
     address: str,
     incarnation: int,
-    timeline: events.Timeline,
+    timeline: timelines.Timeline,
     counters: metrics.Metrics,
     key: str,
 ) -> NngPeers:
--- a/src/azureramp_standins/cluster.py
+++ b/src/azureramp_standins/cluster.py
@@ -14,7 +14,12 @@
 
 import msgspec
 
-from azureramp import events, metrics, resources, settings
+from azureramp import (
+    metrics,
+    resources,
+    settings,
+    timelines,
+)
 from azureramp.daemon import wiring
 from azureramp.invariants import history
 from azureramp.ports.peers import memory as peers_memory
@@ -122,9 +127,9 @@
         self.past = history.History()
         self.overrides = overrides
         self.isolated = False
-        self.observer: Callable[[events.Record], None] | None = None
+        self.observer: Callable[[timelines.Record], None] | None = None
         self._random = random.Random(seed)
-        self._ended: list[list[events.Record]] = []
+        self._ended: list[list[timelines.Record]] = []
         self._servers: dict[str, tuple[str, str, str]] = {}
         self.vms = {
             vm.name: Vm(vm)
@@ -239,7 +244,7 @@
         await asyncio.sleep(START_S)
         vm.store = store_memory.MemoryStore(self.state)
         loop = asyncio.get_running_loop()
-        timeline = events.Timeline(name, wall=loop.time)
+        timeline = timelines.Timeline(name, wall=loop.time)
         timeline.observer = self.observer
         counters = metrics.Metrics()
         entry = vm.entry
@@ -327,7 +332,7 @@
         for name, vm in self.vms.items():
             if vm.daemon is not None:
                 await self.kill_vm(name)
-        self.past.records = events.merge(self._ended)
+        self.past.records = timelines.merge(self._ended)
         self.past.end_s = asyncio.get_running_loop().time()
         return self.past
 
--- a/src/azureramp_standins/heartbeats.py
+++ b/src/azureramp_standins/heartbeats.py
@@ -24,11 +24,11 @@
 from azureramp import (
     blackboard,
     errors,
-    events,
     messages,
     metrics,
     resources,
     settings,
+    timelines,
 )
 from azureramp.controllers import inbox, membership, outbox
 from azureramp.ports.peers import api as peers_api
@@ -150,7 +150,7 @@
     ) -> None:
         """Makes one VM; over the real links only if there is no network."""
         vm = make_vm(number)
-        timeline = events.Timeline(vm.name)
+        timeline = timelines.Timeline(vm.name)
         self.counters = metrics.Metrics()
         self.board = blackboard.Blackboard(
             settings.Settings(
--- a/src/azureramp_standins/matrix/cells.py
+++ b/src/azureramp_standins/matrix/cells.py
@@ -12,7 +12,7 @@
 from azureramp.invariants import checker, history
 from azureramp_standins import cluster, traffic, virtual
 from azureramp_standins import layout as layouts
-from azureramp_standins.matrix import faults, steps
+from azureramp_standins.matrix import changes, faults, steps
 
 LAYOUT = layouts.Layout(
     services=(
@@ -148,7 +148,7 @@
 
     async def _inject(self, moment: steps.Moment) -> None:
         """Brings the faults about, and ends them after a while."""
-        place = faults.Place(self._deployment, moment)
+        place = changes.Place(self._deployment, moment)
         until_s = asyncio.get_running_loop().time() + FAULT_S
         for fault in self._faults:
             await fault.begin(place)
@@ -180,9 +180,9 @@
         """Waits until every VM answers in full; tells how long it took."""
         loop = asyncio.get_running_loop()
         began_s = loop.time()
-        place = faults.Place(self._deployment, steps.Moment(self._step))
+        place = changes.Place(self._deployment, steps.Moment(self._step))
         while loop.time() - began_s < RECOVERY_S:
-            await faults.start_all(place)
+            await changes.start_all(place)
             got = [
                 await traffic.query(self._deployment, vm, f"after-{vm}")
                 for vm in self._deployment.vms
--- a/src/azureramp_standins/matrix/steps.py
+++ b/src/azureramp_standins/matrix/steps.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from azureramp import events, messages
+from azureramp import events, messages, timelines
 from azureramp.ports.peers import memory as peers_memory
 from azureramp.ports.store import api as store_api
 from azureramp.ports.store import state as store_state
@@ -87,7 +87,7 @@
         if self.observer is not None:
             self.observer(Moment(step, vm, searcher))
 
-    def observe_event(self, record: events.Record) -> None:
+    def observe_event(self, record: timelines.Record) -> None:
         """Takes an event from a timeline."""
         vm = record.vm
         match record.event:
--- a/src/azureramp_standins/measuring/records.py
+++ b/src/azureramp_standins/measuring/records.py
@@ -13,7 +13,12 @@
 
 import click
 
-from azureramp import blackboard, events, metrics, settings
+from azureramp import (
+    blackboard,
+    metrics,
+    settings,
+    timelines,
+)
 from azureramp.controllers import idempotency, record_outcomes
 from azureramp.policy import idempotency as idempotency_policy
 from azureramp.policy import record_bounds
@@ -92,7 +97,7 @@
                 store, daemon.vm, way.buckets, way.linger_s
             )
         board = blackboard.Blackboard(
-            daemon, 1, events.Timeline(daemon.vm), self.counters
+            daemon, 1, timelines.Timeline(daemon.vm), self.counters
         )
         self.records = idempotency.make(
             board,
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -10,7 +10,7 @@
 import pytest
 import yaml
 
-from azureramp import messages, resources
+from azureramp import resources, responses
 from azureramp.cli import (
     apply,
     checking,
@@ -363,7 +363,7 @@
             ("127.0.0.1:9", *common.addresses), common.token, "en", 1.0
         )
         result = await client.Client(there).call(
-            messages.ErrorAnswer, "GET", "/v1/nothing"
+            responses.ErrorAnswer, "GET", "/v1/nothing"
         )
         assert result.error.code == "not_found"
 
--- a/tests/controllers/configured.py
+++ b/tests/controllers/configured.py
@@ -9,11 +9,11 @@
 
 from azureramp import (
     blackboard,
-    events,
     messages,
     metrics,
     resources,
     settings,
+    timelines,
 )
 from azureramp.controllers import (
     configuration,
@@ -51,7 +51,7 @@
                 ).hexdigest(),
             ),
             start * 1000,
-            events.Timeline(self.name, wall=lambda: 0.0),
+            timelines.Timeline(self.name, wall=lambda: 0.0),
             metrics.Metrics(),
         )
         self.store = deployment.stores[number]
--- a/tests/controllers/owning.py
+++ b/tests/controllers/owning.py
@@ -13,11 +13,11 @@
 
 from azureramp import (
     blackboard,
-    events,
     messages,
     metrics,
     resources,
     settings,
+    timelines,
 )
 from azureramp.controllers import outbox, owner
 from azureramp.ports.peers import api as peers_api
@@ -168,7 +168,7 @@
                 lease_ms=LEASE_MS,
             ),
             1,
-            events.Timeline(vm, wall=lambda: 0.0),
+            timelines.Timeline(vm, wall=lambda: 0.0),
             metrics.Metrics(),
         )
         for name in (*vms, "asker"):
--- a/tests/controllers/query_cell.py
+++ b/tests/controllers/query_cell.py
@@ -20,11 +20,11 @@
 from azureramp import (
     blackboard,
     errors,
-    events,
     messages,
     metrics,
     resources,
     settings,
+    timelines,
 )
 from azureramp.controllers import (
     coordinator,
@@ -184,7 +184,10 @@
         self.network = memory.Network(seed)
         self.searchers: dict[str, FakeSearcher] = {}
         self.board = blackboard.Blackboard(
-            make_settings(OWN_VM), 1, events.Timeline(OWN_VM), metrics.Metrics()
+            make_settings(OWN_VM),
+            1,
+            timelines.Timeline(OWN_VM),
+            metrics.Metrics(),
         )
         self.board.serving = blackboard.Serving.READY
         self.records = idempotency.make(self.board, self.store, self.random)
--- a/tests/controllers/records_vms.py
+++ b/tests/controllers/records_vms.py
@@ -9,7 +9,14 @@
 
 import async_solipsism
 
-from azureramp import blackboard, errors, events, metrics, settings
+from azureramp import (
+    blackboard,
+    errors,
+    events,
+    metrics,
+    settings,
+    timelines,
+)
 from azureramp.controllers import idempotency
 from azureramp.ports.store import memory
 from azureramp.ports.store import state as store_state
@@ -38,7 +45,7 @@
         )
         self.store = memory.MemoryStore(state)
         self.board = blackboard.Blackboard(
-            daemon, 1, events.Timeline(name), metrics.Metrics()
+            daemon, 1, timelines.Timeline(name), metrics.Metrics()
         )
         self.records = idempotency.make(
             self.board, self.store, random.Random(name)
--- a/tests/controllers/test_caller_api.py
+++ b/tests/controllers/test_caller_api.py
@@ -10,7 +10,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from azureramp import blackboard, errors, messages, resources
+from azureramp import (
+    blackboard,
+    errors,
+    messages,
+    resources,
+    responses,
+)
 from azureramp.controllers import caller_api
 from azureramp.ports.web import api as web_api
 from tests.controllers import query_cell
@@ -48,7 +54,7 @@
         return await call(query_cell.Cell(), make_request())
 
     response = query_cell.run(main())
-    answer = msgspec.json.decode(response.body, type=messages.QueryAnswer)
+    answer = msgspec.json.decode(response.body, type=responses.QueryAnswer)
 
     assert response.status == 200
     assert answer.complete
@@ -102,7 +108,7 @@
         return await call(cell, make_request())
 
     response = query_cell.run(main())
-    body = msgspec.json.decode(response.body, type=messages.ErrorAnswer)
+    body = msgspec.json.decode(response.body, type=responses.ErrorAnswer)
 
     assert body.code == kind.value
     assert body.ran == "not_run"
@@ -116,7 +122,7 @@
         return await call(cell, make_request("/v1/addresses", method="GET"))
 
     response = query_cell.run(main())
-    answer = msgspec.json.decode(response.body, type=messages.AddressAnswer)
+    answer = msgspec.json.decode(response.body, type=responses.AddressAnswer)
 
     assert sorted(answer.addresses) == ["http-vm-0", "http-vm-2"]
 
@@ -229,7 +235,7 @@
         return await call(cell, make_request(token="new"))
 
     response = query_cell.run(main())
-    body = msgspec.json.decode(response.body, type=messages.ErrorAnswer)
+    body = msgspec.json.decode(response.body, type=responses.ErrorAnswer)
 
     assert body.code == errors.Kind.STALE_CONFIGURATION.value
     assert body.addresses == ()
--- a/tests/controllers/test_configuration.py
+++ b/tests/controllers/test_configuration.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from azureramp import errors, messages
+from azureramp import errors, responses
 from azureramp.controllers import changes
 from azureramp_standins import virtual
 from tests.controllers import configured
@@ -40,7 +40,7 @@
 
 
 def get_code(body: bytes) -> str:
-    return msgspec.json.decode(body, type=messages.ErrorAnswer).code
+    return msgspec.json.decode(body, type=responses.ErrorAnswer).code
 
 
 def count_calls(process: configured.Process) -> int:
@@ -148,7 +148,7 @@
         response = await deployment.processes[4].put(
             configured.make_zone("c", out=True)
         )
-        answer = msgspec.json.decode(response.body, type=messages.ErrorAnswer)
+        answer = msgspec.json.decode(response.body, type=responses.ErrorAnswer)
         assert answer.code == errors.Kind.STALE_CONFIGURATION.value
         assert answer.ran == "not_run"
         changed = deployment.state.list_changes("/azureramp/res", present)
@@ -309,7 +309,9 @@
             first.put(zone, entry.revision), second.put(zone, entry.revision)
         )
         assert answers[1].status == 200
-        answer = msgspec.json.decode(answers[0].body, type=messages.ErrorAnswer)
+        answer = msgspec.json.decode(
+            answers[0].body, type=responses.ErrorAnswer
+        )
         assert answer.code == "store_outcome_unknown"
         assert answer.present is not None
 
--- a/tests/controllers/test_coordinator.py
+++ b/tests/controllers/test_coordinator.py
@@ -4,12 +4,12 @@
 
 import msgspec
 
-from azureramp import errors, messages
+from azureramp import errors, responses
 from tests.controllers import query_cell
 
 
 def test_a_query_is_answered_whole_from_the_newest_version() -> None:
-    async def main() -> messages.QueryAnswer:
+    async def main() -> responses.QueryAnswer:
         cell = query_cell.Cell()
         result = await cell.coordinator.query(cell.make_query())
         assert cell.count_calls() == 6
@@ -32,7 +32,7 @@
     short. The cause: a searcher's both replicas accept and go silent.
     """
 
-    async def main() -> messages.QueryAnswer:
+    async def main() -> responses.QueryAnswer:
         cell = query_cell.Cell()
         for name in cell.replicas_of(2):
             cell.searchers[name].behaviour = query_cell.stay_silent()
@@ -42,13 +42,13 @@
     answer = query_cell.run(main())
 
     assert not answer.complete
-    assert answer.missing == (messages.KeyRange(200, 300),)
+    assert answer.missing == (responses.KeyRange(200, 300),)
     assert 0.83 < answer.coverage < 0.84
     assert answer.took_ms < 1000
 
 
 def test_a_parts_failure_everywhere_gives_the_final_answer_at_once() -> None:
-    async def main() -> messages.QueryAnswer:
+    async def main() -> responses.QueryAnswer:
         cell = query_cell.Cell()
         for name in cell.replicas_of(0):
             cell.searchers[name].behaviour = query_cell.fail(
@@ -59,5 +59,5 @@
 
     answer = query_cell.run(main())
 
-    assert answer.missing == (messages.KeyRange(0, 100),)
+    assert answer.missing == (responses.KeyRange(0, 100),)
     assert answer.took_ms < 30
--- a/tests/controllers/test_execution.py
+++ b/tests/controllers/test_execution.py
@@ -8,7 +8,7 @@
 import expression
 import pytest
 
-from azureramp import errors, messages
+from azureramp import errors, messages, responses
 from tests.controllers import query_cell
 
 FINISHED = "finished"
@@ -250,7 +250,7 @@
     """
 
     async def main() -> tuple[
-        expression.Result[messages.ExecuteAnswer, errors.Failure], ...
+        expression.Result[responses.ExecuteAnswer, errors.Failure], ...
     ]:
         one = query_cell.Cell()
         two = query_cell.Cell(state=one.state)
--- a/tests/controllers/test_gathering.py
+++ b/tests/controllers/test_gathering.py
@@ -9,7 +9,13 @@
 import msgspec
 import pytest
 
-from azureramp import errors, events, messages, resources
+from azureramp import (
+    errors,
+    events,
+    messages,
+    resources,
+    responses,
+)
 from azureramp.policy import hedging
 from tests.controllers import query_cell
 
@@ -17,7 +23,7 @@
 """The cut of version 2, unlike version 1's hundreds."""
 
 
-def check_items(answer: messages.QueryAnswer, bounds: Sequence[int]) -> None:
+def check_items(answer: responses.QueryAnswer, bounds: Sequence[int]) -> None:
     """Checks that the items are those of exactly the ranges not missing."""
     cut = [list(pair) for pair in itertools.pairwise(bounds)]
     items = msgspec.json.decode(answer.items)
@@ -86,7 +92,7 @@
     others. The answer must be whole, and of the new version alone.
     """
 
-    async def main() -> tuple[messages.QueryAnswer, list[int]]:
+    async def main() -> tuple[responses.QueryAnswer, list[int]]:
         cell = make_repartitioned()
         result = await cell.coordinator.query(cell.make_query())
         return result.ok, get_pinned(cell)
@@ -110,7 +116,7 @@
 def test_a_version_gone_without_a_way_on_leaves_a_short_answer(
     story: str, serving: tuple[int, ...], deadline_ms: float
 ) -> None:
-    async def main() -> tuple[messages.QueryAnswer, list[int]]:
+    async def main() -> tuple[responses.QueryAnswer, list[int]]:
         cell = make_repartitioned(serving)
         cell.delay_s = 0.001
         place = hedging.Place("cover", "1", resources.Priority.URGENT)
@@ -124,12 +130,12 @@
 
     assert pinned == [1], story
     assert answer.version == 1
-    assert answer.missing == (messages.KeyRange(100, 200),)
+    assert answer.missing == (responses.KeyRange(100, 200),)
     check_items(answer, range(0, 601, 100))
 
 
 def test_a_second_repartition_does_not_restart_again() -> None:
-    async def main() -> tuple[messages.QueryAnswer, list[int]]:
+    async def main() -> tuple[responses.QueryAnswer, list[int]]:
         cell = make_repartitioned(range(6), (1, 2, 3))
         cell.delay_s = 0.001
         for name in cell.replicas_of(1):
@@ -154,7 +160,7 @@
     of the old version, rather than nothing of the new one.
     """
 
-    async def main() -> messages.QueryAnswer:
+    async def main() -> responses.QueryAnswer:
         cell = make_repartitioned()
         cell.delay_s = 0.001
 
@@ -175,7 +181,7 @@
     answer = query_cell.run(main())
 
     assert answer.version == 1
-    assert answer.missing == (messages.KeyRange(100, 200),)
+    assert answer.missing == (responses.KeyRange(100, 200),)
     check_items(answer, range(0, 601, 100))
 
 
@@ -183,7 +189,7 @@
 def test_a_wrong_part_is_never_merged_and_another_replica_is_asked(
     wrong: str,
 ) -> None:
-    async def main() -> tuple[messages.QueryAnswer, query_cell.Cell]:
+    async def main() -> tuple[responses.QueryAnswer, query_cell.Cell]:
         cell = query_cell.Cell()
 
         async def behave(
@@ -220,7 +226,7 @@
     exactly what it lacks.
     """
 
-    async def main() -> list[messages.QueryAnswer]:
+    async def main() -> list[responses.QueryAnswer]:
         cell = query_cell.Cell(seed=seed)
         faults = cell.network.faults
         faults.doubling, faults.loss, faults.jitter_s = 0.3, 0.05, 0.05
@@ -300,7 +306,7 @@
     lags by some milliseconds. The answer must still be whole.
     """
 
-    async def main() -> messages.QueryAnswer:
+    async def main() -> responses.QueryAnswer:
         cell = query_cell.Cell(query_cell.Shape(replicas=1))
         moved = "s1-0"
         good = cell.searchers[moved].behaviour
--- a/tests/controllers/test_lateness.py
+++ b/tests/controllers/test_lateness.py
@@ -6,7 +6,14 @@
 
 import pytest
 
-from azureramp import blackboard, errors, events, messages, resources
+from azureramp import (
+    blackboard,
+    errors,
+    events,
+    messages,
+    resources,
+    responses,
+)
 from azureramp.policy import fingerprints, hedging
 from tests.controllers import query_cell
 
@@ -59,7 +66,7 @@
     stay taken for its whole time.
     """
 
-    async def main() -> tuple[messages.QueryAnswer, query_cell.Cell]:
+    async def main() -> tuple[responses.QueryAnswer, query_cell.Cell]:
         cell = query_cell.Cell()
         await warm_up(cell)
         straggle(cell, "s0-0")
@@ -240,7 +247,7 @@
     parts must then go to other owners at once, and the answer be whole.
     """
 
-    async def main() -> messages.QueryAnswer:
+    async def main() -> responses.QueryAnswer:
         cell = query_cell.Cell(query_cell.Shape(shards=12, vms=3, replicas=3))
         cell.put(resources.Policy(name="default", retry_budget=0))
         for name, searcher in cell.searchers.items():
@@ -338,7 +345,7 @@
 
 
 def test_an_innocent_suspect_is_answered_whole() -> None:
-    async def main() -> messages.QueryAnswer:
+    async def main() -> responses.QueryAnswer:
         cell = query_cell.Cell()
         query = cell.make_query()
         blame(cell, query.body, "one")
--- a/tests/controllers/test_shutdown.py
+++ b/tests/controllers/test_shutdown.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from azureramp import blackboard, events, metrics, settings
+from azureramp import (
+    blackboard,
+    events,
+    metrics,
+    settings,
+    timelines,
+)
 from azureramp.controllers import shutdown
 from azureramp.ports.web import api as web_api
 from azureramp.ports.web import connection as web_connection
@@ -56,7 +62,7 @@
 
     stub = Neighbours(work_s)
     made = settings.Settings("vm", "z", "h:1", "p:1", "s:1", "l:1")
-    timeline = events.Timeline("vm", wall=lambda: 0.0)
+    timeline = timelines.Timeline("vm", wall=lambda: 0.0)
     board = blackboard.Blackboard(made, 1, timeline, metrics.Metrics())
     cut = virtual.run(body())
     stops = [
--- a/tests/controllers/vms.py
+++ b/tests/controllers/vms.py
@@ -9,11 +9,11 @@
 from azureramp import (
     blackboard,
     errors,
-    events,
     messages,
     metrics,
     resources,
     settings,
+    timelines,
 )
 from azureramp.controllers import inbox, membership, outbox
 from azureramp.ports.peers import memory
@@ -81,7 +81,7 @@
                 vm.name, vm.zone, vm.http_address, vm.name, "", ""
             ),
             incarnation,
-            events.Timeline(vm.name, wall=lambda: 0.0),
+            timelines.Timeline(vm.name, wall=lambda: 0.0),
             metrics.Metrics(),
         )
         self.board.configuration = configuration
--- a/tests/invariants/test_checker.py
+++ b/tests/invariants/test_checker.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from azureramp import events, resources
+from azureramp import events, resources, timelines
 from azureramp.invariants import checker, history
 
 MAP = resources.ShardMap(
@@ -65,7 +65,7 @@
 def make_past(*timed: tuple[float, events.AnyEvent]) -> history.History:
     """Makes a history of one VM's events at the given times."""
     now = [0.0]
-    timeline = events.Timeline("vm-1", wall=lambda: now[0])
+    timeline = timelines.Timeline("vm-1", wall=lambda: now[0])
     for at_s, event in timed:
         now[0] = at_s
         timeline.record(event, at_s)
--- a/tests/policy/test_coverage.py
+++ b/tests/policy/test_coverage.py
@@ -11,7 +11,7 @@
 from hypothesis import stateful as st_state
 from hypothesis import strategies as st
 
-from azureramp import messages
+from azureramp import messages, responses
 from azureramp.policy import assembly, coverage
 from tests.policy import query_parts
 
@@ -188,4 +188,4 @@
     ledger.hold(first, query_parts.make_done(1, first), b"")
 
     assert ledger.get_coverage() < 1.0
-    assert ledger.get_missing() == (messages.KeyRange(100, 200),)
+    assert ledger.get_missing() == (responses.KeyRange(100, 200),)
--- a/tests/ports/peers/test_contract.py
+++ b/tests/ports/peers/test_contract.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from azureramp import events, messages, metrics
+from azureramp import messages, metrics, timelines
 from azureramp.ports.peers import api, memory, nng
 from azureramp_standins import virtual
 
@@ -61,7 +61,7 @@
     network = memory.Network()
 
     def make(vm: str, address: str, incarnation: int) -> Link:
-        timeline = events.Timeline(vm)
+        timeline = timelines.Timeline(vm)
         port = memory.MemoryPeers(network, vm, address, incarnation, timeline)
         return Link(port, address)
 
@@ -77,7 +77,7 @@
             vm,
             real,
             incarnation,
-            events.Timeline(vm),
+            timelines.Timeline(vm),
             metrics.Metrics(),
             "key",
         )
--- a/tests/ports/peers/test_nng.py
+++ b/tests/ports/peers/test_nng.py
@@ -7,7 +7,12 @@
 
 import pytest
 
-from azureramp import events, messages, metrics, resources
+from azureramp import (
+    messages,
+    metrics,
+    resources,
+    timelines,
+)
 from azureramp.ports.peers import authentication, nng
 from tests.ports.peers import test_contract
 
@@ -58,7 +63,7 @@
         counters = metrics.Metrics()
         ports = [f"127.0.0.1:{test_contract.find_port()}" for _ in range(3)]
         right = nng.make(
-            "b", ports[0], 1, events.Timeline("b"), counters, "key"
+            "b", ports[0], 1, timelines.Timeline("b"), counters, "key"
         )
         await right.start(got.append)
         for number, key in ((1, "other"), (2, "key")):
@@ -66,7 +71,7 @@
                 key,
                 ports[number],
                 1,
-                events.Timeline("a"),
+                timelines.Timeline("a"),
                 metrics.Metrics(),
                 key,
             )
@@ -104,7 +109,7 @@
             "a",
             f"127.0.0.1:{test_contract.find_port()}",
             1,
-            events.Timeline("a"),
+            timelines.Timeline("a"),
             metrics.Metrics(),
             "key",
         )
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from azureramp import errors, events, texts
+from azureramp import errors, texts, timelines
 
 
 @pytest.mark.parametrize("kind", errors.Kind)
@@ -21,8 +21,8 @@
 
 
 def test_an_event_caused_by_a_message_is_later_than_its_sending() -> None:
-    ahead = events.Timeline("a", wall=lambda: 100.0)
-    behind = events.Timeline("b", wall=lambda: 1.0)
+    ahead = timelines.Timeline("a", wall=lambda: 100.0)
+    behind = timelines.Timeline("b", wall=lambda: 1.0)
 
     sent = ahead.read_clock()
     behind.observe_clock(sent)
