--- a/src/azureramp_standins/measuring/platform_calls.py
+++ b/src/azureramp_standins/measuring/platform_calls.py
@@ -12,7 +12,6 @@
 import asyncio
 import collections
 import dataclasses
-import json
 import pathlib
 import random
 
@@ -24,6 +23,7 @@
 from azureramp.ports.store import memory as store_memory
 from azureramp.ports.web import api as web_api
 from azureramp_standins import cluster, layout, virtual
+from azureramp_standins.measuring import tables
 
 PHASE_S = 30
 """Length of each phase but the last, in seconds."""
@@ -276,21 +276,10 @@
 @click.option("--only", type=int, help="Run only the scenario of this number.")
 def main(json_path: pathlib.Path | None, only: int | None) -> None:
     """Measures every scenario, and prints a table."""
-    rows: list[Row] = []
     chosen = SCENARIOS if only is None else SCENARIOS[only : only + 1]
-    for scenario in chosen:
-        for row in run(scenario):
-            if not rows:
-                click.echo("\t".join(row))
-            rows.append(row)
-            click.echo("\t".join(_format(value) for value in row.values()))
-    if json_path is not None:
-        json_path.write_text(json.dumps(rows, indent=1) + "\n")
-
-
-def _format(value: float | str) -> str:
-    """Formats a cell."""
-    return f"{value:.2f}" if isinstance(value, float) else f"{value}"
+    tables.print_rows(
+        (row for scenario in chosen for row in run(scenario)), json_path
+    )
 
 
 if __name__ == "__main__":
--- a/src/azureramp_standins/measuring/records.py
+++ b/src/azureramp_standins/measuring/records.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import json
 import math
 import pathlib
 import random
@@ -25,7 +24,7 @@
 from azureramp.ports.store import api, counting, memory
 from azureramp.ports.store import state as store_state
 from azureramp_standins import virtual
-from azureramp_standins.measuring import grouped_trial
+from azureramp_standins.measuring import grouped_trial, tables
 
 VMS = 8
 RATES = (1, 10, 100, 500)
@@ -187,21 +186,14 @@
 )
 def main(seed: int, json_path: pathlib.Path | None) -> None:
     """Measures every way at every rate, and prints a table."""
-    rows: list[dict[str, float | str]] = []
-    for way in WAYS:
-        for rate in RATES:
-            row = virtual.run(measure(way, rate, seed))
-            if not rows:
-                click.echo("\t".join(row))
-            rows.append(row)
-            click.echo("\t".join(_format(value) for value in row.values()))
-    if json_path is not None:
-        json_path.write_text(json.dumps(rows, indent=1) + "\n")
-
-
-def _format(value: float | str) -> str:
-    """Formats a cell."""
-    return f"{value:.2f}" if isinstance(value, float) else f"{value}"
+    tables.print_rows(
+        (
+            virtual.run(measure(way, rate, seed))
+            for way in WAYS
+            for rate in RATES
+        ),
+        json_path,
+    )
 
 
 if __name__ == "__main__":
