Answer what failed in a handler as unknown, in one place

Cause: the server reports an unreadable request by a method and a status, and a handler's own fault as status 500. Two places turned that into an answer, and both took 500 for a bad request, which says that nothing ran. Shown by a test that was red before (bad_request, not_run). Ruled out as reachable today: the daemon's own handler catches faults first, so no caller was told this. The copy in the wiring is gone, and the method has a name in the web port's api.

--- a/src/azureramp/controllers/caller_api.py
+++ b/src/azureramp/controllers/caller_api.py
@@ -69,7 +69,7 @@
     async def _route(self, request: web_api.Request) -> web_api.Response:
         """Finds what was asked for."""
         match request.method, request.path:
-            case "BAD", path:
+            case web_api.UNREADABLE, path:
                 return answers.make_error(_read_bad_request(path))
             case "POST", "/v1/query":
                 return await self._query(request)
@@ -274,7 +274,13 @@
 
 
 def _read_bad_request(path: str) -> errors.Failure:
-    """Reads what the HTTP server refused: its status is the path."""
+    """Reads what the HTTP server refused: its status is the path.
+
+    A handler that failed by a fault may have sent work before, so that must
+    not be told as a bad request, which says that nothing ran.
+    """
+    if path == "/500":
+        return errors.Failure(errors.Kind.INTERNAL)
     if path in ("/413", "/431"):
         return errors.Failure(errors.Kind.TOO_LARGE)
     return errors.Failure(errors.Kind.BAD_REQUEST, "not valid HTTP")
--- a/src/azureramp/daemon/wiring.py
+++ b/src/azureramp/daemon/wiring.py
@@ -174,8 +174,6 @@
 
     async def handle(self, request: web_api.Request) -> web_api.Response:
         """Answers one HTTP request; see `web_api.Handler`."""
-        if request.method == "BAD":
-            return answers.make_error(_explain_unreadable(request))
         try:
             if request.path.startswith(OPERATOR_PATHS):
                 return await self._resource_api.handle(request)
@@ -257,13 +255,6 @@
         await asyncio.sleep(RESTART_S)
 
 
-def _explain_unreadable(request: web_api.Request) -> errors.Failure:
-    """Returns the failure for a request that the server couldn't read."""
-    if request.path in ("/413", "/431"):
-        return errors.Failure(errors.Kind.TOO_LARGE)
-    return errors.Failure(errors.Kind.BAD_REQUEST)
-
-
 def make(
     daemon_settings: settings.Settings,
     incarnation: int,
--- a/src/azureramp/ports/web/api.py
+++ b/src/azureramp/ports/web/api.py
@@ -5,6 +5,10 @@
 import dataclasses
 from collections.abc import Awaitable, Callable, Mapping
 
+UNREADABLE = "BAD"
+"""The method under which a handler is asked to answer what the server could
+not read, or what failed in the handler itself; the path is `/{status}`."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Request:
--- a/src/azureramp/ports/web/server.py
+++ b/src/azureramp/ports/web/server.py
@@ -46,7 +46,7 @@
             address: `IP:port` to listen on.
             handler: Called for each request; cancelled if the client goes.
                 A request that can't be read is told to it by the method
-                `BAD` and the status as the path.
+                `UNREADABLE` and the status as the path.
         """
         self.address = address
         self.running = 0
--- a/src/azureramp/ports/web/server_connection.py
+++ b/src/azureramp/ports/web/server_connection.py
@@ -130,7 +130,9 @@
         except Exception:
             # The outermost place of a request: the client gets an answer.
             _logger.exception("a request failed by a fault")
-            return await self._handler(api.Request("BAD", "/500", {}, {}))
+            return await self._handler(
+                api.Request(api.UNREADABLE, "/500", {}, {})
+            )
         finally:
             self._protocol.on_gone = None
 
@@ -138,7 +140,7 @@
         """Answers a request that couldn't be read, and closes."""
         _logger.info("refused a request: {}", detail)
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            request = api.Request("BAD", f"/{status}", {}, {})
+            request = api.Request(api.UNREADABLE, f"/{status}", {}, {})
             await self._write(await self._handler(request), True)
 
     async def _write(self, response: api.Response, closes: bool) -> None:
--- a/tests/controllers/test_caller_api.py
+++ b/tests/controllers/test_caller_api.py
@@ -161,6 +161,34 @@
 )
 
 
+@pytest.mark.parametrize(
+    ("status", "code", "ran"),
+    [
+        (400, "bad_request", "not_run"),
+        (413, "too_large", "not_run"),
+        (431, "too_large", "not_run"),
+        (500, "internal", "unknown"),
+    ],
+)
+def test_what_the_server_refused_or_failed_at_is_told_truly(
+    status: int, code: str, ran: str
+) -> None:
+    """A fault of this program ends a grant's handler after it was sent.
+
+    The server then asks for the answer to status 500. Told that nothing ran,
+    a clerk would send the grant again under a new key.
+    """
+
+    async def main() -> web_api.Response:
+        request = make_request(f"/{status}", method=web_api.UNREADABLE)
+        return await call(query_cell.Cell(), request)
+
+    response = query_cell.run(main())
+    answer = msgspec.json.decode(response.body, type=responses.ErrorAnswer)
+
+    assert (answer.code, answer.ran) == (code, ran)
+
+
 @settings(derandomize=True, database=None, deadline=None, max_examples=300)
 @given(
     method=st.sampled_from(["GET", "POST", "PUT", "BAD", "X"]),
