--- /dev/null
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -0,0 +1,154 @@
+"""The state of a process that forwards requests.
+
+The controllers of this package read and write it; nothing here does I/O or
+decides. Times ending in `_s` are on the event loop's clock.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+from azureramp import catalog
+from azureramp.policy import allowances, routing, selection
+from azureramp.ports.forwarding import pool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Bounds:
+    """What the operators bound, from the settings.
+
+    Attributes:
+        extra: Calls beyond the first of each request.
+        cold_overage: Factor on the requests a second of a cold searcher.
+        cold_slack: Requests a second added to that.
+        grace_s: Time from SIGTERM to SIGKILL, in seconds.
+        address_lifetime_s: Most that callers keep an address answer for.
+    """
+
+    extra: allowances.Terms
+    cold_overage: float
+    cold_slack: float
+    grace_s: float
+    address_lifetime_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Identity:
+    """Who this process is.
+
+    Attributes:
+        vm: This VM's name.
+        zone: Its availability zone.
+        front_address: Where callers connect, `IP:port`.
+        peer_address: Where other VMs connect, `IP:port`; empty for nowhere.
+        cores: Its processor, in cores.
+        first_start: True if the whole tier starts for the first time.
+    """
+
+    vm: str
+    zone: str
+    front_address: str
+    peer_address: str
+    cores: float
+    first_start: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Target:
+    """A searcher with all that this VM knows of it.
+
+    Attributes:
+        searcher: What it says of itself.
+        record: What this VM's own calls show.
+        pool: The connections to it.
+        cold_until_s: It is cold until then.
+        misdirected: True once another searcher answered at its address.
+        lapsed: True if its entry went while the store was away; it is used
+            until the store has been back for a while.
+        cold_sent_s: When the last calls were sent to it while cold.
+    """
+
+    searcher: catalog.Searcher
+    record: selection.Record
+    pool: pool.Pool
+    cold_until_s: float = -math.inf
+    misdirected: bool = False
+    lapsed: bool = False
+    cold_sent_s: list[float] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class StoreContact:
+    """Whether the platform's store can be reached.
+
+    Attributes:
+        reachable: True after a call that worked.
+        lost_s: When calls last began to fail.
+        regained_s: When a call first worked after that.
+    """
+
+    reachable: bool = False
+    lost_s: float = -math.inf
+    regained_s: float = -math.inf
+
+
+class Board:
+    """The state of one process.
+
+    Attributes:
+        identity: Who this process is.
+        bounds: What the operators bound; changes with the settings.
+        started_s: When the process started.
+        configuration: The newest configuration; None until one is known.
+        table: Its routes. Both by the feed.
+        targets: The searchers by id. By the searchers controller.
+        by_service: The same by service and id.
+        zones_out: The availability zones whose searchers get nothing new.
+        members: The VMs of this tier by name, this one included once it has
+            announced itself. By the members controller.
+        contact: Whether the store can be reached.
+        leaving: True once the process is told to stop.
+        running: Requests of callers that run now.
+    """
+
+    __slots__ = (
+        "bounds",
+        "by_service",
+        "configuration",
+        "contact",
+        "identity",
+        "leaving",
+        "members",
+        "running",
+        "started_s",
+        "table",
+        "targets",
+        "zones_out",
+    )
+
+    def __init__(
+        self, identity: Identity, bounds: Bounds, now_s: float
+    ) -> None:
+        """Makes the state of a process that has just begun."""
+        self.identity = identity
+        self.bounds = bounds
+        self.started_s = now_s
+        self.configuration: catalog.Configuration | None = None
+        self.table: routing.Table | None = None
+        self.targets: dict[str, Target] = {}
+        self.by_service: dict[str, dict[str, Target]] = {}
+        self.zones_out: set[str] = set()
+        self.members: dict[str, catalog.Member] = {}
+        self.contact = StoreContact()
+        self.leaving = False
+        self.running = 0
+
+    def is_ready(self) -> bool:
+        """Tells whether callers may be sent here."""
+        return self.configuration is not None and not self.leaving
+
+    def count_members(self) -> int:
+        """Returns how many VMs share what is bounded for all together."""
+        others = len(self.members.keys() - {self.identity.vm})
+        return others + 1
--- /dev/null
+++ b/src/azureramp/controllers/forwarding/contact.py
@@ -0,0 +1,64 @@
+"""Whether the platform's store can be reached, as all its users see it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import logbook
+
+from azureramp import errors
+from azureramp.controllers.forwarding import board as board_module
+
+_logger = logbook.Logger("azureramp.contact")
+
+
+class Contacts:
+    """Keeps the state of contact on the blackboard."""
+
+    __slots__ = ("_board", "_changed")
+
+    def __init__(self, board: board_module.Board) -> None:
+        """Makes one that has not reached the store yet."""
+        self._board = board
+        self._changed = asyncio.Event()
+
+    def note_success(self) -> None:
+        """Takes a call that worked."""
+        contact = self._board.contact
+        if contact.reachable:
+            return
+        contact.reachable = True
+        contact.regained_s = asyncio.get_running_loop().time()
+        self._changed.set()
+        _logger.info("the store can be reached")
+
+    def note_failure(self, failure: errors.Failure) -> None:
+        """Takes a call that failed."""
+        contact = self._board.contact
+        if not contact.reachable:
+            return
+        contact.reachable = False
+        contact.lost_s = asyncio.get_running_loop().time()
+        _logger.warning(
+            "the store can't be reached: {} {}",
+            failure.kind.value,
+            failure.detail,
+        )
+
+    def is_settled(self, after_s: float) -> bool:
+        """Tells whether the store has been reachable for some time."""
+        contact = self._board.contact
+        now_s = asyncio.get_running_loop().time()
+        return contact.reachable and now_s - contact.regained_s >= after_s
+
+    async def wait_settled(self, after_s: float) -> None:
+        """Waits until the store has come back and stayed for some time."""
+        contact = self._board.contact
+        while True:
+            self._changed.clear()
+            await self._changed.wait()
+            await asyncio.sleep(after_s)
+            if contact.reachable and self.is_settled(after_s - 0.01):
+                return
+            if contact.reachable:
+                self._changed.set()
--- /dev/null
+++ b/src/azureramp/controllers/forwarding/entry.py
@@ -0,0 +1,91 @@
+"""Where callers' requests come in."""
+
+from __future__ import annotations
+
+import asyncio
+
+from azureramp import catalog, errors
+from azureramp.controllers.forwarding import (
+    board as board_module,
+)
+from azureramp.controllers.forwarding import (
+    gather,
+    pacing,
+    requests,
+    searchers,
+    single,
+)
+from azureramp.policy import routing
+
+WAY_BACK_S = 0.005
+"""Time kept for the answer's way to the caller, in seconds; a few one-way
+times of the usual networks."""
+
+
+class Entry:
+    """Answers requests of callers."""
+
+    __slots__ = ("_board", "_paces", "_searchers", "_splitter")
+
+    def __init__(
+        self, board: board_module.Board, known: searchers.Searchers
+    ) -> None:
+        """Makes the entry of a process."""
+        self._board = board
+        self._searchers = known
+        self._paces = pacing.Paces()
+        self._splitter = routing.Splitter()
+
+    async def handle(
+        self, request: requests.Incoming | requests.Malformed
+    ) -> requests.Answer:
+        """Answers one request.
+
+        It is cancelled if the caller goes; the calls are then abandoned.
+        """
+        match request:
+            case requests.Malformed(reason=reason):
+                failure = errors.Failure(errors.Kind.BAD_REQUEST, reason)
+                return requests.Refused(failure, closes=True)
+            case requests.Incoming():
+                self._board.running += 1
+                try:
+                    return await self._route(request)
+                finally:
+                    self._board.running -= 1
+
+    async def _route(self, request: requests.Incoming) -> requests.Answer:
+        """Finds the route and follows it."""
+        table = self._board.table
+        if table is None:
+            return _refuse(request, errors.Kind.STALE_CONFIGURATION)
+        route = table.find(request.host, request.path)
+        if route is None:
+            return _refuse(request, errors.Kind.NOT_FOUND)
+        until_s = compute_until_s(request, route)
+        if until_s <= asyncio.get_running_loop().time():
+            return _refuse(request, errors.Kind.DEADLINE_TOO_SHORT)
+        pace = self._paces.get(route)
+        match route.destination:
+            case catalog.AllOf() as destination:
+                return await gather.Gather(
+                    self._searchers, pace, request, route, destination, until_s
+                ).run()
+            case catalog.OneOf(choices=choices):
+                service = self._splitter.choose(route.name, choices)
+                return await single.Single(
+                    self._searchers, pace, request, route, service, until_s
+                ).run()
+
+
+def compute_until_s(request: requests.Incoming, route: catalog.Route) -> float:
+    """Returns when the answer must be out, on the loop's clock."""
+    wait_s = route.timeout_s
+    if request.deadline_s is not None:
+        wait_s = min(wait_s, request.deadline_s - WAY_BACK_S)
+    return request.began_s + wait_s
+
+
+def _refuse(request: requests.Incoming, kind: errors.Kind) -> requests.Refused:
+    """Makes a refusal of a request that nothing was done for."""
+    return requests.Refused(errors.Failure(kind), request.id)
--- /dev/null
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -0,0 +1,304 @@
+"""One service's part of a request: its first call, hedges and retries."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from azureramp import catalog
+from azureramp.controllers.forwarding import board as board_module
+from azureramp.controllers.forwarding import pacing, searchers
+from azureramp.ports.forwarding import api
+
+SILENT_S = 0.2
+"""A call cut by this side after this time without an answer counts against the
+searcher, in seconds: twice the pauses that searchers make."""
+
+LINGER_S = 0.25
+"""How long an answer that nobody waits for may still come before its
+connection is cut, in seconds. Most come, which saves a new connection; half a
+second after a caller has gone its work must have ended."""
+
+MORE_SENDS = 2
+"""Calls beyond the allowed runs, for those that searchers reject unrun."""
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One call of a part.
+
+    Attributes:
+        target: The searcher.
+        sent_s: When it was submitted.
+        ticket: The submitted call.
+        overdue: True once it is counted as overdue.
+        ended: True once its outcome is known.
+    """
+
+    target: board_module.Target
+    sent_s: float
+    ticket: api.Ticket | None = None
+    overdue: bool = False
+    ended: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Work:
+    """What all parts of a request have in common.
+
+    Attributes:
+        message: What is forwarded.
+        route: The route.
+        until_s: When the answer must be out.
+    """
+
+    message: api.Message
+    route: catalog.Route
+    until_s: float
+
+
+class Part:
+    """Gets one searcher of a service to answer.
+
+    Attributes:
+        service: The service's name.
+        reply: The answer that ended it: a success, or a failure that is
+            returned as it is; None if there is none.
+        failed: The last searcher's own failure that was not final.
+        done: True once it has ended.
+        runs: Calls that ran or may have run.
+        rejections: Calls that searchers rejected without running them.
+    """
+
+    __slots__ = (
+        "_attempts",
+        "_on_done",
+        "_pace",
+        "_searchers",
+        "_tried",
+        "_work",
+        "done",
+        "failed",
+        "rejections",
+        "reply",
+        "runs",
+        "service",
+    )
+
+    def __init__(
+        self,
+        known: searchers.Searchers,
+        pace: pacing.Pace,
+        work: Work,
+        service: str,
+        on_done: Callable[[Part], None],
+    ) -> None:
+        """Makes a part that has sent nothing.
+
+        Args:
+            known: The searchers.
+            pace: How long calls of the route usually last.
+            work: The request.
+            service: The service to ask.
+            on_done: Called once at its end, never before `start` returns.
+        """
+        self._searchers = known
+        self._pace = pace
+        self._work = work
+        self._on_done = on_done
+        self._attempts: list[Attempt] = []
+        self._tried: set[str] = set()
+        self.service = service
+        self.reply: api.Reply | None = None
+        self.failed: api.Reply | None = None
+        self.done = False
+        self.runs = 0
+        self.rejections = 0
+
+    def start(self) -> bool:
+        """Makes the first call; False if no searcher may get it."""
+        now_s = asyncio.get_running_loop().time()
+        self._searchers.get_allowance(self.service).add_request(now_s)
+        return self._send(now_s)
+
+    def hedge(self) -> bool:
+        """Makes a second call beside one that is overdue.
+
+        Returns:
+            True if one was made.
+        """
+        now_s = asyncio.get_running_loop().time()
+        self.mark_overdue()
+        if self.done or not self._work.route.repeatable:
+            return False
+        return self._may_send() and self._send(now_s)
+
+    def mark_overdue(self) -> None:
+        """Counts the calls that wait now as overdue at their searchers."""
+        for attempt in self._attempts:
+            if not attempt.ended and not attempt.overdue:
+                attempt.overdue = True
+                attempt.target.record.overdue += 1
+
+    def abandon(self) -> None:
+        """Ends it; answers that still come only save connections."""
+        self.done = True
+        for attempt in self._attempts:
+            if attempt.ended or attempt.ticket is None:
+                continue
+            if attempt.ticket.abandon(LINGER_S):
+                self._end(attempt)
+
+    def is_waiting(self) -> bool:
+        """Tells whether a call is without an answer."""
+        return any(not attempt.ended for attempt in self._attempts)
+
+    def _may_send(self) -> bool:
+        """Tells whether one more call stays within the route's bounds."""
+        waiting = sum(not attempt.ended for attempt in self._attempts)
+        attempts = self._work.route.attempts
+        return (
+            self.runs + waiting < attempts
+            and len(self._attempts) < attempts + MORE_SENDS
+        )
+
+    def _send(self, now_s: float) -> bool:
+        """Makes one call; False if none may be made."""
+        left_s = self._work.until_s - now_s
+        if left_s <= 0:
+            return False
+        target = self._searchers.choose(self.service, self._tried, now_s)
+        if target is None:
+            return False
+        if self._count_arrivals() and not self._searchers.get_allowance(
+            self.service
+        ).spend(now_s, self._searchers.get_part(now_s)):
+            return False
+        attempt = Attempt(target, now_s)
+        self._attempts.append(attempt)
+        self._tried.add(target.searcher.id)
+        record = target.record
+        record.in_flight += 1
+        record.trial = record.failures > 0
+        self._searchers.note_cold_call(target, now_s)
+        call = api.Call(self._work.message, target.searcher.id, left_s)
+        attempt.ticket = target.pool.submit(
+            call, lambda outcome: self._receive(attempt, outcome)
+        )
+        return True
+
+    def _count_arrivals(self) -> int:
+        """Returns how many calls reached a searcher, or still may."""
+        waiting = sum(not attempt.ended for attempt in self._attempts)
+        return self.runs + self.rejections + waiting
+
+    def _end(self, attempt: Attempt) -> None:
+        """Takes a call out of its searcher's record."""
+        attempt.ended = True
+        record = attempt.target.record
+        record.in_flight -= 1
+        record.trial = False
+        if attempt.overdue:
+            record.overdue -= 1
+
+    def _receive(self, attempt: Attempt, outcome: api.Outcome) -> None:
+        """Takes a call's outcome."""
+        if attempt.ended:
+            return
+        self._end(attempt)
+        now_s = asyncio.get_running_loop().time()
+        took_s = now_s - attempt.sent_s
+        match outcome:
+            case api.Reply():
+                self._note_reply(attempt.target, outcome, took_s, now_s)
+                if not self.done:
+                    self._take_reply(outcome, now_s)
+            case api.Lost():
+                self._note_loss(attempt.target, outcome, took_s, now_s)
+                if not self.done:
+                    self._take_loss(outcome, now_s)
+
+    def _note_reply(
+        self,
+        target: board_module.Target,
+        reply: api.Reply,
+        took_s: float,
+        now_s: float,
+    ) -> None:
+        """Learns of a searcher from its answer."""
+        record = target.record
+        if reply.misdirected:
+            target.misdirected = True
+            return
+        if reply.load is not None:
+            beyond = reply.load.running + reply.load.waiting
+            record.waiting = max(0, beyond - record.in_flight - 1)
+            record.reported_s = now_s
+        if reply.cold_s:
+            target.cold_until_s = max(target.cold_until_s, now_s + reply.cold_s)
+        if reply.is_success():
+            record.add_success()
+            record.add_time(self._pace.add(took_s), now_s)
+        elif reply.ran is api.Ran.NO:
+            # Full, not broken: it is passed over for a moment.
+            record.waiting = max(record.waiting, record.slots)
+            record.reported_s = now_s
+            record.add_time(2.0, now_s)
+        elif reply.status >= 500:
+            record.add_failure(now_s)
+
+    def _note_loss(
+        self,
+        target: board_module.Target,
+        lost: api.Lost,
+        took_s: float,
+        now_s: float,
+    ) -> None:
+        """Learns of a searcher from a call without an answer."""
+        if lost.loss is api.Loss.NO_ROOM:
+            return
+        if self.done and took_s < SILENT_S:
+            return
+        if lost.sent and took_s >= SILENT_S:
+            target.pool.retire(now_s - took_s)
+        target.record.add_failure(now_s)
+
+    def _take_reply(self, reply: api.Reply, now_s: float) -> None:
+        """Goes on after an answer."""
+        if reply.ran is api.Ran.NO:
+            self.rejections += 1
+            self._go_on(now_s)
+            return
+        self.runs += 1
+        if (
+            reply.is_success()
+            or reply.status < 500
+            or not self._work.route.repeatable
+        ):
+            self._finish(reply)
+        else:
+            self.failed = reply
+            self._go_on(now_s)
+
+    def _take_loss(self, lost: api.Lost, now_s: float) -> None:
+        """Goes on after a call without an answer."""
+        if lost.sent:
+            self.runs += 1
+            if not self._work.route.repeatable:
+                self._finish(None)
+                return
+        self._go_on(now_s)
+
+    def _go_on(self, now_s: float) -> None:
+        """Makes another call, or ends if none waits and none may be made."""
+        if self._may_send() and self._send(now_s):
+            return
+        if not self.is_waiting():
+            self._finish(None)
+
+    def _finish(self, reply: api.Reply | None) -> None:
+        """Ends it."""
+        self.reply = reply
+        self.abandon()
+        self._on_done(self)
--- /dev/null
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -0,0 +1,232 @@
+"""The searchers that this VM knows, and the choice among them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Collection
+
+import logbook
+
+from azureramp import catalog
+from azureramp.controllers.forwarding import board as board_module
+from azureramp.policy import allowances, selection
+from azureramp.ports.forwarding import api, pool
+
+COLD_SLOWNESS = 1.6
+"""What a cold searcher's calls are taken to last, in usual times, until its
+own calls show it."""
+
+DEFAULT_CONNECTIONS = 8
+"""Connections that a searcher is taken to accept while its service is not
+declared."""
+
+_logger = logbook.Logger("azureramp.searchers")
+
+
+class Searchers:
+    """Keeps the searchers on the blackboard and chooses among them."""
+
+    __slots__ = ("_allowances", "_board", "_codec", "_rng")
+
+    def __init__(
+        self,
+        board: board_module.Board,
+        codec: api.Codec,
+        rng: random.Random,
+    ) -> None:
+        """Makes a controller that knows no searcher."""
+        self._board = board
+        self._codec = codec
+        self._rng = rng
+        self._allowances: dict[str, allowances.Allowance] = {}
+
+    def put(self, searcher: catalog.Searcher) -> None:
+        """Takes what a searcher says of itself."""
+        known = self._board.targets.get(searcher.id)
+        if known is not None and _is_same_process(known.searcher, searcher):
+            known.searcher = searcher
+            known.record.slots = searcher.slots
+            known.lapsed = False
+        else:
+            self.remove(searcher.id)
+            known = self._make_target(searcher)
+            self._board.targets[searcher.id] = known
+            by_id = self._board.by_service.setdefault(searcher.service, {})
+            by_id[searcher.id] = known
+        now_s = asyncio.get_running_loop().time()
+        known.cold_until_s = now_s + searcher.cold_s
+        _logger.info(
+            "searcher {} of {} at {} is {}",
+            searcher.id,
+            searcher.service,
+            searcher.address,
+            searcher.state.value,
+        )
+
+    def remove(self, searcher: str) -> None:
+        """Forgets a searcher; calls that it has still end."""
+        target = self._board.targets.pop(searcher, None)
+        if target is None:
+            return
+        by_id = self._board.by_service[target.searcher.service]
+        del by_id[searcher]
+        if not by_id:
+            del self._board.by_service[target.searcher.service]
+        target.pool.close()
+        _logger.info("searcher {} is gone", searcher)
+
+    def lapse(self, searcher: str) -> None:
+        """Takes that an entry went while the store was away."""
+        target = self._board.targets.get(searcher)
+        if target is not None:
+            target.lapsed = True
+
+    def drop_lapsed(self) -> None:
+        """Forgets the searchers whose entries have not come back."""
+        for name, target in list(self._board.targets.items()):
+            if target.lapsed:
+                self.remove(name)
+
+    def update_limits(self) -> None:
+        """Puts shares of the connections into force, and warms routes up."""
+        used = self._find_used_services()
+        for target in self._board.targets.values():
+            target.pool.limit = self._get_share(target.searcher.service)
+            if target.searcher.service in used and self._is_usable(target):
+                target.pool.prepare(1)
+
+    def choose(
+        self, service: str, without: Collection[str], now_s: float
+    ) -> board_module.Target | None:
+        """Chooses a searcher of a service for one call.
+
+        Args:
+            service: The service's name.
+            without: The ids of those that may not be chosen.
+            now_s: The time.
+
+        Returns:
+            The searcher; None if none may get a call now.
+        """
+        targets = self._board.by_service.get(service, {})
+        usable = [
+            (name, target.record)
+            for name, target in targets.items()
+            if name not in without
+            and self._is_usable(target)
+            and self._is_warm_enough(target, now_s)
+        ]
+        chosen = selection.choose(usable, now_s, self._rng)
+        return None if chosen is None else targets[chosen]
+
+    def count_usable(self, service: str, now_s: float) -> int:
+        """Returns how many searchers of a service may get a call now."""
+        targets = self._board.by_service.get(service, {})
+        return sum(
+            self._is_usable(target) and not target.record.rests(now_s)
+            for target in targets.values()
+        )
+
+    def get_allowance(self, service: str) -> allowances.Allowance:
+        """Returns what this VM may spend on extra calls to a service."""
+        allowance = self._allowances.get(service)
+        if allowance is None:
+            allowance = allowances.Allowance(self._board.bounds.extra)
+            self._allowances[service] = allowance
+        return allowance
+
+    def get_part(self, now_s: float) -> float:
+        """Returns this VM's part of what is bounded for all together."""
+        board = self._board
+        return allowances.get_part(
+            board.count_members(),
+            now_s - board.started_s,
+            board.identity.first_start,
+            board.bounds.extra.window_s,
+        )
+
+    def note_cold_call(self, target: board_module.Target, now_s: float) -> None:
+        """Counts a call to a searcher that is cold."""
+        if now_s < target.cold_until_s:
+            target.cold_sent_s.append(now_s)
+
+    def _is_usable(self, target: board_module.Target) -> bool:
+        """Tells whether a searcher may get new work at all."""
+        searcher = target.searcher
+        return (
+            searcher.state is catalog.SearcherState.READY
+            and not target.misdirected
+            and searcher.zone not in self._board.zones_out
+        )
+
+    def _is_warm_enough(
+        self, target: board_module.Target, now_s: float
+    ) -> bool:
+        """Tells whether a cold searcher bears one more call this second.
+
+        More than it bears crashes it, and with it all that it runs. All VMs
+        together stay within the operators' bound for any one second, so each
+        keeps to its part of it.
+        """
+        if now_s >= target.cold_until_s:
+            return True
+        service = self._get_service(target.searcher.service)
+        if service is None or service.cold_per_s <= 0:
+            return True
+        bounds = self._board.bounds
+        bound = service.cold_per_s * bounds.cold_overage + bounds.cold_slack
+        part = bound / self._board.count_members()
+        recent = [at_s for at_s in target.cold_sent_s if at_s > now_s - 1.0]
+        target.cold_sent_s = recent
+        return len(recent) + 1 <= part
+
+    def _make_target(self, searcher: catalog.Searcher) -> board_module.Target:
+        """Makes the state of a searcher that has just been seen."""
+        near = searcher.zone == self._board.identity.zone
+        record = selection.Record(searcher.slots, near)
+        if searcher.cold_s > 0:
+            record.slowness = COLD_SLOWNESS
+            record.measured_s = asyncio.get_running_loop().time()
+        share = self._get_share(searcher.service)
+        return board_module.Target(
+            searcher, record, pool.Pool(self._codec, searcher.address, share)
+        )
+
+    def _get_service(self, name: str) -> catalog.Service | None:
+        """Returns a declared service."""
+        configuration = self._board.configuration
+        return (
+            None if configuration is None else configuration.services.get(name)
+        )
+
+    def _get_share(self, name: str) -> int:
+        """Returns how many connections this VM may hold to a searcher."""
+        service = self._get_service(name)
+        connections = service.connections if service else DEFAULT_CONNECTIONS
+        return max(1, connections // self._board.count_members())
+
+    def _find_used_services(self) -> set[str]:
+        """Returns the services that routes name."""
+        used: set[str] = set()
+        configuration = self._board.configuration
+        for route in configuration.routes if configuration else ():
+            match route.destination:
+                case catalog.OneOf(choices=choices):
+                    used.update(choice.service for choice in choices)
+                case catalog.AllOf(services=services):
+                    used.update(services)
+        return used
+
+
+def _is_same_process(old: catalog.Searcher, new: catalog.Searcher) -> bool:
+    """Tells whether two announcements come from one process.
+
+    A searcher that started again under its id knows nothing of before, so
+    what was measured of the old one says nothing of it.
+    """
+    return (
+        old.started_ms == new.started_ms
+        and old.address == new.address
+        and old.service == new.service
+    )
--- a/src/azureramp/errors.py
+++ b/src/azureramp/errors.py
@@ -44,6 +44,8 @@
     DEADLINE_TOO_SHORT = "deadline_too_short"
     DEADLINE_PASSED = "deadline_passed"
     COVERAGE_TOO_LOW = "coverage_too_low"
+    SHARDS_UNREACHABLE = "shards_unreachable"
+    SHARDS_MISSING = "shards_missing"
     NO_SNAPSHOT = "no_snapshot"
     QUARANTINED = "quarantined"
     SHED = "shed"
@@ -54,6 +56,7 @@
     STALE_CONFIGURATION = "stale_configuration"
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_OUTCOME_UNKNOWN = "store_outcome_unknown"
+    STORE_HISTORY_GONE = "store_history_gone"
     KEY_REUSED = "key_reused"
     IN_PROGRESS = "in_progress"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -123,6 +126,9 @@
     Kind.OVERLOADED: Answer(503, Ran.NOT_RUN, Retry.SAME, 1000),
     Kind.DEADLINE_TOO_SHORT: Answer(503, Ran.NOT_RUN, Retry.SAME, 1000),
     Kind.DEADLINE_PASSED: Answer(504, Ran.UNKNOWN, Retry.SAME),
+    Kind.SHARDS_UNREACHABLE: Answer(503, Ran.NOT_RUN, Retry.SAME, 300),
+    Kind.SHARDS_MISSING: Answer(502, Ran.UNKNOWN, Retry.SAME),
+    Kind.STORE_HISTORY_GONE: Answer(503, Ran.NOT_RUN, Retry.SAME),
     Kind.COVERAGE_TOO_LOW: Answer(503, Ran.RAN, Retry.SAME, 1000),
     Kind.NO_SNAPSHOT: Answer(503, Ran.NOT_RUN, Retry.SAME, 1000),
     Kind.QUARANTINED: Answer(503, Ran.NOT_RUN, Retry.SAME, 60000),
--- /dev/null
+++ b/src/azureramp/platform/decoding.py
@@ -0,0 +1,156 @@
+"""What the store's entries say, in the project's types."""
+
+from __future__ import annotations
+
+import msgspec
+
+from azureramp import catalog
+from azureramp.platform import bodies
+from azureramp.ports.store import api as store_api
+
+CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+SEARCHER_PREFIX = "servers/"
+MEMBER_PREFIX = "azureramp/members/"
+BLAME_PREFIX = "azureramp/blame/"
+
+REPEATABLE = "idempotent"
+"""The kind of route whose requests may run more than once; every other kind,
+one that is not known yet included, is taken for one that may not."""
+
+STATES = {
+    "ready": catalog.SearcherState.READY,
+    "draining": catalog.SearcherState.DRAINING,
+}
+
+_configuration_decoder = msgspec.json.Decoder(bodies.ConfigurationBody)
+_searcher_decoder = msgspec.json.Decoder(bodies.SearcherBody)
+_member_decoder = msgspec.json.Decoder(catalog.Member)
+_blame_decoder = msgspec.json.Decoder(catalog.RequestBlamed)
+
+
+def decode(entry: store_api.Entry) -> catalog.Update | None:
+    """Reads one entry of the store, or that it was deleted.
+
+    Returns:
+        What it says; None for a key that is of no interest here.
+    """
+    key, value = entry.key, entry.value
+    try:
+        if key == CONFIGURATION_KEY and value is not None:
+            return _to_configuration(_configuration_decoder.decode(value))
+        if key.startswith(SEARCHER_PREFIX):
+            name = key.removeprefix(SEARCHER_PREFIX)
+            return _decode_searcher(name, value)
+        if key.startswith(EVACUATION_PREFIX):
+            zone = key.removeprefix(EVACUATION_PREFIX)
+            return catalog.ZoneEvacuated(zone, out=value is not None)
+        if key.startswith(MEMBER_PREFIX):
+            if value is None:
+                return catalog.MemberGone(key.removeprefix(MEMBER_PREFIX))
+            return catalog.MemberSeen(_member_decoder.decode(value))
+        if key.startswith(BLAME_PREFIX) and value is not None:
+            return _blame_decoder.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+        return catalog.Unreadable(f"{key}: {error}")
+    return None
+
+
+def _decode_searcher(name: str, value: bytes | None) -> catalog.Update:
+    """Reads a searcher's entry.
+
+    One that can't be used names no searcher, also where it did before.
+    """
+    if value is None:
+        return catalog.SearcherGone(name)
+    try:
+        body = _searcher_decoder.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return catalog.SearcherGone(name)
+    state = STATES.get(body.state)
+    host, _, port = body.address.rpartition(":")
+    if state is None or not host or not port.isdigit() or not body.backend:
+        return catalog.SearcherGone(name)
+    return catalog.SearcherSeen(
+        catalog.Searcher(
+            id=name,
+            service=body.backend,
+            address=body.address,
+            zone=body.zone,
+            slots=max(1, body.slots),
+            state=state,
+            cold_s=max(0.0, body.cold_remaining_ms / 1000),
+            started_ms=body.born,
+        )
+    )
+
+
+def _to_configuration(
+    body: bodies.ConfigurationBody,
+) -> catalog.ConfigurationDeclared:
+    """Makes a configuration of its body."""
+    services = {
+        service.name: catalog.Service(
+            name=service.name,
+            health_path=service.health_path,
+            connections=service.max_connections,
+            cold_s=service.cold_start_s,
+            cold_per_s=service.cold_per_s,
+        )
+        for service in body.services
+    }
+    limits = catalog.CallerLimits(
+        header_bytes=body.limits.max_header_bytes,
+        body_bytes=body.limits.max_body_bytes,
+        header_s=body.limits.header_timeout_ms / 1000,
+        idle_s=body.limits.idle_timeout_ms / 1000,
+    )
+    return catalog.ConfigurationDeclared(
+        catalog.Configuration(
+            version=body.version,
+            routes=tuple(_to_route(route) for route in body.routes),
+            services=services,
+            limits=limits,
+        )
+    )
+
+
+def _to_route(body: bodies.RouteBody) -> catalog.Route:
+    """Makes a route of its body."""
+    return catalog.Route(
+        name=body.name,
+        host=body.hostname.lower(),
+        prefix=body.prefix,
+        destination=_to_destination(body),
+        repeatable=(
+            body.route_type == REPEATABLE or bool(body.fanout_services)
+        ),
+        timeout_s=body.timeout_ms / 1000,
+        target_s=body.target_latency_ms / 1000,
+        attempts=max(1, body.attempts),
+        priority=body.priority,
+    )
+
+
+def _to_destination(body: bodies.RouteBody) -> catalog.Destination:
+    """Makes a route's destination.
+
+    Raises:
+        ValueError: The route names no service.
+    """
+    if body.fanout_services:
+        return catalog.AllOf(
+            services=tuple(dict.fromkeys(body.fanout_services)),
+            most_records=body.top_k,
+            least_share=body.min_shard_share,
+        )
+    if body.traffic_split:
+        return catalog.OneOf(
+            tuple(
+                catalog.Weighted(part.backend or part.name, part.weight)
+                for part in body.traffic_split
+            )
+        )
+    if body.backend:
+        return catalog.OneOf((catalog.Weighted(body.backend, 1.0),))
+    raise ValueError(f"the route {body.name} names no service")
--- /dev/null
+++ b/src/azureramp/platform/headers.py
@@ -0,0 +1,223 @@
+"""The headers of requests, calls and answers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from azureramp import catalog
+from azureramp.controllers.forwarding import requests
+from azureramp.ports.forwarding import api
+from azureramp.ports.web import api as web_api
+
+REQUEST_ID = b"azureramp-request-id"
+DEADLINE = b"azureramp-deadline-ms"
+TARGET = b"azureramp-target-instance"
+SIGNATURE = b"azureramp-server-stamp"
+NOT_RUN = b"azureramp-not-executed"
+LOAD = b"azureramp-server-load"
+COLD = b"azureramp-cold-remaining-ms"
+PART_SIGNATURES = "Azureramp-Part-Stamps"
+MISSING_PARTS = "Azureramp-Missing-Parts"
+REQUEST_ID_NAME = "Azureramp-Request-Id"
+
+MISDIRECTED = 421
+
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+"""Headers that concern one connection (RFC 9110, section 7.6.1)."""
+
+SET_BY_TIER = frozenset((DEADLINE, TARGET, b"content-length", b"expect"))
+"""Request headers that are written anew for each call, or that the tier has
+answered itself."""
+
+MAX_DEADLINE_MS = 3_600_000
+"""A caller's deadline past this is cut to it; the route's timeout is less."""
+
+
+class Codec:
+    """See `api.Codec`."""
+
+    __slots__ = ()
+
+    def encode_call(self, call: api.Call, address: str) -> api.Fields:
+        """Returns a call's headers; see `api.Codec`."""
+        message = call.message
+        fields = list(message.fields)
+        if message.body or message.method not in (b"GET", b"HEAD"):
+            length = str(len(message.body)).encode("ascii")
+            fields.append((b"content-length", length))
+        left_ms = max(1, int(call.left_s * 1000))
+        fields.append((DEADLINE, str(left_ms).encode("ascii")))
+        fields.append((TARGET, call.searcher.encode("latin-1")))
+        return fields
+
+    def read_id(self, fields: api.Fields) -> bytes:
+        """Returns the request id of an answer; see `api.Codec`."""
+        for name, value in fields:
+            if name == REQUEST_ID:
+                return value
+        return b""
+
+    def decode_reply(
+        self, status: int, fields: api.Fields, body: bytes
+    ) -> api.Reply:
+        """Reads a searcher's answer; see `api.Codec`."""
+        known = dict(fields)
+        misdirected = status == MISDIRECTED
+        not_run = misdirected or NOT_RUN in known
+        return api.Reply(
+            status=status,
+            fields=_keep_end_to_end(fields),
+            body=body,
+            signature=known.get(SIGNATURE, b""),
+            ran=api.Ran.NO if not_run else api.Ran.YES,
+            misdirected=misdirected,
+            load=_parse_load(known.get(LOAD)),
+            cold_s=_parse_milliseconds(known.get(COLD)),
+        )
+
+
+def decode_request(
+    request: web_api.Request,
+) -> requests.Incoming | requests.Malformed:
+    """Reads what the tier needs to know of a caller's request.
+
+    Args:
+        request: The request as the server read it, undecoded.
+    """
+    host = request_id = b""
+    deadline: bytes | None = None
+    for name, value in request.fields:
+        if name == b"host":
+            host = value
+        elif name == REQUEST_ID:
+            request_id = value
+        elif name == DEADLINE:
+            deadline = value
+    if not request_id:
+        return requests.Malformed("no request id")
+    deadline_s: float | None = None
+    if deadline is not None:
+        deadline_s = _parse_milliseconds(deadline)
+        if deadline_s is None:
+            return requests.Malformed("the deadline is not a number")
+    path = request.target.partition(b"?")[0].decode("latin-1")
+    return requests.Incoming(
+        id=request_id.decode("latin-1"),
+        host=host.decode("latin-1").partition(":")[0].lower(),
+        path=path,
+        deadline_s=deadline_s,
+        began_s=request.began_s,
+        message=api.Message(
+            id=request_id,
+            method=request.method.encode("ascii"),
+            target=request.target,
+            fields=_keep_end_to_end(request.fields, SET_BY_TIER),
+            body=request.body,
+        ),
+    )
+
+
+def encode_answer(answer: requests.Answer) -> web_api.Response:
+    """Makes the HTTP response of an answer to a caller."""
+    match answer:
+        case requests.Whole(reply=reply):
+            return web_api.Response(
+                status=reply.status,
+                body=reply.body,
+                content_type="",
+                headers=_to_text(reply.fields),
+            )
+        case requests.Merged():
+            signatures = b", ".join(answer.signatures).decode("latin-1")
+            return web_api.Response(
+                status=200,
+                body=answer.body,
+                content_type="application/octet-stream",
+                headers=(
+                    (REQUEST_ID_NAME, answer.request_id),
+                    (PART_SIGNATURES, signatures),
+                    (MISSING_PARTS, str(answer.missing)),
+                ),
+            )
+        case requests.Refused(failure=failure, request_id=request_id):
+            headers = [(REQUEST_ID_NAME, request_id)] if request_id else []
+            retry_after_ms = failure.get_retry_after_ms()
+            table = failure.get_answer()
+            if retry_after_ms and table.status in (429, 503):
+                retry_after = f"{retry_after_ms / 1000:.3f}"
+                headers.append(("Retry-After", retry_after))
+            return web_api.Response(
+                status=table.status,
+                body=failure.kind.value.encode("ascii"),
+                content_type="text/plain; charset=utf-8",
+                headers=tuple(headers),
+                closes=answer.closes,
+            )
+
+
+def to_web_limits(limits: catalog.CallerLimits, target: web_api.Limits) -> None:
+    """Puts what callers may send into force at a server."""
+    target.header_bytes = limits.header_bytes
+    target.body_bytes = limits.body_bytes
+    target.header_s = limits.header_s
+    target.idle_s = limits.idle_s
+
+
+def _keep_end_to_end(
+    fields: Iterable[tuple[bytes, bytes]],
+    without: frozenset[bytes] = frozenset((b"content-length",)),
+) -> list[tuple[bytes, bytes]]:
+    """Returns the headers that don't concern one connection only."""
+    fields = list(fields)
+    named: set[bytes] = set()
+    for name, value in fields:
+        if name == b"connection":
+            named.update(part.strip().lower() for part in value.split(b","))
+    return [
+        (name, value)
+        for name, value in fields
+        if name not in HOP_BY_HOP and name not in without and name not in named
+    ]
+
+
+def _to_text(
+    fields: Sequence[tuple[bytes, bytes]],
+) -> tuple[tuple[str, str], ...]:
+    """Decodes headers for a response."""
+    return tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in fields
+    )
+
+
+def _parse_milliseconds(value: bytes | None) -> float | None:
+    """Reads a number of milliseconds, as seconds; None if it is none."""
+    if value is None:
+        return None
+    value = value.strip()
+    if not value.isdigit():
+        return None
+    return min(int(value[:9]), MAX_DEADLINE_MS) / 1000
+
+
+def _parse_load(value: bytes | None) -> api.Load | None:
+    """Reads a searcher's load: running, waiting, slots."""
+    if value is None:
+        return None
+    parts = [part.strip() for part in value.split(b",")]
+    if len(parts) != 3 or not all(part.isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part[:6]) for part in parts)
+    return api.Load(running, waiting, slots)
--- /dev/null
+++ b/src/azureramp/platform/program.py
@@ -0,0 +1,221 @@
+"""The daemon on the users' platform: its ports, its signals, its end."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import random
+import signal
+import sys
+import time
+
+import logbook
+import msgspec
+
+from azureramp import catalog, logs
+from azureramp.controllers.forwarding import (
+    board as board_module,
+)
+from azureramp.controllers.forwarding import (
+    contact,
+    entry,
+    feed,
+    leaving,
+    members,
+    searchers,
+)
+from azureramp.platform import decoding, headers, settings, store
+from azureramp.policy import advertising
+from azureramp.ports.web import api as web_api
+from azureramp.ports.web import request_reader
+from azureramp.ports.web import server as web_server
+
+SETTINGS_VARIABLE = "AZURERAMP_CONFIG"
+DEFAULT_SETTINGS = "/etc/azureramp/settings.toml"
+
+EXIT_GRACEFUL = 0
+EXIT_CUT = 1
+EXIT_SETTINGS = 2
+
+ADDRESS_LIFETIME_S = 1
+"""How long callers should keep an address answer, in whole seconds. Some keep
+it three times as long, so one that names a VM that has just died misleads for
+three seconds."""
+
+OTHER_DESCRIPTORS = 400
+"""Descriptors kept for files, searchers, the store and peers."""
+
+RESTART_S = 1.0
+"""Pause before a loop that failed runs again, in seconds."""
+
+_logger = logbook.Logger("azureramp.program")
+
+
+class Program:
+    """One process, joined."""
+
+    __slots__ = (
+        "_board",
+        "_entry",
+        "_feed",
+        "_front",
+        "_limits",
+        "_members",
+        "_servers",
+        "_settings",
+        "_store",
+        "_tasks",
+    )
+
+    def __init__(self, given: settings.Settings) -> None:
+        """Joins the parts of a process; see `run`."""
+        loop = asyncio.get_running_loop()
+        rng = random.Random(f"{given.identity.vm}/{time.time_ns()}")
+        board = board_module.Board(given.identity, given.bounds, loop.time())
+        contacts = contact.Contacts(board)
+        known = searchers.Searchers(board, headers.Codec(), rng)
+        self._settings = given
+        self._board = board
+        self._store = store.PlatformStore(given.store_address)
+        self._members = members.Members(
+            board, self._store, encode_member, contacts, rng
+        )
+        self._feed = feed.Feed(
+            board,
+            self._store,
+            decoding.decode,
+            known,
+            self._members,
+            contacts,
+            rng,
+        )
+        self._feed.on_configuration = self._follow_configuration
+        self._entry = entry.Entry(board, known)
+        self._limits = web_api.Limits(
+            connections=max(100, given.descriptors - OTHER_DESCRIPTORS)
+        )
+        self._front = web_server.Server(
+            given.front_address,
+            self._handle_request,
+            self._limits,
+            request_reader.keep_request,
+        )
+        self._servers = (
+            self._front,
+            web_server.Server(given.ready_address, self._handle_readiness),
+            web_server.Server(given.directory_address, self._handle_resolve),
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> int:
+        """Serves until SIGTERM; returns the exit code."""
+        stopping = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        for server in self._servers:
+            await server.start()
+        _logger.info("started on {}", self._settings.front_address)
+        for name, run in (
+            ("feed", self._feed.run),
+            ("members", self._members.run),
+        ):
+            self._tasks.append(asyncio.create_task(_keep_running(name, run)))
+        await stopping.wait()
+        cut = await leaving.leave(self._board, self._members, self._front)
+        for task in self._tasks:
+            task.cancel()
+        _logger.info("stopped; {} requests cut", cut)
+        return EXIT_CUT if cut else EXIT_GRACEFUL
+
+    async def _handle_request(
+        self, request: web_api.Request
+    ) -> web_api.Response:
+        """Answers a request of a caller."""
+        if request.method == web_api.UNREADABLE:
+            return web_api.Response(
+                int(request.path[1:]), content_type="", closes=True
+            )
+        answer = await self._entry.handle(headers.decode_request(request))
+        return headers.encode_answer(answer)
+
+    async def _handle_readiness(
+        self, request: web_api.Request
+    ) -> web_api.Response:
+        """Answers the platform's readiness check."""
+        if request.path != "/readiness":
+            return web_api.Response(404)
+        return web_api.Response(200 if self._board.is_ready() else 503)
+
+    async def _handle_resolve(
+        self, request: web_api.Request
+    ) -> web_api.Response:
+        """Tells a caller which addresses to use."""
+        if request.path != "/resolve":
+            return web_api.Response(404)
+        told = advertising.choose(self._board.members.values())
+        addresses = [member.address for member in told]
+        own = self._settings.front_address
+        if self._board.leaving:
+            addresses = [address for address in addresses if address != own]
+        elif not addresses and self._board.is_ready():
+            addresses = [own]
+        if not addresses:
+            return web_api.Response(503)
+        lifetime_s = min(
+            ADDRESS_LIFETIME_S, self._board.bounds.address_lifetime_s
+        )
+        body = msgspec.json.encode({"addrs": addresses, "ttl_s": lifetime_s})
+        return web_api.Response(200, body, "application/json")
+
+    def _follow_configuration(self, new: catalog.Configuration) -> None:
+        """Puts what callers may send into force."""
+        headers.to_web_limits(new.limits, self._limits)
+
+    def _reload(self) -> None:
+        """Takes the bounds of a changed settings file."""
+        result = settings.read(get_settings_path())
+        if result.is_error():
+            _logger.error("kept the settings: {}", result.error)
+            return
+        self._board.bounds = result.ok.bounds
+        _logger.info("took the settings anew")
+
+
+def encode_member(member: catalog.Member) -> tuple[str, bytes]:
+    """Returns the key and the value of a VM's entry in the store."""
+    key = decoding.MEMBER_PREFIX + member.vm
+    return key, msgspec.json.encode(member)
+
+
+def get_settings_path() -> pathlib.Path:
+    """Returns the path of the settings file."""
+    return pathlib.Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS))
+
+
+async def _keep_running(name: str, run: feed.Run) -> None:
+    """Runs a loop; after a bug in it, logs and runs it again."""
+    while True:
+        try:
+            await run()
+            return
+        except Exception:
+            _logger.exception("the {} loop failed", name)
+        await asyncio.sleep(RESTART_S)
+
+
+async def _run(given: settings.Settings) -> int:
+    """Runs a process of these settings."""
+    return await Program(given).run()
+
+
+def main() -> None:
+    """Runs the daemon; exits with 2 for a setting that is not allowed."""
+    result = settings.read(get_settings_path())
+    if result.is_error():
+        sys.stderr.write(f"azurerampd: {result.error}\n")
+        sys.exit(EXIT_SETTINGS)
+    logs.set_up(result.ok.identity.vm, sys.stdout)
+    sys.exit(asyncio.run(_run(result.ok)))
--- /dev/null
+++ b/src/azureramp/platform/settings.py
@@ -0,0 +1,205 @@
+"""The settings file that the platform writes for a process."""
+
+from __future__ import annotations
+
+import pathlib
+import tomllib
+from typing import Any
+
+import expression
+import msgspec
+
+from azureramp.controllers.forwarding import board
+from azureramp.policy import allowances
+
+
+class ListenBody(msgspec.Struct, rename="pascal"):
+    """The addresses to listen on, `IP:port`.
+
+    Attributes:
+        front: For callers.
+        ready: For the platform's readiness checks.
+        control: For other VMs.
+        directory: For callers that ask where to connect.
+    """
+
+    front: str
+    ready: str
+    directory: str = msgspec.field(name="directory")
+    control: str = ""
+
+
+class BoundsBody(msgspec.Struct, rename="pascal"):
+    """The operators' bounds, those that the tier keeps by itself.
+
+    Attributes:
+        cold_overage: Factor on a cold searcher's requests a second.
+        cold_slack: Requests a second added to that.
+        retry_budget_ratio: Extra calls for each request.
+        budget_window_s: The span in which extra calls are counted.
+        retry_budget_slack: Extra calls allowed whatever the requests.
+        grace_s: Time from SIGTERM to SIGKILL.
+        ttl_max_s: Longest that callers keep an address answer.
+    """
+
+    retry_budget_ratio: float = 0.1
+    budget_window_s: float = msgspec.field(default=10.0, name="BudgetWindowS")
+    retry_budget_slack: float = 0.0
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
+    grace_s: float = msgspec.field(default=6.0, name="GraceS")
+    ttl_max_s: float = msgspec.field(default=5.0, name="ttl_max_s")
+
+
+class ProcessLimitsBody(msgspec.Struct, rename="pascal"):
+    """What the VM gives the process.
+
+    Attributes:
+        cpu_share: Share of a core.
+        cores: How many times as fast that core is, not how many there are.
+        max_fds: Most descriptors.
+    """
+
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    max_fds: int = 1024
+
+
+class StoreBody(msgspec.Struct, rename="pascal"):
+    """Where the platform's store is.
+
+    Attributes:
+        address: Its `IP:port`.
+    """
+
+    address: str
+
+
+class SettingsBody(msgspec.Struct, rename="pascal"):
+    """The file; fields that are not known are passed over.
+
+    Attributes:
+        node: This VM's name.
+        zone: Its availability zone.
+        platform: The store.
+        bootstrap: True if the whole tier starts for the first time.
+    """
+
+    node: str
+    zone: str
+    listen_addrs: ListenBody
+    platform: StoreBody = msgspec.field(name="platform")
+    bounds: BoundsBody = msgspec.field(default_factory=BoundsBody)
+    limits: ProcessLimitsBody = msgspec.field(default_factory=ProcessLimitsBody)
+    bootstrap: bool = False
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """What the file says, in the project's types.
+
+    Attributes:
+        identity: Who this process is.
+        bounds: What the operators bound.
+        front_address: Where callers connect.
+        ready_address: Where the platform asks for readiness.
+        directory_address: Where callers ask for addresses.
+        store_address: The platform's store.
+        descriptors: Most descriptors of the process.
+    """
+
+    identity: board.Identity
+    bounds: board.Bounds
+    front_address: str
+    ready_address: str
+    directory_address: str
+    store_address: str
+    descriptors: int
+
+
+def read(path: pathlib.Path) -> expression.Result[Settings, str]:
+    """Reads and checks a settings file.
+
+    Returns:
+        The settings, or one line that names the wrong field and value.
+    """
+    try:
+        text = path.read_text("utf-8")
+        fields: dict[str, Any] = tomllib.loads(text)
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        return expression.Error(f"{path}: {error}")
+    try:
+        body = msgspec.convert(fields, SettingsBody)
+    except msgspec.ValidationError as error:
+        return expression.Error(f"{path}: {error}")
+    problem = find_problem(body)
+    if problem:
+        return expression.Error(f"{path}: {problem}")
+    return expression.Ok(_to_settings(body))
+
+
+def find_problem(body: SettingsBody) -> str:
+    """Returns what is wrong with settings, naming the field; empty if fine."""
+    listen = body.listen_addrs
+    addresses = {
+        "ListenAddrs.Front": listen.front,
+        "ListenAddrs.Ready": listen.ready,
+        "ListenAddrs.directory": listen.directory,
+        "platform.Address": body.platform.address,
+    }
+    for field, value in addresses.items():
+        host, _, port = value.rpartition(":")
+        if not host or not port.isdigit() or not 0 < int(port) < 65536:
+            return f"{field}: {value!r}; allowed: IP:port"
+    if not body.node or not body.zone:
+        return "Node and Zone: empty; allowed: a name"
+    bounds = body.bounds
+    numbers = {
+        "Bounds.RetryBudgetRatio": bounds.retry_budget_ratio,
+        "Bounds.RetryBudgetSlack": bounds.retry_budget_slack,
+        "Bounds.ColdOverage": bounds.cold_overage,
+        "Bounds.ColdSlack": bounds.cold_slack,
+    }
+    for field, number in numbers.items():
+        if number < 0:
+            return f"{field}: {number}; allowed: 0 or more"
+    spans = {
+        "Bounds.BudgetWindowS": bounds.budget_window_s,
+        "Bounds.GraceS": bounds.grace_s,
+        "Bounds.ttl_max_s": bounds.ttl_max_s,
+    }
+    for field, number in spans.items():
+        if number <= 0:
+            return f"{field}: {number}; allowed: more than 0 seconds"
+    return ""
+
+
+def _to_settings(body: SettingsBody) -> Settings:
+    """Makes the settings of a checked file."""
+    listen, bounds = body.listen_addrs, body.bounds
+    extra = allowances.Terms(
+        ratio=bounds.retry_budget_ratio,
+        window_s=bounds.budget_window_s,
+        fixed=bounds.retry_budget_slack,
+    )
+    return Settings(
+        identity=board.Identity(
+            vm=body.node,
+            zone=body.zone,
+            front_address=listen.front,
+            peer_address=listen.control,
+            cores=body.limits.cpu_share * body.limits.cores,
+            first_start=body.bootstrap,
+        ),
+        bounds=board.Bounds(
+            extra=extra,
+            cold_overage=bounds.cold_overage,
+            cold_slack=bounds.cold_slack,
+            grace_s=bounds.grace_s,
+            address_lifetime_s=bounds.ttl_max_s,
+        ),
+        front_address=listen.front,
+        ready_address=listen.ready,
+        directory_address=listen.directory,
+        store_address=body.platform.address,
+        descriptors=body.limits.max_fds,
+    )
--- /dev/null
+++ b/src/azureramp/platform/store.py
@@ -0,0 +1,282 @@
+"""The platform's store as the project's store port."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import urllib.parse
+from typing import Any, TypeVar
+
+import expression
+import msgspec
+
+from azureramp import errors
+from azureramp.platform import bodies
+from azureramp.ports.store import api
+from azureramp.ports.web import api as web_api
+from azureramp.ports.web import pool
+
+CALL_S = 1.0
+"""Longest time that a call may take, in seconds; the store takes 4 ms, and
+some tenths of a second on a bad day."""
+
+MOST_PAGES = 200
+"""Most pages of one reading; a hundred searchers fill one or two."""
+
+_T = TypeVar("_T")
+
+
+class PlatformStore:
+    """A client of the store; see `api.Store`."""
+
+    __slots__ = ("_pool", "_watch_pool")
+
+    def __init__(self, address: str) -> None:
+        """Makes a client; it connects when it is first used.
+
+        Args:
+            address: `IP:port` of the store.
+        """
+        self._pool = pool.Pool(address)
+        self._watch_pool = pool.Pool(address)
+
+    async def read(
+        self, key: str
+    ) -> expression.Result[api.Entry | None, errors.Failure]:
+        """Reads one key; see `api.Store`."""
+        result = await self._ask("GET", "/kv-key", {"Key": key})
+        if result.is_error():
+            return expression.Error(_as_read(result.error))
+        if result.ok.status == 404:
+            return expression.Ok(None)
+        return _decode(result.ok, bodies.ItemBody).bind(_to_entry)
+
+    async def read_prefix(
+        self, prefix: str
+    ) -> expression.Result[api.Listing, errors.Failure]:
+        """Reads a prefix; see `api.Store`.
+
+        The pages are no snapshot, so the revision is the first page's: what
+        changed while they were read is among the changes since then.
+        """
+        entries: list[api.Entry] = []
+        revision: int | None = None
+        after = ""
+        for _ in range(MOST_PAGES):
+            query = {"Prefix": prefix}
+            if after:
+                query["after"] = after
+            result = await self._ask("GET", "/kv-range", query)
+            if result.is_error():
+                return expression.Error(_as_read(result.error))
+            page = _decode(result.ok, bodies.RangeBody)
+            if page.is_error():
+                return expression.Error(page.error)
+            for item in page.ok.items:
+                entry = _to_entry(item)
+                if entry.is_error():
+                    return expression.Error(entry.error)
+                entries.append(entry.ok)
+            if revision is None:
+                revision = page.ok.revision
+            if not page.ok.more or not page.ok.items:
+                break
+            after = page.ok.items[-1].key
+        return expression.Ok(api.Listing(tuple(entries), revision or 0))
+
+    async def write(
+        self, key: str, value: bytes, expected: int, lease: str = ""
+    ) -> expression.Result[api.Write, errors.Failure]:
+        """Writes by compare-and-swap; see `api.Store`."""
+        if len(value) > api.MAX_VALUE_BYTES:
+            return expression.Error(errors.Failure(errors.Kind.TOO_LARGE, key))
+        encoded = base64.b64encode(value).decode("ascii")
+        write = bodies.WriteBody(key, encoded, int(lease or 0))
+        return await self._change(key, expected, [write], [])
+
+    async def delete(
+        self, key: str, expected: int
+    ) -> expression.Result[api.Write, errors.Failure]:
+        """Deletes by compare-and-swap; see `api.Store`."""
+        return await self._change(key, expected, [], [key])
+
+    async def watch(
+        self, prefix: str, after: int, wait_s: float
+    ) -> expression.Result[api.Listing, errors.Failure]:
+        """Waits for changes; see `api.Store`."""
+        query = {
+            "Prefix": prefix,
+            "after": str(after),
+            "WaitMs": str(int(wait_s * 1000)),
+        }
+        result = await self._ask(
+            "GET", "/kv-watch", query, None, wait_s + CALL_S, self._watch_pool
+        )
+        if result.is_error():
+            return expression.Error(_as_read(result.error))
+        if result.ok.status == 410:
+            return expression.Error(
+                errors.Failure(errors.Kind.STORE_HISTORY_GONE)
+            )
+        return _decode(result.ok, bodies.WatchBody).bind(_to_changes)
+
+    async def grant_lease(
+        self, ttl_s: float
+    ) -> expression.Result[str, errors.Failure]:
+        """Makes a lease; see `api.Store`."""
+        body = bodies.LeaseRequestBody(int(ttl_s * 1000))
+        result = await self._ask("POST", "/kv-lease", {}, body)
+        if result.is_error():
+            return expression.Error(result.error)
+        return _decode(result.ok, bodies.LeaseBody).map(
+            lambda granted: str(granted.lease)
+        )
+
+    async def keep_lease(
+        self, lease: str
+    ) -> expression.Result[bool, errors.Failure]:
+        """Keeps a lease alive; see `api.Store`."""
+        result = await self._ask("POST", f"/kv-keep/{lease}", {})
+        return result.bind(_to_kept)
+
+    async def close(self) -> None:
+        """Closes every idle connection."""
+        self._pool.close()
+        self._watch_pool.close()
+
+    async def _change(
+        self,
+        key: str,
+        expected: int,
+        writes: list[bodies.WriteBody],
+        deletes: list[str],
+    ) -> expression.Result[api.Write, errors.Failure]:
+        """Changes one key under the condition of its revision."""
+        condition = [bodies.PreconditionBody(key, expected)]
+        body = bodies.TransactionBody(condition, writes, deletes)
+        result = await self._ask("POST", "/kv-txn", {}, body)
+        return result.bind(_to_write)
+
+    async def _ask(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: Any = None,
+        timeout_s: float = CALL_S,
+        through: pool.Pool | None = None,
+    ) -> expression.Result[web_api.Response, errors.Failure]:
+        """Makes one call; a refusal by the store is a failure.
+
+        429 and 503 say that nothing was done; any other 5xx says nothing.
+        """
+        target = path
+        if query:
+            target += "?" + urllib.parse.urlencode(query)
+        data = b"" if body is None else msgspec.json.encode(body)
+        headers = (("Content-Type", "application/json"),) if data else ()
+        result = await (through or self._pool).exchange(
+            method, target, data, timeout_s, headers
+        )
+        if result.is_error():
+            return result
+        status = result.ok.status
+        if status in (429, 503):
+            kind = errors.Kind.STORE_UNAVAILABLE
+        elif status >= 500:
+            kind = errors.Kind.STORE_OUTCOME_UNKNOWN
+        else:
+            return result
+        return expression.Error(errors.Failure(kind, f"status {status}"))
+
+
+def _as_read(failure: errors.Failure) -> errors.Failure:
+    """Turns a read's failure into what it means: no effect in any case."""
+    return errors.Failure(errors.Kind.STORE_UNAVAILABLE, failure.detail)
+
+
+def _decode(
+    response: web_api.Response, wanted: type[_T]
+) -> expression.Result[_T, errors.Failure]:
+    """Decodes the body of a successful answer."""
+    detail = f"status {response.status}"
+    if response.status == 200:
+        try:
+            return expression.Ok(
+                msgspec.json.decode(response.body, type=wanted)
+            )
+        except msgspec.DecodeError as error:
+            detail = str(error)
+    kind = errors.Kind.STORE_UNAVAILABLE
+    return expression.Error(errors.Failure(kind, detail))
+
+
+def _to_entry(
+    item: bodies.ItemBody,
+) -> expression.Result[api.Entry, errors.Failure]:
+    """Makes an entry of an item."""
+    if item.removed:
+        return expression.Ok(api.Entry(item.key, None, item.revision))
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except (binascii.Error, ValueError) as error:
+        kind = errors.Kind.STORE_UNAVAILABLE
+        return expression.Error(errors.Failure(kind, f"{item.key}: {error}"))
+    return expression.Ok(api.Entry(item.key, value, item.revision))
+
+
+def _to_changes(
+    body: bodies.WatchBody,
+) -> expression.Result[api.Listing, errors.Failure]:
+    """Makes a listing of the changes."""
+    entries: list[api.Entry] = []
+    for event in body.events:
+        entry = _to_entry(event)
+        if entry.is_error():
+            return expression.Error(entry.error)
+        entries.append(entry.ok)
+    return expression.Ok(api.Listing(tuple(entries), body.revision))
+
+
+def _to_kept(
+    response: web_api.Response,
+) -> expression.Result[bool, errors.Failure]:
+    """Tells whether a lease was renewed."""
+    if response.status in (200, 404):
+        return expression.Ok(response.status == 200)
+    detail = f"status {response.status}"
+    return expression.Error(
+        errors.Failure(errors.Kind.STORE_UNAVAILABLE, detail)
+    )
+
+
+def _to_write(
+    response: web_api.Response,
+) -> expression.Result[api.Write, errors.Failure]:
+    """Makes the outcome of a change; one that can't be read says nothing."""
+    try:
+        if response.status == 200:
+            committed = msgspec.json.decode(
+                response.body, type=bodies.CommittedBody
+            )
+            return expression.Ok(api.Written(committed.revision))
+        if response.status == 412:
+            conflict = msgspec.json.decode(
+                response.body, type=bodies.ConflictBody
+            )
+            return expression.Ok(api.Conflicted(_find_present(conflict)))
+    except msgspec.DecodeError as error:
+        kind = errors.Kind.STORE_OUTCOME_UNKNOWN
+        return expression.Error(errors.Failure(kind, str(error)))
+    kinds = {404: errors.Kind.NOT_FOUND, 413: errors.Kind.TOO_LARGE}
+    kind = kinds.get(response.status, errors.Kind.BAD_REQUEST)
+    return expression.Error(errors.Failure(kind, f"status {response.status}"))
+
+
+def _find_present(conflict: bodies.ConflictBody) -> api.Entry | None:
+    """Returns the entry that a change ran into; None if there is none."""
+    for item in conflict.items:
+        entry = _to_entry(item)
+        if entry.is_ok() and item.revision > 0 and not item.removed:
+            return entry.ok
+    return None
--- /dev/null
+++ b/src/azureramp/policy/allowances.py
@@ -0,0 +1,103 @@
+"""How many calls beyond the first of each request a service may get.
+
+The operators bound the extra calls (hedges, retries, and calls that a
+searcher rejects) of all VMs together, in any span of a given length: a share
+of the service's requests and a fixed number. Each VM spends the share of the
+requests that it took itself, which adds up exactly, and an even part of the
+fixed number.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+SAFETY = 0.85
+"""Part of the bound that is used. A caller's request and the extra call that
+follows it may fall on both sides of a span's edge, and VMs may come."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Terms:
+    """The operators' bound.
+
+    Attributes:
+        ratio: Extra calls for each request.
+        window_s: The length of the span, in seconds.
+        fixed: Extra calls of all VMs together in a span, whatever the
+            requests.
+    """
+
+    ratio: float
+    window_s: float
+    fixed: float
+
+
+class Allowance:
+    """What one VM may spend on one service."""
+
+    __slots__ = ("_extras_s", "_requests_s", "_terms")
+
+    def __init__(self, terms: Terms) -> None:
+        """Makes one with nothing spent."""
+        self._terms = terms
+        self._requests_s: collections.deque[float] = collections.deque()
+        self._extras_s: collections.deque[float] = collections.deque()
+
+    def add_request(self, now_s: float) -> None:
+        """Takes a request for the service."""
+        self._requests_s.append(now_s)
+        self._forget(now_s)
+
+    def get_left(self, now_s: float, part: float) -> float:
+        """Returns how many extra calls may be made now.
+
+        Args:
+            now_s: The time.
+            part: This VM's part of the fixed number, 0 to 1.
+        """
+        self._forget(now_s)
+        earned = self._terms.ratio * len(self._requests_s)
+        allowed = SAFETY * (earned + self._terms.fixed * part)
+        return allowed - len(self._extras_s)
+
+    def get_used_share(self, now_s: float, part: float) -> float:
+        """Returns which share of the allowance is spent, 0 to 1."""
+        left = self.get_left(now_s, part)
+        total = left + len(self._extras_s)
+        return 1.0 if total <= 0 else min(1.0, len(self._extras_s) / total)
+
+    def spend(self, now_s: float, part: float) -> bool:
+        """Takes leave for one extra call, if there is any."""
+        if self.get_left(now_s, part) < 1.0:
+            return False
+        self._extras_s.append(now_s)
+        return True
+
+    def _forget(self, now_s: float) -> None:
+        """Drops what has left the span."""
+        oldest_s = now_s - self._terms.window_s
+        for times in (self._requests_s, self._extras_s):
+            while times and times[0] < oldest_s:
+                times.popleft()
+
+
+def get_part(
+    members: int, age_s: float, first_start: bool, window_s: float
+) -> float:
+    """Returns a VM's part of a fixed number that all VMs share.
+
+    A process that replaces one that was killed doesn't know what that one
+    spent, so it has no part until the span has passed; what it earns by its
+    own requests it may spend at once. When all VMs start together for the
+    first time, nothing was spent before.
+
+    Args:
+        members: The VMs that are known, this one included.
+        age_s: Time since the process started, in seconds.
+        first_start: True if the whole tier starts for the first time.
+        window_s: The length of the span, in seconds.
+    """
+    if age_s < window_s and not first_start:
+        return 0.0
+    return 1.0 / max(1, members)
--- /dev/null
+++ b/src/azureramp/policy/selection.py
@@ -0,0 +1,147 @@
+"""Which searcher of a service gets a call.
+
+A VM goes by what it measures itself: how its calls to each searcher compare
+with those to the others, and which are still without an answer. What the
+searchers report lags, so it only adds to that.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import random
+from collections.abc import Iterable
+
+SMOOTHING = 0.2
+"""Weight of the newest time in a searcher's mean: about the last five calls
+count, so that a searcher that turns slow is left within a few calls."""
+
+OTHER_ZONE = 0.15
+"""What a searcher in another availability zone costs in the choice, as a part
+of a usual call. A round trip between zones takes some 2 to 3 ms of 10 to 20,
+and its bytes are paid for."""
+
+OVERDUE = 4.0
+"""What a call that is overdue costs its searcher in the choice, in usual
+calls: a searcher that pauses holds everything it has."""
+
+REPORT_FADES_S = 0.25
+"""How long a searcher's report of its load counts, in seconds."""
+
+FORGET_S = 2.0
+"""In this time a searcher that gets no calls is half forgiven its slowness, in
+seconds: only a call shows that it is fast again."""
+
+FAIL_BASE_S = 0.25
+"""How long a searcher is left alone after its calls begin to fail, in
+seconds; it doubles with each further failure."""
+
+FAIL_MOST_S = 1.0
+"""Longest time that a failing searcher is left alone, in seconds. One that is
+back must not be missed for long while its shard has few others."""
+
+TOLERATED = 2
+"""Failures in a row from which on a searcher is left alone. Single answers
+get lost without the searcher being at fault."""
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """What this VM knows of one searcher by its own calls.
+
+    Attributes:
+        slots: How many requests it runs at once.
+        near: True if it is in this VM's availability zone.
+        in_flight: Calls that it has now.
+        overdue: Of these, how many are overdue.
+        slowness: Its mean time, relative to usual ones; 1 is usual.
+        measured_s: When a call last showed it.
+        failures: Failures in a row.
+        rest_until_s: It is left alone until then.
+        trial: True while one call tries whether it is back.
+        waiting: Requests that it reported to wait or run beyond ours.
+        reported_s: When it reported that.
+    """
+
+    slots: int
+    near: bool
+    in_flight: int = 0
+    overdue: int = 0
+    slowness: float = 1.0
+    measured_s: float = 0.0
+    failures: int = 0
+    rest_until_s: float = 0.0
+    trial: bool = False
+    waiting: float = 0.0
+    reported_s: float = -1e9
+
+    def add_time(self, ratio: float, now_s: float) -> None:
+        """Takes a call's time, relative to a usual one."""
+        ratio = min(ratio, 20.0)
+        self.slowness += SMOOTHING * (ratio - self.slowness)
+        self.measured_s = now_s
+
+    def add_success(self) -> None:
+        """Takes an answer of whatever kind that shows it alive."""
+        self.failures = 0
+        self.rest_until_s = 0.0
+        self.trial = False
+
+    def add_failure(self, now_s: float) -> None:
+        """Takes a call that failed by the searcher's fault."""
+        self.failures += 1
+        self.trial = False
+        if self.failures >= TOLERATED:
+            doublings = min(self.failures - TOLERATED, 8)
+            rest_s = min(FAIL_MOST_S, FAIL_BASE_S * 2**doublings)
+            self.rest_until_s = now_s + rest_s
+
+    def rests(self, now_s: float) -> bool:
+        """Tells whether it is left alone now.
+
+        After its rest one call at a time tries whether it is back.
+        """
+        if self.failures < TOLERATED:
+            return False
+        return now_s < self.rest_until_s or self.trial
+
+
+def rate(record: Record, now_s: float) -> float:
+    """Rates a searcher for one more call; lower is better."""
+    idle_s = max(0.0, now_s - record.measured_s)
+    kept = math.pow(0.5, idle_s / FORGET_S)
+    slowness = 1.0 + (record.slowness - 1.0) * kept
+    if record.slowness < 1.0:
+        slowness = record.slowness
+    load = float(record.in_flight)
+    if now_s - record.reported_s < REPORT_FADES_S:
+        load += record.waiting
+    rating = slowness * (1.0 + load / max(1, record.slots))
+    rating += OVERDUE * record.overdue
+    if not record.near:
+        rating += OTHER_ZONE
+    return rating
+
+
+def choose(
+    records: Iterable[tuple[str, Record]], now_s: float, rng: random.Random
+) -> str | None:
+    """Chooses among searchers.
+
+    Args:
+        records: The ids of those that may be chosen, with their records.
+        now_s: The time.
+        rng: Breaks ties.
+
+    Returns:
+        The id of the best one that is not left alone; None if all are.
+    """
+    best: str | None = None
+    best_rating = 0.0
+    for searcher, record in records:
+        if record.rests(now_s):
+            continue
+        rating = rate(record, now_s) * (1.0 + 0.1 * rng.random())
+        if best is None or rating < best_rating:
+            best, best_rating = searcher, rating
+    return best
--- /dev/null
+++ b/src/azureramp/ports/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to searchers that carry a caller's request unchanged."""
--- /dev/null
+++ b/src/azureramp/ports/forwarding/pool.py
@@ -0,0 +1,262 @@
+"""The connections to one searcher, and the calls that wait for one."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+
+from azureramp.ports.forwarding import api
+from azureramp.ports.forwarding import link as link_module
+from azureramp.ports.web import connection as web_connection
+
+CONNECT_S = 1.0
+"""Longest time that opening a connection may take, in seconds; a searcher
+that is up takes some milliseconds."""
+
+MAX_WAITING = 64
+"""Most calls that wait for a connection; more than a few would be late."""
+
+GRACE_S = 0.1
+"""How long after a call's time its connection is kept, in seconds: the
+searcher's own answer that the time is over still comes on it."""
+
+
+class Ticket:
+    """A call that was submitted; see `api.Ticket`."""
+
+    __slots__ = ("_pool", "call", "link", "receiver")
+
+    def __init__(
+        self, pool: Pool, call: api.Call, receiver: api.Receiver
+    ) -> None:
+        """Makes the ticket of a call that waits."""
+        self._pool = pool
+        self.call = call
+        self.receiver: api.Receiver | None = receiver
+        self.link: link_module.Link | None = None
+
+    def abandon(self, linger_s: float) -> bool:
+        """Ends a call that nobody waits for; see `api.Ticket`."""
+        if self.link is None:
+            self.receiver = None
+            return True
+        self._pool.abandon(self.link, linger_s)
+        return False
+
+
+class Pool:
+    """Opens connections to one searcher as they are needed.
+
+    Attributes:
+        address: The searcher's `IP:port`.
+        limit: Most connections to hold.
+        opened: How many connections were opened since the start.
+    """
+
+    __slots__ = (
+        "_codec",
+        "_idle",
+        "_links",
+        "_opening",
+        "_waiting",
+        "address",
+        "limit",
+        "opened",
+    )
+
+    def __init__(self, codec: api.Codec, address: str, limit: int) -> None:
+        """Makes a pool without connections."""
+        self._codec = codec
+        self._idle: list[link_module.Link] = []
+        self._links: set[link_module.Link] = set()
+        self._opening: set[asyncio.Task[None]] = set()
+        self._waiting: collections.deque[Ticket] = collections.deque()
+        self.address = address
+        self.limit = limit
+        self.opened = 0
+
+    def submit(self, call: api.Call, receiver: api.Receiver) -> Ticket:
+        """Makes a call as soon as there is a connection for it.
+
+        Args:
+            call: The call.
+            receiver: Called once with the outcome, never before this returns.
+        """
+        ticket = Ticket(self, call, receiver)
+        link = self._take()
+        if link is not None:
+            self._send(link, ticket)
+        elif len(self._waiting) >= MAX_WAITING:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(
+                _deliver, ticket, api.Lost(api.Loss.NO_ROOM, sent=False)
+            )
+        else:
+            self._waiting.append(ticket)
+            self._open_more()
+        return ticket
+
+    def count_free(self) -> int:
+        """Returns how many calls could be written at once."""
+        now_s = asyncio.get_running_loop().time()
+        return sum(link.is_usable(now_s) for link in self._idle)
+
+    def count_open(self) -> int:
+        """Returns how many connections are open or being opened."""
+        return len(self._links) + len(self._opening)
+
+    def prepare(self, wanted: int) -> None:
+        """Opens connections ahead of need.
+
+        Args:
+            wanted: How many should be open, within the limit.
+        """
+        while self.count_open() < min(wanted, self.limit):
+            self._open()
+
+    def abandon(self, link: link_module.Link, linger_s: float) -> None:
+        """Cuts a call's connection unless its answer comes soon."""
+        self._cut_later(link, link.calls, linger_s)
+
+    def retire(self, before_s: float) -> None:
+        """Closes idle connections that gave no sign of life for long.
+
+        Something between the two ends may have lost track of them: what is
+        written there never arrives, while new connections work.
+
+        Args:
+            before_s: The last sign of life that is too old.
+        """
+        for link in list(self._idle):
+            if link.proven_s < before_s:
+                link.abort()
+
+    def close(self) -> None:
+        """Closes idle connections, and takes no more calls."""
+        self.limit = 0
+        for link in list(self._idle):
+            link.abort()
+        for task in list(self._opening):
+            task.cancel()
+        self._fail_waiting(api.Loss.NO_CONNECTION)
+
+    def _take(self) -> link_module.Link | None:
+        """Takes the idle connection that was used last, if any is fit."""
+        now_s = asyncio.get_running_loop().time()
+        while self._idle:
+            link = self._idle.pop()
+            if link.is_usable(now_s):
+                return link
+            link.abort()
+        return None
+
+    def _send(self, link: link_module.Link, ticket: Ticket) -> None:
+        """Writes a call, and sees to the connection's end if it is silent."""
+        receiver = ticket.receiver
+        if receiver is None:
+            return
+        ticket.link = link
+        link.send(ticket.call, receiver)
+        self._cut_later(link, link.calls, ticket.call.left_s + GRACE_S)
+
+    def _cut_later(
+        self, link: link_module.Link, calls: int, after_s: float
+    ) -> None:
+        """Cuts a connection if the same call still waits on it then."""
+
+        def cut() -> None:
+            if link.busy and link.calls == calls:
+                link.abort()
+
+        asyncio.get_running_loop().call_later(after_s, cut)
+
+    def _serve_waiting(self) -> None:
+        """Gives connections to the calls that wait."""
+        while self._waiting:
+            if self._waiting[0].receiver is None:
+                self._waiting.popleft()
+                continue
+            link = self._take()
+            if link is None:
+                break
+            self._send(link, self._waiting.popleft())
+        self._open_more()
+
+    def _open_more(self) -> None:
+        """Opens connections for the calls that wait, within the limit."""
+        while (
+            len(self._opening) < len(self._waiting)
+            and self.count_open() < self.limit
+        ):
+            self._open()
+        if self._waiting and not self.count_open():
+            self._fail_waiting(api.Loss.NO_ROOM)
+
+    def _open(self) -> None:
+        """Opens one connection in the background."""
+        task = asyncio.ensure_future(self._connect())
+        self._opening.add(task)
+        task.add_done_callback(self._opened)
+
+    async def _connect(self) -> None:
+        """Opens one connection.
+
+        Raises:
+            OSError: It can't be opened.
+            TimeoutError: It takes too long.
+        """
+        host, port = web_connection.split_address(self.address)
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(CONNECT_S):
+            _, link = await loop.create_connection(self._make_link, host, port)
+        self.opened += 1
+        if link.closed:
+            return
+        self._links.add(link)
+        self._idle.append(link)
+
+    def _make_link(self) -> link_module.Link:
+        """Makes the protocol of a new connection."""
+        return link_module.Link(
+            self._codec, self.address, self._take_idle, self._take_closed
+        )
+
+    def _opened(self, task: asyncio.Task[None]) -> None:
+        """Goes on after a connection was opened, or was not."""
+        self._opening.discard(task)
+        failed = task.cancelled() or task.exception() is not None
+        if failed and not self._links and not self._opening:
+            self._fail_waiting(api.Loss.NO_CONNECTION)
+        elif not failed:
+            self._serve_waiting()
+
+    def _take_idle(self, link: link_module.Link) -> None:
+        """Takes a connection back whose call has ended."""
+        if self.limit == 0 or len(self._links) > self.limit:
+            link.abort()
+            return
+        self._idle.append(link)
+        self._serve_waiting()
+
+    def _take_closed(self, link: link_module.Link, cut: bool) -> None:
+        """Forgets a connection that has ended."""
+        self._links.discard(link)
+        if link in self._idle:
+            self._idle.remove(link)
+        if self._waiting:
+            self._open_more()
+
+    def _fail_waiting(self, loss: api.Loss) -> None:
+        """Ends the calls that wait; nothing of them was sent."""
+        waiting = list(self._waiting)
+        self._waiting.clear()
+        loop = asyncio.get_running_loop()
+        for ticket in waiting:
+            loop.call_soon(_deliver, ticket, api.Lost(loss, sent=False))
+
+
+def _deliver(ticket: Ticket, outcome: api.Outcome) -> None:
+    """Hands an outcome to whoever still waits for it."""
+    receiver, ticket.receiver = ticket.receiver, None
+    if receiver is not None:
+        receiver(outcome)
--- a/src/azureramp/ports/store/api.py
+++ b/src/azureramp/ports/store/api.py
@@ -78,7 +78,8 @@
 
     Errors: `STORE_UNAVAILABLE` if nothing took effect, for sure;
     `STORE_OUTCOME_UNKNOWN` if a write may have taken effect or may still
-    take effect; `TOO_LARGE` for a value past the limit.
+    take effect; `STORE_HISTORY_GONE` if a watch begins before the changes
+    that are kept; `TOO_LARGE` for a value past the limit.
     """
 
     async def read(
--- a/src/azureramp/ports/web/connection.py
+++ b/src/azureramp/ports/web/connection.py
@@ -31,6 +31,11 @@
 
 
 def set_socket_options(writer: asyncio.StreamWriter) -> None:
+    """Sets the options of a stream; see `set_transport_options`."""
+    set_transport_options(writer.transport)
+
+
+def set_transport_options(transport: asyncio.BaseTransport) -> None:
     """Makes a connection that went silent for good fail soon.
 
     A middlebox that has forgotten a connection drops its packets without a
@@ -38,7 +43,7 @@
     timeout makes the kernel fail it once bytes stay unacknowledged, and the
     keepalive finds an idle one.
     """
-    sock = writer.get_extra_info("socket")
+    sock = transport.get_extra_info("socket")
     if not isinstance(sock, socket.socket) and not hasattr(sock, "setsockopt"):
         return
     with contextlib.suppress(OSError):
--- a/src/azureramp/ports/web/request_reader.py
+++ b/src/azureramp/ports/web/request_reader.py
@@ -4,25 +4,23 @@
 
 import asyncio
 import urllib.parse
+from collections.abc import Callable
 
 import h11
 
 from azureramp.ports.web import api
 
-MAX_BODY_BYTES = 1_000_000
-IDLE_S = 60.0
-"""Longest time between two requests on one connection, in seconds."""
-
 LINGER_S = 0.25
 """Longest time that a stopping server waits on an idle connection for a
 request that is on its way, in seconds."""
 
-REQUEST_S = 10.0
-"""Longest time from a request's first byte to its last, in seconds."""
-
 READ_BYTES = 65536
 
 
+Parse = Callable[[h11.Request, bytes, float], api.Request]
+"""Makes a request of its head, its body and when its first byte was read."""
+
+
 class BadRequestError(Exception):
     """A request that can't be taken; the connection closes after it."""
 
@@ -42,7 +40,10 @@
 
     __slots__ = (
         "_began",
+        "_began_s",
         "_http",
+        "_limits",
+        "_parse",
         "_reader",
         "_stopping",
         "_timeout",
@@ -55,12 +56,17 @@
         http: h11.Connection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        limits: api.Limits,
+        parse: Parse,
     ) -> None:
         """Makes a reader of one connection."""
         self._http = http
         self._reader = reader
         self._writer = writer
+        self._limits = limits
+        self._parse = parse
         self._began = False
+        self._began_s = 0.0
         self._stopping = False
         self._until_s = 0.0
         self._timeout: asyncio.Timeout | None = None
@@ -86,7 +92,9 @@
         """
         loop = asyncio.get_running_loop()
         self._began = False
-        self._until_s = loop.time() + (LINGER_S if self._stopping else IDLE_S)
+        self._until_s = loop.time() + (
+            LINGER_S if self._stopping else self._limits.idle_s
+        )
         head: h11.Request | None = None
         body = bytearray()
         while True:
@@ -95,13 +103,15 @@
                     await self._receive()
                 case h11.Request() as event:
                     head = event
+                    check_framing(head)
                     self._begin()
+                    self._until_s = loop.time() + self._limits.request_s
                 case h11.Data() as event:
                     body += event.data
-                    if len(body) > MAX_BODY_BYTES:
+                    if len(body) > self._limits.body_bytes:
                         raise BadRequestError(413, "the body is too large")
                 case h11.EndOfMessage() if head is not None:
-                    return parse_request(head, bytes(body))
+                    return self._parse(head, bytes(body), self._began_s)
                 case _:
                     raise IdleError
 
@@ -127,11 +137,46 @@
         """Takes in that a request's first bytes have come."""
         if not self._began:
             self._began = True
-            now_s = asyncio.get_running_loop().time()
-            self._until_s = now_s + REQUEST_S
+            self._began_s = asyncio.get_running_loop().time()
+            self._until_s = self._began_s + self._limits.header_s
+
+
+def check_framing(head: h11.Request) -> None:
+    """Refuses a request whose end two readers may see in two places.
+
+    With both a length and chunks, one reader takes for the next request what
+    another takes for the body: a request hidden in a body would be forwarded
+    as one of its own. h11 goes by the chunks without a word.
+
+    Raises:
+        BadRequestError: The request has both.
+    """
+    names = {name for name, _ in head.headers}
+    if b"content-length" in names and b"transfer-encoding" in names:
+        raise BadRequestError(400, "both a length and a transfer encoding")
+
+
+def keep_request(head: h11.Request, body: bytes, began_s: float) -> api.Request:
+    """Makes a request of h11's that is forwarded as it came.
+
+    Its path and its headers are not decoded, so that nothing that a server
+    behind understands is refused or changed here.
+    """
+    return api.Request(
+        method=head.method.decode("ascii"),
+        path="",
+        query={},
+        headers={},
+        body=body,
+        target=head.target,
+        fields=tuple(head.headers),
+        began_s=began_s,
+    )
 
 
-def parse_request(head: h11.Request, body: bytes) -> api.Request:
+def parse_request(
+    head: h11.Request, body: bytes, began_s: float = 0.0
+) -> api.Request:
     """Makes a request of h11's.
 
     Raises:
@@ -151,5 +196,10 @@
         for name, value in head.headers
     }
     return api.Request(
-        head.method.decode("ascii").upper(), path, dict(pairs), headers, body
+        head.method.decode("ascii").upper(),
+        path,
+        dict(pairs),
+        headers,
+        body,
+        began_s=began_s,
     )
--- a/src/azureramp/ports/web/server.py
+++ b/src/azureramp/ports/web/server.py
@@ -12,10 +12,9 @@
 
 import h11
 
-from azureramp.ports.web import api, server_connection
+from azureramp.ports.web import api, request_reader, server_connection
 from azureramp.ports.web import connection as web_connection
 
-MAX_CONNECTIONS = 2000
 BACKLOG = 1024
 
 
@@ -32,6 +31,8 @@
     __slots__ = (
         "_connections",
         "_handler",
+        "_limits",
+        "_parse",
         "_server",
         "_stopping",
         "address",
@@ -39,7 +40,13 @@
         "running",
     )
 
-    def __init__(self, address: str, handler: api.Handler) -> None:
+    def __init__(
+        self,
+        address: str,
+        handler: api.Handler,
+        limits: api.Limits | None = None,
+        parse: request_reader.Parse = request_reader.parse_request,
+    ) -> None:
         """Makes a server that does not listen yet.
 
         Args:
@@ -47,11 +54,15 @@
             handler: Called for each request; cancelled if the client goes.
                 A request that can't be read is told to it by the method
                 `UNREADABLE` and the status as the path.
+            limits: What is taken from clients; those of `api.Limits` if None.
+            parse: Makes the requests that the handler gets.
         """
         self.address = address
         self.running = 0
         self.closing = False
         self._handler = handler
+        self._limits = limits or api.Limits()
+        self._parse = parse
         self._stopping = False
         self._server: asyncio.Server | None = None
         self._connections: dict[
@@ -125,11 +136,11 @@
     ) -> None:
         """Serves one connection to its end."""
         task = asyncio.current_task()
-        if task is None or len(self._connections) >= MAX_CONNECTIONS:
+        if task is None or len(self._connections) >= self._limits.connections:
             writer.transport.abort()
             return
         served = server_connection.ServerConnection(
-            self._handle, reader, writer, protocol
+            self._handle, reader, writer, protocol, self._limits, self._parse
         )
         self._connections[task] = served
         web_connection.set_socket_options(writer)
--- a/src/azureramp/ports/web/server_connection.py
+++ b/src/azureramp/ports/web/server_connection.py
@@ -11,7 +11,6 @@
 
 from azureramp.ports.web import api, request_reader
 
-MAX_HEADER_BYTES = 16_384
 WRITE_S = 10.0
 """Longest time that a client may take to read a response, in seconds."""
 
@@ -68,6 +67,8 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         protocol: ClientProtocol,
+        limits: api.Limits,
+        parse: request_reader.Parse,
     ) -> None:
         """Makes the server's side of a connection."""
         self._handler = handler
@@ -75,10 +76,10 @@
         self._protocol = protocol
         self._stopping = False
         self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         self._requests = request_reader.RequestReader(
-            self._http, reader, writer
+            self._http, reader, writer, limits, parse
         )
 
     def stop(self) -> None:
@@ -161,9 +162,10 @@
         """Encodes a response by h11."""
         headers = [
             ("Content-Length", str(len(response.body))),
-            ("Content-Type", response.content_type),
             *response.headers,
         ]
+        if response.content_type:
+            headers.append(("Content-Type", response.content_type))
         if closes:
             headers.append(("Connection", "close"))
         head = h11.Response(status_code=response.status, headers=headers)
--- a/src/azureramp/texts.py
+++ b/src/azureramp/texts.py
@@ -71,6 +71,17 @@
         "No index version is served by enough searchers.",
         "Egyik indexverziót sem szolgálja ki elég kereső.",
     ),
+    errors.Kind.SHARDS_UNREACHABLE: Text(
+        "Too few shards can be asked now.",
+        "Jelenleg túl kevés szilánk érhető el.",
+    ),
+    errors.Kind.SHARDS_MISSING: Text(
+        "Too few shards answered.", "Túl kevés szilánk válaszolt."
+    ),
+    errors.Kind.STORE_HISTORY_GONE: Text(
+        "The changes since then are no longer kept.",
+        "Az azóta történt változások már nem érhetők el.",
+    ),
     errors.Kind.QUARANTINED: Text(
         "This request crashed backend servers and is refused for a while.",
         "Ez a kérés háttérkiszolgálókat döntött le, egy ideig elutasítjuk.",
