--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -83,12 +83,12 @@
     """Whether the platform's store can be reached.
 
     Attributes:
-        reachable: True after a call that worked.
+        reachable: False after a call that failed, until one works.
         lost_s: When calls last began to fail.
         regained_s: When a call first worked after that.
     """
 
-    reachable: bool = False
+    reachable: bool = True
     lost_s: float = -math.inf
     regained_s: float = -math.inf
 
--- a/src/azureramp/controllers/forwarding/entry.py
+++ b/src/azureramp/controllers/forwarding/entry.py
@@ -58,7 +58,7 @@
         """Finds the route and follows it."""
         table = self._board.table
         if table is None:
-            return _refuse(request, errors.Kind.STALE_CONFIGURATION)
+            return _refuse(request, errors.Kind.NO_CONFIGURATION)
         route = table.find(request.host, request.path)
         if route is None:
             return _refuse(request, errors.Kind.NOT_FOUND)
--- a/src/azureramp/errors.py
+++ b/src/azureramp/errors.py
@@ -54,6 +54,7 @@
     ZONE_OUT = "zone_out"
     LEAVING = "leaving"
     STALE_CONFIGURATION = "stale_configuration"
+    NO_CONFIGURATION = "no_configuration"
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_OUTCOME_UNKNOWN = "store_outcome_unknown"
     STORE_HISTORY_GONE = "store_history_gone"
@@ -138,6 +139,7 @@
     Kind.ZONE_OUT: Answer(503, Ran.NOT_RUN, Retry.OTHER_ADDRESS),
     Kind.LEAVING: Answer(503, Ran.NOT_RUN, Retry.OTHER_ADDRESS),
     Kind.STALE_CONFIGURATION: Answer(503, Ran.NOT_RUN, Retry.OTHER_ADDRESS),
+    Kind.NO_CONFIGURATION: Answer(503, Ran.NOT_RUN, Retry.OTHER_ADDRESS, 500),
     Kind.STORE_UNAVAILABLE: Answer(503, Ran.NOT_RUN, Retry.SAME, 2000),
     Kind.STORE_OUTCOME_UNKNOWN: Answer(
         503, Ran.UNKNOWN, Retry.READ_STATE, 2000
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -53,10 +53,13 @@
 
 
 class Program:
-    """One process, joined."""
+    """One process, joined.
+
+    Attributes:
+        board: The state of the process.
+    """
 
     __slots__ = (
-        "_board",
         "_entry",
         "_feed",
         "_front",
@@ -66,6 +69,7 @@
         "_settings",
         "_store",
         "_tasks",
+        "board",
     )
 
     def __init__(self, given: settings.Settings) -> None:
@@ -76,7 +80,7 @@
         contacts = contact.Contacts(board)
         known = searchers.Searchers(board, headers.Codec(), rng)
         self._settings = given
-        self._board = board
+        self.board = board
         self._store = store.PlatformStore(given.store_address)
         self._members = members.Members(
             board, self._store, encode_member, contacts, rng
@@ -115,20 +119,40 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self.start()
+        await stopping.wait()
+        cut = await self.stop()
+        return EXIT_CUT if cut else EXIT_GRACEFUL
+
+    async def start(self) -> None:
+        """Begins to listen and to follow the store.
+
+        Raises:
+            OSError: An address can't be listened on.
+        """
         for server in self._servers:
             await server.start()
-        _logger.info("started on {}", self._settings.front_address)
         for name, run in (
             ("feed", self._feed.run),
             ("members", self._members.run),
         ):
             self._tasks.append(asyncio.create_task(_keep_running(name, run)))
-        await stopping.wait()
-        cut = await leaving.leave(self._board, self._members, self._front)
+        _logger.info("started on {}", self._settings.front_address)
+
+    async def stop(self) -> int:
+        """Ends gracefully; returns how many requests were cut."""
+        cut = await leaving.leave(self.board, self._members, self._front)
+        await self.kill()
+        _logger.info("stopped; {} requests cut", cut)
+        return cut
+
+    async def kill(self) -> None:
+        """Ends at once."""
         for task in self._tasks:
             task.cancel()
-        _logger.info("stopped; {} requests cut", cut)
-        return EXIT_CUT if cut else EXIT_GRACEFUL
+        for server in self._servers:
+            await server.stop(0.0)
+        await self._store.close()
 
     async def _handle_request(
         self, request: web_api.Request
@@ -147,7 +171,7 @@
         """Answers the platform's readiness check."""
         if request.path != "/readiness":
             return web_api.Response(404)
-        return web_api.Response(200 if self._board.is_ready() else 503)
+        return web_api.Response(200 if self.board.is_ready() else 503)
 
     async def _handle_resolve(
         self, request: web_api.Request
@@ -155,17 +179,17 @@
         """Tells a caller which addresses to use."""
         if request.path != "/resolve":
             return web_api.Response(404)
-        told = advertising.choose(self._board.members.values())
+        told = advertising.choose(self.board.members.values())
         addresses = [member.address for member in told]
         own = self._settings.front_address
-        if self._board.leaving:
+        if self.board.leaving:
             addresses = [address for address in addresses if address != own]
-        elif not addresses and self._board.is_ready():
+        elif not addresses and self.board.is_ready():
             addresses = [own]
         if not addresses:
             return web_api.Response(503)
         lifetime_s = min(
-            ADDRESS_LIFETIME_S, self._board.bounds.address_lifetime_s
+            ADDRESS_LIFETIME_S, self.board.bounds.address_lifetime_s
         )
         body = msgspec.json.encode({"addrs": addresses, "ttl_s": lifetime_s})
         return web_api.Response(200, body, "application/json")
@@ -180,7 +204,7 @@
         if result.is_error():
             _logger.error("kept the settings: {}", result.error)
             return
-        self._board.bounds = result.ok.bounds
+        self.board.bounds = result.ok.bounds
         _logger.info("took the settings anew")
 
 
--- a/src/azureramp/ports/web/connection.py
+++ b/src/azureramp/ports/web/connection.py
@@ -113,6 +113,7 @@
         headers: Sequence[tuple[str, str]],
         body: bytes = b"",
         may_write: Callable[[], bool] | None = None,
+        host: str = "",
     ) -> api.Response:
         """Sends a request and reads its whole response.
 
@@ -122,6 +123,7 @@
             headers: Further headers.
             body: The request's body.
             may_write: Asked with no wait before the first write.
+            host: The host to name; the address if empty.
 
         Returns:
             The response; the connection is reusable afterwards unless
@@ -132,7 +134,7 @@
                 before; nothing was written.
             BrokenError: The connection failed; bytes may have been written.
         """
-        data = self._encode(method, target, headers, body)
+        data = self._encode(method, target, headers, body, host)
         if self._writer.is_closing() or self._reader.at_eof():
             raise UnsentError("closed")
         if may_write is not None and not may_write():
@@ -159,13 +161,14 @@
         target: str,
         headers: Sequence[tuple[str, str]],
         body: bytes,
+        host: str,
     ) -> bytes:
         """Encodes a request by h11."""
         request = h11.Request(
             method=method,
             target=target,
             headers=[
-                ("Host", self.address),
+                ("Host", host or self.address),
                 ("Content-Length", str(len(body))),
                 *headers,
             ],
--- a/src/azureramp/texts.py
+++ b/src/azureramp/texts.py
@@ -71,6 +71,10 @@
         "No index version is served by enough searchers.",
         "Egyik indexverziót sem szolgálja ki elég kereső.",
     ),
+    errors.Kind.NO_CONFIGURATION: Text(
+        "This VM has no configuration yet.",
+        "Ennek a gépnek még nincs konfigurációja.",
+    ),
     errors.Kind.SHARDS_UNREACHABLE: Text(
         "Too few shards can be asked now.",
         "Jelenleg túl kevés szilánk érhető el.",
--- /dev/null
+++ b/src/azureramp_standins/fleet/deployment.py
@@ -0,0 +1,189 @@
+"""A whole deployment on the users' platform's protocol, in one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import Any
+
+import expression
+
+from azureramp import errors
+from azureramp.controllers.forwarding import board
+from azureramp.platform import program, settings
+from azureramp.policy import allowances
+from azureramp.ports.web import api as web_api
+from azureramp.ports.web import connection as web_connection
+from azureramp_standins.fleet import searcher, store
+
+HOST = "search.example"
+STORE_ADDRESS = "127.0.0.1:7000"
+
+
+class Deployment:
+    """A store, searchers, daemons and a caller.
+
+    Attributes:
+        store: The platform's store.
+        searchers: The searchers by id.
+        programs: The daemons by VM.
+        configuration: What the operators declared, as it stands in the store.
+    """
+
+    def __init__(self) -> None:
+        """Makes a deployment without searchers and VMs."""
+        self.store = store.Store(STORE_ADDRESS)
+        self.searchers: dict[str, searcher.Searcher] = {}
+        self.programs: dict[str, program.Program] = {}
+        self.configuration: dict[str, Any] = {
+            "Version": 1,
+            "Routes": [],
+            "Services": [],
+            "Limits": {
+                "MaxHeaderBytes": 16384,
+                "MaxBodyBytes": 262144,
+                "HeaderTimeoutMs": 3000,
+                "IdleTimeoutMs": 15000,
+            },
+        }
+        self._ids = itertools.count(1)
+
+    async def start(self) -> None:
+        """Starts the store."""
+        await self.store.start()
+
+    async def add_searchers(self, service: str, count: int = 2) -> None:
+        """Starts searchers of a new service, each in its own zone."""
+        self.configuration["Services"].append(
+            {
+                "Name": service,
+                "HealthPath": "/health",
+                "MaxConnections": 24,
+                "ColdStartS": 3.0,
+                "ColdPerS": 0.0,
+            }
+        )
+        for index in range(count):
+            number = len(self.searchers)
+            name = f"{service}-{index}"
+            address = f"127.0.0.1:{20000 + number}"
+            started = searcher.Searcher(
+                name, service, address, f"zone-{index % 2}"
+            )
+            await started.start()
+            self.searchers[name] = started
+            self.store.put(f"servers/{name}", started.describe())
+
+    def add_route(self, prefix: str, **fields: Any) -> None:
+        """Declares a route; see the platform's page for the fields."""
+        self.configuration["Routes"].append(
+            {
+                "Name": f"route{prefix}",
+                "Hostname": HOST,
+                "Prefix": prefix,
+                "RouteType": "idempotent",
+                "TimeoutMs": 1000,
+                "TargetLatencyMs": 100,
+                "Priority": 1,
+                "Attempts": 2,
+            }
+            | fields
+        )
+
+    def declare(self) -> None:
+        """Writes a new version of the configuration."""
+        self.configuration["Version"] += 3
+        self.store.put("op/config", self.configuration)
+
+    async def add_vm(self, vm: str, zone: str = "zone-0") -> program.Program:
+        """Starts a daemon."""
+        base = 30000 + 10 * len(self.programs)
+        given = make_settings(vm, zone, base)
+        started = program.Program(given)
+        await started.start()
+        self.programs[vm] = started
+        return started
+
+    async def ask(
+        self,
+        vm: str,
+        target: str,
+        method: str = "GET",
+        body: bytes = b"",
+        deadline_ms: int = 1000,
+        request_id: str = "",
+    ) -> web_api.Response:
+        """Sends a caller's request on a connection of its own.
+
+        Raises:
+            BrokenError: The connection ended without an answer.
+        """
+        address = self.get_address(vm)
+        opened = await web_connection.connect(address, 1.0)
+        connection = _unwrap(opened)
+        headers = (
+            ("Azureramp-Request-Id", request_id or f"r{next(self._ids)}"),
+            ("Azureramp-Deadline-Ms", str(deadline_ms)),
+        )
+        try:
+            return await connection.exchange(
+                method, target, headers, body, host=HOST
+            )
+        finally:
+            connection.abort()
+
+    def get_address(self, vm: str) -> str:
+        """Returns where a daemon's callers connect."""
+        return self.programs[vm].board.identity.front_address
+
+    async def kill(self) -> None:
+        """Ends everything."""
+        for each in self.programs.values():
+            await each.kill()
+        for other in self.searchers.values():
+            other.crash()
+        await self.store.server.stop(0.0)
+
+
+def make_settings(vm: str, zone: str, base: int) -> settings.Settings:
+    """Makes the settings of a daemon with ports from `base` on."""
+    return settings.Settings(
+        identity=board.Identity(
+            vm=vm,
+            zone=zone,
+            front_address=f"127.0.0.1:{base}",
+            peer_address="",
+            cores=1.0,
+            first_start=True,
+        ),
+        bounds=board.Bounds(
+            extra=allowances.Terms(ratio=0.2, window_s=10.0, fixed=56.0),
+            cold_overage=1.5,
+            cold_slack=5.0,
+            grace_s=6.0,
+            address_lifetime_s=5.0,
+        ),
+        front_address=f"127.0.0.1:{base}",
+        ready_address=f"127.0.0.1:{base + 1}",
+        directory_address=f"127.0.0.1:{base + 2}",
+        store_address=STORE_ADDRESS,
+        descriptors=4000,
+    )
+
+
+def _unwrap(
+    opened: expression.Result[web_connection.Connection, errors.Failure],
+) -> web_connection.Connection:
+    """Returns an opened connection.
+
+    Raises:
+        BrokenError: It could not be opened.
+    """
+    if opened.is_error():
+        raise web_connection.BrokenError(opened.error.detail)
+    return opened.ok
+
+
+async def settle(seconds: float = 1.0) -> None:
+    """Lets the daemons hear of what was written."""
+    await asyncio.sleep(seconds)
--- /dev/null
+++ b/src/azureramp_standins/fleet/searcher.py
@@ -0,0 +1,239 @@
+"""A stand-in for a searcher that speaks the users' platform's protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+from collections.abc import Callable
+
+import h11
+
+from azureramp.ports.web import connection as web_connection
+
+READ_BYTES = 65536
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Seen:
+    """A request that reached the searcher.
+
+    Attributes:
+        at_s: When, on the loop's clock.
+        id: The request's id.
+        method: The method.
+        target: The path with its query.
+        headers: The headers, names in lower case.
+        body: The body.
+    """
+
+    at_s: float
+    id: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Act:
+    """What the searcher does with a request.
+
+    Attributes:
+        after_s: How long it works, in seconds.
+        status: The status.
+        body: The body.
+        signed: True if it signs the answer.
+        not_run: True if it says that it did not run the request.
+        id: The request id of the answer; None for the request's own.
+        raw: Bytes sent in place of an answer.
+        extra: Bytes sent after the answer.
+        framed: False for an answer without a length, ended by a close.
+        then: `keep`, `close`, `reset` or `hang`: what follows; `hang` sends
+            nothing at all.
+    """
+
+    after_s: float = 0.005
+    status: int = 200
+    body: bytes = b""
+    signed: bool = True
+    not_run: bool = False
+    id: str | None = None
+    raw: bytes | None = None
+    extra: bytes = b""
+    framed: bool = True
+    then: str = "keep"
+
+    def do(self, _: Seen) -> Act:
+        """Does this with every request; a script."""
+        return self
+
+
+Script = Callable[[Seen], Act]
+
+
+class Searcher:
+    """One searcher.
+
+    Attributes:
+        id: Its identity.
+        service: The name of its service.
+        address: Its `IP:port`.
+        zone: Its availability zone.
+        script: Decides what to do with each request.
+        seen: What reached it.
+        connections: How many connections it accepted.
+        open: How many are open.
+    """
+
+    def __init__(
+        self, name: str, service: str, address: str, zone: str
+    ) -> None:
+        """Makes a searcher that answers at once; see `start`."""
+        self.id = name
+        self.service = service
+        self.address = address
+        self.zone = zone
+        self.script: Script = lambda seen: Act()
+        self.seen: list[Seen] = []
+        self.connections = 0
+        self.open = 0
+        self.cancelled: collections.Counter[str] = collections.Counter()
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Begins to listen."""
+        host, port = web_connection.split_address(self.address)
+        self._server = await asyncio.start_server(self._serve, host, port)
+
+    def crash(self) -> None:
+        """Ends at once, with all connections."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def describe(self, **changes: object) -> dict[str, object]:
+        """Returns its entry in the store."""
+        return {
+            "Backend": self.service,
+            "Address": self.address,
+            "Zone": self.zone,
+            "Version": "v1",
+            "Slots": 2,
+            "State": "ready",
+            "ColdRemainingMs": 0,
+            "Sequence": 1,
+            "born": 1_000,
+        } | changes
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one connection."""
+        self.connections += 1
+        self.open += 1
+        self._writers.add(writer)
+        http = h11.Connection(h11.SERVER)
+        try:
+            while await self._serve_one(http, reader, writer):
+                http.start_next_cycle()
+        except (OSError, h11.ProtocolError, EOFError):
+            writer.transport.abort()
+        finally:
+            self.open -= 1
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_one(
+        self,
+        http: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Serves one request; False if the connection ends."""
+        seen = await self._read(http, reader)
+        if seen is None:
+            return False
+        self.seen.append(seen)
+        wanted = seen.headers.get("azureramp-target-instance", self.id)
+        act = self.script(seen)
+        if wanted != self.id:
+            act = Act(status=421, signed=False)
+        work = asyncio.ensure_future(asyncio.sleep(act.after_s))
+        gone = asyncio.ensure_future(reader.read(1))
+        await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
+        if not work.done():
+            work.cancel()
+            self.cancelled[seen.id] += 1
+            return False
+        if act.then == "hang":
+            await gone
+            return False
+        gone.cancel()
+        await asyncio.wait({gone})
+        if act.then == "reset" and act.raw is None:
+            writer.transport.abort()
+            return False
+        writer.write(self._encode(http, seen, act))
+        await writer.drain()
+        if act.then == "reset":
+            writer.transport.abort()
+        return act.then == "keep" and act.framed and act.raw is None
+
+    async def _read(
+        self, http: h11.Connection, reader: asyncio.StreamReader
+    ) -> Seen | None:
+        """Reads one request; None at the end of the stream."""
+        head: h11.Request | None = None
+        body = bytearray()
+        while True:
+            match http.next_event():
+                case h11.NEED_DATA:
+                    http.receive_data(await reader.read(READ_BYTES))
+                case h11.Request() as event:
+                    head = event
+                case h11.Data() as event:
+                    body += event.data
+                case h11.EndOfMessage() if head is not None:
+                    break
+                case _:
+                    return None
+        headers = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in head.headers
+        }
+        return Seen(
+            asyncio.get_running_loop().time(),
+            headers.get("azureramp-request-id", ""),
+            head.method.decode("ascii"),
+            head.target.decode("ascii"),
+            headers,
+            bytes(body),
+        )
+
+    def _encode(self, http: h11.Connection, seen: Seen, act: Act) -> bytes:
+        """Encodes what is sent back."""
+        if act.raw is not None:
+            return act.raw
+        name = seen.id if act.id is None else act.id
+        headers = [("Azureramp-Request-Id", name)]
+        if act.signed:
+            headers.append(
+                ("Azureramp-Server-Stamp", f"{self.id}.{name}.{len(self.seen)}")
+            )
+        if act.not_run:
+            headers.append(("Azureramp-Not-Executed", "1"))
+        if act.framed:
+            headers.append(("Content-Length", str(len(act.body))))
+        else:
+            headers.append(("Connection", "close"))
+        head = h11.Response(status_code=act.status, headers=headers)
+        if not act.framed:
+            lines = [f"HTTP/1.1 {act.status} OK"]
+            lines += [f"{field}: {value}" for field, value in headers]
+            return "\r\n".join([*lines, "", ""]).encode() + act.body
+        events = (head, h11.Data(data=act.body), h11.EndOfMessage())
+        return b"".join(http.send(event) or b"" for event in events) + act.extra
--- /dev/null
+++ b/tests/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that are forwarded to searchers, end to end."""
--- /dev/null
+++ b/tests/forwarding/scenes.py
@@ -0,0 +1,48 @@
+"""Running a scenario against a whole deployment in virtual time."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+from azureramp_standins import virtual
+from azureramp_standins.fleet import deployment
+
+Scenario = Callable[[deployment.Deployment], Awaitable[None]]
+
+SHARDS = ("shard-a", "shard-b", "shard-c", "shard-d")
+PLAIN = "statements"
+
+
+def run(scenario: Scenario, vms: int = 1, searchers: int = 2) -> None:
+    """Runs a scenario.
+
+    There is a route `/all/` over `SHARDS`, of which three must be in, a route
+    `/one/` and a route `/once/` whose requests may run once, both to `PLAIN`.
+    """
+
+    async def whole() -> None:
+        scene = deployment.Deployment()
+        await scene.start()
+        for service in (*SHARDS, PLAIN):
+            await scene.add_searchers(service, searchers)
+        scene.add_route(
+            "/all/", FanoutServices=list(SHARDS), TopK=3, MinShardShare=0.75
+        )
+        scene.add_route("/one/", Backend=PLAIN)
+        scene.add_route("/once/", Backend=PLAIN, RouteType="non_idempotent")
+        scene.declare()
+        for number in range(vms):
+            await scene.add_vm(f"vm-{number}", f"zone-{number % 2}")
+        await deployment.settle()
+        try:
+            await scenario(scene)
+        finally:
+            await scene.kill()
+
+    virtual.run(whole())
+
+
+def get_headers(response: object) -> dict[str, str]:
+    """Returns a response's headers, names in lower case."""
+    pairs: tuple[tuple[str, str], ...] = getattr(response, "headers", ())
+    return {name.lower(): value for name, value in pairs}
--- /dev/null
+++ b/tests/forwarding/test_gather.py
@@ -0,0 +1,183 @@
+"""Requests to all shards: merged, honestly short, in time."""
+
+from __future__ import annotations
+
+import asyncio
+
+from azureramp_standins.fleet import deployment, searcher
+from tests.forwarding import scenes
+
+
+def make_record(number: int) -> bytes:
+    return number.to_bytes(16, "big")
+
+
+def test_the_greatest_records_of_all_shards_come_greatest_first() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        for number, service in enumerate(scenes.SHARDS):
+            body = make_record(number) + make_record(10 + number) + b"rest"
+            act = searcher.Act(body=body)
+            for index in range(2):
+                scene.searchers[f"{service}-{index}"].script = act.do
+        answer = await scene.ask("vm-0", "/all/x")
+        assert answer.status == 200
+        assert answer.body == b"".join(map(make_record, (13, 12, 11)))
+        headers = scenes.get_headers(answer)
+        assert headers["azureramp-missing-parts"] == "0"
+        signatures = headers["azureramp-part-stamps"].split(", ")
+        assert sorted(each.split("-")[1] for each in signatures) == [
+            "a",
+            "b",
+            "c",
+            "d",
+        ]
+
+    scenes.run(scenario)
+
+
+def test_a_searcher_that_pauses_is_hedged() -> None:
+    """A clerk's lookup waits although the other replica is idle.
+
+    One searcher of a shard stands still for a tenth of a second. A second
+    call goes to the other one long before the answer is due, and the answer
+    is complete and in time.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        for index in range(2):
+            name = f"shard-a-{index}"
+            scene.searchers[name].script = lambda seen: searcher.Act(
+                after_s=0.5
+                if len(scene.searchers["shard-a-0"].seen) == 1
+                and not scene.searchers["shard-a-1"].seen
+                else 0.005
+            )
+        began_s = asyncio.get_running_loop().time()
+        answer = await scene.ask("vm-0", "/all/x")
+        took_s = asyncio.get_running_loop().time() - began_s
+        assert answer.status == 200
+        assert scenes.get_headers(answer)["azureramp-missing-parts"] == "0"
+        assert took_s < 0.06
+
+    scenes.run(scenario)
+
+
+def test_an_answer_goes_out_short_and_says_so() -> None:
+    """A shard's searchers all hang: the family must not wait for them.
+
+    Three of four shards are in, which is enough. Shortly before the target
+    the answer goes out with one part missing, and its header tells.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        for index in range(2):
+            scene.searchers[f"shard-a-{index}"].script = lambda seen: (
+                searcher.Act(then="hang")
+            )
+        began_s = asyncio.get_running_loop().time()
+        answer = await scene.ask("vm-0", "/all/x")
+        took_s = asyncio.get_running_loop().time() - began_s
+        assert answer.status == 200
+        assert scenes.get_headers(answer)["azureramp-missing-parts"] == "1"
+        assert took_s < 0.1
+
+    scenes.run(scenario)
+
+
+def test_too_few_shards_are_refused_at_once_as_not_run() -> None:
+    """Two of four shards are down for good: nobody can be answered.
+
+    Once that is known, a request is refused before any searcher gets it, with
+    a time to come back, in place of a wait until its deadline.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        for service in ("shard-a", "shard-b"):
+            for index in range(2):
+                scene.store.remove(f"servers/{service}-{index}")
+        await deployment.settle()
+        before = len(scene.searchers["shard-c-0"].seen)
+        answer = await scene.ask("vm-0", "/all/x")
+        assert answer.status == 503
+        assert float(scenes.get_headers(answer)["retry-after"]) > 0
+        assert len(scene.searchers["shard-c-0"].seen) == before
+
+    scenes.run(scenario)
+
+
+def test_a_refusal_after_a_run_does_not_say_not_run() -> None:
+    """Two shards break every call: the answer would be too short.
+
+    Other shards have run the request by then. A 503 would promise that it
+    has not run, so it is 502.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        for service in ("shard-a", "shard-b"):
+            for index in range(2):
+                scene.searchers[f"{service}-{index}"].script = lambda seen: (
+                    searcher.Act(then="reset")
+                )
+        answer = await scene.ask("vm-0", "/all/x")
+        assert answer.status == 502
+
+    scenes.run(scenario)
+
+
+def test_all_parts_come_from_one_version_of_the_shards() -> None:
+    """The index is cut anew while a query runs.
+
+    The query began with the old set of shards. The new version comes into
+    force before its parts are in; it still ends with the old set, and the
+    next one uses the new set alone.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        for number in range(2):
+            await scene.add_searchers(f"new-{number}")
+        for service in scenes.SHARDS:
+            for index in range(2):
+                scene.searchers[f"{service}-{index}"].script = lambda seen: (
+                    searcher.Act(after_s=0.6)
+                )
+        scene.configuration["Routes"][0]["TargetLatencyMs"] = 900
+        scene.declare()
+        await deployment.settle()
+        running = asyncio.ensure_future(scene.ask("vm-0", "/all/x"))
+        await asyncio.sleep(0.05)
+        scene.configuration["Routes"][0]["FanoutServices"] = ["new-0", "new-1"]
+        scene.declare()
+        answer = await running
+        stamps = scenes.get_headers(answer)["azureramp-part-stamps"]
+        assert stamps.count("shard-") == 4
+        assert "new-" not in stamps
+        answer = await scene.ask("vm-0", "/all/x")
+        stamps = scenes.get_headers(answer)["azureramp-part-stamps"]
+        assert stamps.count("new-") == 2
+        assert "shard-" not in stamps
+
+    scenes.run(scenario)
+
+
+def test_a_caller_that_has_gone_ends_its_calls() -> None:
+    """A director hangs up, and the searchers work on for nobody.
+
+    The calls of a request whose caller has gone are cut well within half a
+    second, so that searchers which stop at a close have their slots back.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        for each in scene.searchers.values():
+            each.script = lambda seen: searcher.Act(after_s=0.8)
+        running = asyncio.ensure_future(scene.ask("vm-0", "/all/x"))
+        await asyncio.sleep(0.01)
+        running.cancel()
+        await asyncio.sleep(0.4)
+        cut = sum(
+            sum(each.cancelled.values()) for each in scene.searchers.values()
+        )
+        assert cut == 4
+        arrived = sum(len(each.seen) for each in scene.searchers.values())
+        assert arrived == 4
+
+    scenes.run(scenario)
--- /dev/null
+++ b/tests/forwarding/test_members.py
@@ -0,0 +1,97 @@
+"""Which VMs callers are told of, and how one leaves."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from azureramp.ports.web import pool
+from azureramp_standins.fleet import deployment, searcher
+from tests.forwarding import scenes
+
+
+async def resolve(scene: deployment.Deployment, vm: str) -> list[str]:
+    host, _, port = scene.get_address(vm).rpartition(":")
+    directory = pool.Pool(f"{host}:{int(port) + 2}")
+    target = f"/resolve?Name={deployment.HOST}&Region=r&Zone=zone-0"
+    result = await directory.exchange("GET", target)
+    directory.close()
+    assert result.is_ok()
+    if result.ok.status != 200:
+        return []
+    body = msgspec.json.decode(result.ok.body)
+    assert 0 < body["ttl_s"] <= 5
+    return sorted(body["addrs"])
+
+
+def test_callers_are_told_of_all_ready_vms() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        await deployment.settle(2.0)
+        wanted = sorted(scene.get_address(vm) for vm in scene.programs)
+        for vm in scene.programs:
+            assert await resolve(scene, vm) == wanted
+
+    scenes.run(scenario, vms=3)
+
+
+def test_a_dead_vm_is_told_of_for_a_few_seconds_at_most() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        await deployment.settle(2.0)
+        await scene.programs["vm-1"].kill()
+        await deployment.settle(5.0)
+        assert scene.get_address("vm-1") not in await resolve(scene, "vm-0")
+
+    scenes.run(scenario, vms=2)
+
+
+def test_vms_whose_entries_lapsed_with_the_store_are_told_on() -> None:
+    """The store is away for long, and callers are told of nobody.
+
+    The VMs' entries lapse with their leases though the VMs serve. They are
+    told of until the store has been back for a while.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        await deployment.settle(2.0)
+        both = await resolve(scene, "vm-0")
+        scene.store.faults.busy = True
+        await deployment.settle(10.0)
+        assert await resolve(scene, "vm-0") == both
+        scene.store.faults.busy = False
+        for _ in range(8):
+            await deployment.settle(0.5)
+            assert await resolve(scene, "vm-0") == both
+
+    scenes.run(scenario, vms=2)
+
+
+def test_a_stopping_vm_is_not_told_of_and_ends_what_runs() -> None:
+    """A VM is replaced by plan, and a lookup that it had taken is cut.
+
+    It goes out of the answers at once, serves those that come all the same,
+    and closes its port only then; what runs gets its answer before the VM
+    would be killed.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        await deployment.settle(2.0)
+        for index in range(2):
+            scene.searchers[f"statements-{index}"].script = lambda seen: (
+                searcher.Act(after_s=0.7)
+            )
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        stopping = asyncio.ensure_future(scene.programs["vm-1"].stop())
+        await asyncio.sleep(0.5)
+        assert scene.get_address("vm-1") not in await resolve(scene, "vm-0")
+        assert scene.get_address("vm-1") not in await resolve(scene, "vm-1")
+        late = await scene.ask("vm-1", "/one/x")
+        assert late.status == 200
+        await asyncio.sleep(began_s + 2.2 - loop.time())
+        last = await scene.ask("vm-1", "/once/x", "POST", b"grant")
+        assert last.status == 200
+        assert await stopping == 0
+        assert loop.time() - began_s < 6.0
+
+    scenes.run(scenario, vms=2)
--- /dev/null
+++ b/tests/forwarding/test_searchers.py
@@ -0,0 +1,135 @@
+"""Searchers that drain, go, come again, and availability zones that leave."""
+
+from __future__ import annotations
+
+import pytest
+
+from azureramp_standins.fleet import deployment
+from tests.forwarding import scenes
+
+
+async def ask_often(scene: deployment.Deployment, count: int = 12) -> None:
+    for _ in range(count):
+        answer = await scene.ask("vm-0", "/one/x")
+        assert answer.status == 200
+
+
+def test_a_draining_searcher_gets_nothing_new() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        leaving = scene.searchers["statements-0"]
+        scene.store.put(
+            "servers/statements-0", leaving.describe(State="draining")
+        )
+        await deployment.settle()
+        before = len(leaving.seen)
+        await ask_often(scene)
+        assert len(leaving.seen) == before
+
+    scenes.run(scenario)
+
+
+def test_a_zone_taken_out_gets_nothing_until_it_is_back() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        scene.store.put("op/evacuate/zone-0", {})
+        await deployment.settle()
+        await ask_often(scene)
+        assert not scene.searchers["statements-0"].seen
+        scene.store.remove("op/evacuate/zone-0")
+        await deployment.settle()
+        await ask_often(scene)
+        assert scene.searchers["statements-0"].seen
+
+    scenes.run(scenario)
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [
+        b"\xff\x00 no JSON",
+        {"Backend": "statements"},
+        {"State": "asleep"},
+        {"Address": 5},
+    ],
+    ids=["bytes", "fields", "state", "type"],
+)
+def test_an_entry_of_another_writer_names_no_searcher(entry: object) -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        written: object = entry
+        if isinstance(entry, dict) and "Backend" not in entry:
+            described = scene.searchers["statements-0"].describe()
+            written = described | entry
+        scene.store.put("servers/statements-0", written)
+        await deployment.settle()
+        await ask_often(scene)
+        assert not scene.searchers["statements-0"].seen
+
+    scenes.run(scenario)
+
+
+def test_entries_that_lapsed_while_the_store_was_away_stay_in_use() -> None:
+    """The store goes down for a while, and all lookups fail at its return.
+
+    While it is away every searcher's entry lapses, though the searchers live.
+    They write anew within two seconds of its return. Until then they are
+    used on; one that is still missing afterwards is gone.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        scene.store.faults.busy = True
+        await deployment.settle(3.0)
+        for name in list(scene.searchers):
+            scene.store.remove(f"servers/{name}")
+        scene.store.faults.busy = False
+        await deployment.settle(1.0)
+        await ask_often(scene)
+        for name, each in scene.searchers.items():
+            if name != "statements-0":
+                scene.store.put(f"servers/{name}", each.describe())
+        await deployment.settle(3.0)
+        before = len(scene.searchers["statements-0"].seen)
+        await ask_often(scene)
+        assert len(scene.searchers["statements-0"].seen) == before
+
+    scenes.run(scenario)
+
+
+def test_an_entry_that_goes_while_the_store_is_well_is_gone_at_once() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        await deployment.settle(5.0)
+        scene.store.remove("servers/statements-0")
+        await deployment.settle(0.5)
+        await ask_often(scene)
+        assert not scene.searchers["statements-0"].seen
+
+    scenes.run(scenario)
+
+
+def test_a_crashed_searcher_is_left_alone_and_found_again() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        crashed = scene.searchers["statements-0"]
+        crashed.crash()
+        await ask_often(scene)
+        await crashed.start()
+        await deployment.settle(2.0)
+        await ask_often(scene, 30)
+        assert crashed.seen
+
+    scenes.run(scenario)
+
+
+def test_what_was_measured_of_a_process_goes_with_it() -> None:
+    """A searcher that was slow starts again, and nobody uses it.
+
+    It keeps its id; only the time of its start is another. What was measured
+    before says nothing of the new process.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        board = scene.programs["vm-0"].board
+        board.targets["statements-0"].record.slowness = 9.0
+        again = scene.searchers["statements-0"].describe(born=2_000)
+        scene.store.put("servers/statements-0", again)
+        await deployment.settle()
+        assert board.targets["statements-0"].record.slowness == 1.0
+
+    scenes.run(scenario)
--- /dev/null
+++ b/tests/forwarding/test_single.py
@@ -0,0 +1,241 @@
+"""Requests to one searcher: repeated only where that is allowed."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from azureramp_standins.fleet import deployment, searcher
+from tests.forwarding import scenes
+
+
+def count_runs(scene: deployment.Deployment, service: str) -> int:
+    return sum(
+        len(each.seen)
+        for each in scene.searchers.values()
+        if each.service == service
+    )
+
+
+def set_script(
+    scene: deployment.Deployment, service: str, act: searcher.Act
+) -> None:
+    for each in scene.searchers.values():
+        if each.service == service:
+            each.script = lambda seen: act
+
+
+def test_the_request_and_the_answer_pass_unchanged() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        act = searcher.Act(body=b"\x00whole\xff")
+        set_script(scene, scenes.PLAIN, act)
+        answer = await scene.ask(
+            "vm-0", "/once/a%2Fb?x=1&x=2", "POST", b"grant", request_id="r-7"
+        )
+        assert answer.status == 200
+        assert answer.body == b"\x00whole\xff"
+        headers = scenes.get_headers(answer)
+        assert headers["azureramp-request-id"] == "r-7"
+        assert headers["azureramp-server-stamp"].startswith("statements-")
+        (seen,) = [
+            each
+            for name in ("statements-0", "statements-1")
+            for each in scene.searchers[name].seen
+        ]
+        assert seen.target == "/once/a%2Fb?x=1&x=2"
+        assert seen.method == "POST"
+        assert seen.body == b"grant"
+        assert seen.headers["host"] == deployment.HOST
+        assert 900 < int(seen.headers["azureramp-deadline-ms"]) < 1000
+
+    scenes.run(scenario)
+
+
+def test_a_lost_answer_of_a_request_that_runs_once_is_unknown() -> None:
+    """A grant is filed twice: the worst that can happen to a household.
+
+    The searcher runs it and its connection is reset before the answer. No
+    other searcher may get it, and the caller must not be told that it has
+    not run.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        set_script(scene, scenes.PLAIN, searcher.Act(then="reset"))
+        answer = await scene.ask("vm-0", "/once/x", "POST", b"grant")
+        assert answer.status == 502
+        assert count_runs(scene, scenes.PLAIN) == 1
+
+    scenes.run(scenario)
+
+
+def test_a_slow_request_that_runs_once_is_not_hedged() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        set_script(scene, scenes.PLAIN, searcher.Act(after_s=0.5))
+        answer = await scene.ask("vm-0", "/once/x", "POST", b"grant")
+        assert answer.status == 200
+        assert count_runs(scene, scenes.PLAIN) == 1
+
+    scenes.run(scenario)
+
+
+def test_a_rejected_request_that_runs_once_goes_to_another() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        def reject_first(seen: searcher.Seen) -> searcher.Act:
+            if count_runs(scene, scenes.PLAIN) == 1:
+                return searcher.Act(status=503, not_run=True, signed=False)
+            return searcher.Act(body=b"done")
+
+        for index in range(2):
+            scene.searchers[f"statements-{index}"].script = reject_first
+        answer = await scene.ask("vm-0", "/once/x", "POST", b"grant")
+        assert answer.status == 200
+        assert answer.body == b"done"
+        assert count_runs(scene, scenes.PLAIN) == 2
+
+    scenes.run(scenario)
+
+
+def test_a_request_that_nobody_ran_is_refused_as_such() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        act = searcher.Act(status=503, not_run=True, signed=False)
+        set_script(scene, scenes.PLAIN, act)
+        answer = await scene.ask("vm-0", "/once/x", "POST", b"grant")
+        assert answer.status == 503
+        assert float(scenes.get_headers(answer)["retry-after"]) > 0
+
+    scenes.run(scenario)
+
+
+def test_a_repeatable_request_survives_a_reset() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        def reset_first(seen: searcher.Seen) -> searcher.Act:
+            if count_runs(scene, scenes.PLAIN) == 1:
+                return searcher.Act(then="reset")
+            return searcher.Act(body=b"done")
+
+        for index in range(2):
+            scene.searchers[f"statements-{index}"].script = reset_first
+        answer = await scene.ask("vm-0", "/one/x")
+        assert answer.body == b"done"
+
+    scenes.run(scenario)
+
+
+@pytest.mark.parametrize(
+    "act",
+    [
+        searcher.Act(raw=b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"),
+        searcher.Act(raw=b"no answer at all\r\n\r\n"),
+        searcher.Act(id="another", body=b"not yours"),
+        searcher.Act(signed=False, body=b"nobody's"),
+        searcher.Act(framed=False, body=b"cut", then="reset"),
+    ],
+    ids=["truncated", "garbage", "another-id", "unsigned", "cut-unframed"],
+)
+def test_an_answer_that_is_not_whole_and_ones_own_is_not_used(
+    act: searcher.Act,
+) -> None:
+    """A widow's arrears are shown to somebody else, or half of them.
+
+    A faulty searcher truncates an answer, sends bytes that are none, or gives
+    one request's answer to another. Nothing of it may reach a caller, whether
+    the other searcher answers or none does.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        set_script(scene, scenes.PLAIN, act)
+        answer = await scene.ask("vm-0", "/one/x")
+        assert answer.status in (502, 504)
+        assert b"half" not in answer.body
+        assert b"yours" not in answer.body
+
+    scenes.run(scenario)
+
+
+def test_a_second_answer_is_passed_over() -> None:
+    """A faulty searcher answers an earlier request twice.
+
+    The second answer comes where the next caller's is due, and then that
+    caller's own. It is told by its id; a request that may run once is served
+    by its own answer that follows.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        late = (
+            b"HTTP/1.1 200 OK\r\nAzureramp-Request-Id: old\r\n"
+            b"Azureramp-Server-Stamp: s\r\nContent-Length: 3\r\n\r\nold"
+        )
+        own = (
+            b"HTTP/1.1 200 OK\r\nAzureramp-Request-Id: mine\r\n"
+            b"Azureramp-Server-Stamp: s\r\nContent-Length: 4\r\n\r\nmine"
+        )
+        set_script(scene, scenes.PLAIN, searcher.Act(raw=late + own))
+        answer = await scene.ask(
+            "vm-0", "/once/x", "POST", b"grant", request_id="mine"
+        )
+        assert answer.status == 200
+        assert answer.body == b"mine"
+
+    scenes.run(scenario)
+
+
+def test_bytes_after_an_answer_end_the_connection() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        act = searcher.Act(body=b"first", extra=b"HTTP/1.1 200 OK\r\n\r\n")
+        set_script(scene, scenes.PLAIN, act)
+        for _ in range(3):
+            answer = await scene.ask("vm-0", "/one/x")
+            assert answer.body == b"first"
+        for index in range(2):
+            asked = scene.searchers[f"statements-{index}"]
+            assert asked.connections >= len(asked.seen)
+
+    scenes.run(scenario)
+
+
+def test_an_answer_without_a_length_ends_with_its_stream() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        act = searcher.Act(framed=False, body=b"whole", then="close")
+        set_script(scene, scenes.PLAIN, act)
+        answer = await scene.ask("vm-0", "/one/x")
+        assert answer.body == b"whole"
+
+    scenes.run(scenario)
+
+
+def test_a_searcher_that_took_over_an_address_is_not_used() -> None:
+    """A searcher ends, and another service's gets its address.
+
+    The entry still names the old one. The new one rejects the call by the
+    id in it, and the call goes to another searcher of the right service.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        scene.searchers["statements-0"].id = "someone-else"
+        for _ in range(4):
+            answer = await scene.ask("vm-0", "/once/x", "POST", b"grant")
+            assert answer.status == 200
+        assert len(scene.searchers["statements-0"].seen) <= 1
+
+    scenes.run(scenario)
+
+
+def test_a_request_is_answered_at_its_routes_timeout() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        set_script(scene, scenes.PLAIN, searcher.Act(then="hang"))
+        began_s = asyncio.get_running_loop().time()
+        answer = await scene.ask("vm-0", "/one/x", deadline_ms=5000)
+        took_s = asyncio.get_running_loop().time() - began_s
+        assert answer.status == 504
+        assert 0.99 < took_s < 1.1
+
+    scenes.run(scenario)
+
+
+def test_a_request_without_a_route_is_not_found() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        answer = await scene.ask("vm-0", "/none/x")
+        assert answer.status == 404
+
+    scenes.run(scenario)
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the users' platform."""
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,113 @@
+"""The store's entries, decoded once into the project's types."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from azureramp import catalog
+from azureramp.platform import decoding
+from azureramp.ports.store import api
+
+ROUTE = {
+    "Name": "r",
+    "Hostname": "Search.Example",
+    "Prefix": "/a/",
+    "RouteType": "idempotent",
+    "TimeoutMs": 250,
+    "TargetLatencyMs": 44,
+    "Priority": 2,
+    "Attempts": 2,
+}
+
+SEARCHER = {
+    "Backend": "s",
+    "Address": "10.0.0.1:80",
+    "Zone": "z",
+    "Slots": 2,
+    "State": "ready",
+    "ColdRemainingMs": 1500,
+    "Sequence": 4,
+    "born": 17,
+}
+
+
+def decode(key: str, body: Any) -> catalog.Update | None:
+    value = None if body is None else msgspec.json.encode(body)
+    return decoding.decode(api.Entry(key, value, 1))
+
+
+def decode_route(**fields: Any) -> catalog.Route:
+    body = {"Version": 1, "Routes": [ROUTE | fields], "Services": []}
+    update = decode("op/config", body)
+    assert isinstance(update, catalog.ConfigurationDeclared)
+    return update.configuration.routes[0]
+
+
+def test_a_route_to_all_shards() -> None:
+    route = decode_route(FanoutServices=["a", "b"], TopK=5, MinShardShare=0.75)
+    assert route.destination == catalog.AllOf(("a", "b"), 5, 0.75)
+    assert route.host == "search.example"
+    assert route.timeout_s == 0.25
+    assert route.repeatable
+
+
+def test_a_split_route() -> None:
+    split = [{"Backend": "a", "Weight": 3}, {"Backend": "b", "Weight": 1}]
+    route = decode_route(TrafficSplit=split)
+    wanted = (catalog.Weighted("a", 3), catalog.Weighted("b", 1))
+    assert route.destination == catalog.OneOf(wanted)
+
+
+@pytest.mark.parametrize("kind", ["non_idempotent", "something_new"])
+def test_any_other_kind_may_not_be_repeated(kind: str) -> None:
+    assert not decode_route(Backend="a", RouteType=kind).repeatable
+
+
+def test_a_configuration_that_cannot_be_read_is_said_so() -> None:
+    update = decode("op/config", {"Version": "x"})
+    assert isinstance(update, catalog.Unreadable)
+
+
+def test_a_searcher() -> None:
+    update = decode("servers/i-1", SEARCHER)
+    assert update == catalog.SearcherSeen(
+        catalog.Searcher(
+            id="i-1",
+            service="s",
+            address="10.0.0.1:80",
+            zone="z",
+            slots=2,
+            state=catalog.SearcherState.READY,
+            cold_s=1.5,
+            started_ms=17,
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"State": "asleep"},
+        {"Address": "nowhere"},
+        {"Address": 5},
+        {"Backend": ""},
+        {"Slots": "two"},
+        {"Zone": None},
+    ],
+)
+def test_an_entry_that_cannot_be_used_names_no_searcher(
+    fields: dict[str, Any],
+) -> None:
+    update = decode("servers/i-1", SEARCHER | fields)
+    assert update == catalog.SearcherGone("i-1")
+
+
+def test_removals_and_evacuations() -> None:
+    assert decode("servers/i-1", None) == catalog.SearcherGone("i-1")
+    assert decode("op/evacuate/z", {}) == catalog.ZoneEvacuated("z", True)
+    assert decode("op/evacuate/z", None) == catalog.ZoneEvacuated("z", False)
+    assert decode("azureramp/members/v", None) == catalog.MemberGone("v")
+    assert decode("status/else", {}) is None
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,94 @@
+"""Headers of requests, calls and answers."""
+
+from __future__ import annotations
+
+import pytest
+
+from azureramp import errors
+from azureramp.controllers.forwarding import requests
+from azureramp.platform import headers
+from azureramp.ports.forwarding import api
+from azureramp.ports.web import api as web_api
+
+
+def make_request(*extra: tuple[bytes, bytes]) -> web_api.Request:
+    fields = (
+        (b"host", b"Search.Example:8104"),
+        (b"azureramp-request-id", b"r1"),
+        *extra,
+    )
+    return web_api.Request(
+        "POST", "", {}, {}, b"x", b"/a/b?c", fields, began_s=3.0
+    )
+
+
+def test_only_end_to_end_headers_are_forwarded() -> None:
+    incoming = headers.decode_request(
+        make_request(
+            (b"connection", b"close, x-mine"),
+            (b"x-mine", b"1"),
+            (b"x-yours", b"2"),
+            (b"transfer-encoding", b"chunked"),
+            (b"azureramp-deadline-ms", b"300"),
+            (b"azureramp-target-instance", b"forged"),
+        )
+    )
+    assert isinstance(incoming, requests.Incoming)
+    assert incoming.host == "search.example"
+    assert incoming.deadline_s == 0.3
+    call = api.Call(incoming.message, "i-7", 0.25)
+    sent = dict(headers.Codec().encode_call(call, "10.0.0.1:80"))
+    assert sent == {
+        b"host": b"Search.Example:8104",
+        b"azureramp-request-id": b"r1",
+        b"x-yours": b"2",
+        b"content-length": b"1",
+        b"azureramp-deadline-ms": b"250",
+        b"azureramp-target-instance": b"i-7",
+    }
+
+
+@pytest.mark.parametrize("value", [b"soon", b"", b"-5", b"1.5"])
+def test_a_deadline_that_is_no_number_is_malformed(value: bytes) -> None:
+    request = make_request((b"azureramp-deadline-ms", value))
+    assert isinstance(headers.decode_request(request), requests.Malformed)
+
+
+def test_a_request_without_an_id_is_malformed() -> None:
+    request = web_api.Request("GET", "", {}, {}, b"", b"/a/", ())
+    assert isinstance(headers.decode_request(request), requests.Malformed)
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "ran"),
+    [
+        (503, ((b"azureramp-not-executed", b"1"),), api.Ran.NO),
+        (421, (), api.Ran.NO),
+        (503, (), api.Ran.YES),
+        (200, ((b"azureramp-server-stamp", b"s"),), api.Ran.YES),
+    ],
+)
+def test_whether_a_call_ran_is_the_searchers_word(
+    status: int, fields: api.Fields, ran: api.Ran
+) -> None:
+    reply = headers.Codec().decode_reply(status, fields, b"")
+    assert reply.ran is ran
+
+
+def test_the_load_is_read_and_nonsense_passed_over() -> None:
+    codec = headers.Codec()
+    good = codec.decode_reply(200, ((b"azureramp-server-load", b"3,1,2"),), b"")
+    assert good.load == api.Load(3, 1, 2)
+    bad = codec.decode_reply(200, ((b"azureramp-server-load", b"3,x"),), b"")
+    assert bad.load is None
+
+
+def test_a_refusal_tells_when_to_come_back_only_if_it_has_not_run() -> None:
+    shed = requests.Refused(errors.Failure(errors.Kind.SHED), "r1")
+    response = headers.encode_answer(shed)
+    assert response.status == 503
+    assert ("Retry-After", "0.500") in response.headers
+    unknown = requests.Refused(errors.Failure(errors.Kind.OUTCOME_UNKNOWN))
+    response = headers.encode_answer(unknown)
+    assert response.status == 502
+    assert "Retry-After" not in dict(response.headers)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,84 @@
+"""The platform's settings file, read and checked."""
+
+from __future__ import annotations
+
+import pathlib
+
+import pytest
+
+from azureramp.platform import settings
+
+TEXT = """
+Node = "vm-1"
+Zone = "zone-0"
+Bootstrap = true
+Unknown = 5
+[ListenAddrs]
+Front = "10.1.0.9:8104"
+Ready = "10.1.0.9:8108"
+directory = "10.1.0.9:8100"
+[Limits]
+CpuShare = 0.5
+Cores = 2
+[Bounds]
+RetryBudgetRatio = 0.2
+BudgetWindowS = 10
+RetryBudgetSlack = 56
+GraceS = 6
+ttl_max_s = 5
+[platform]
+Address = "10.200.1.7:8102"
+"""
+
+
+def read(tmp_path: pathlib.Path, text: str) -> settings.Settings:
+    path = tmp_path / "settings.toml"
+    path.write_text(text, "utf-8")
+    return settings.read(path).ok
+
+
+def read_problem(tmp_path: pathlib.Path, text: str) -> str:
+    path = tmp_path / "settings.toml"
+    path.write_text(text, "utf-8")
+    return settings.read(path).error
+
+
+def test_fields_are_read_and_unknown_ones_passed_over(
+    tmp_path: pathlib.Path,
+) -> None:
+    given = read(tmp_path, TEXT)
+    assert given.identity.vm == "vm-1"
+    assert given.identity.cores == 1.0
+    assert given.identity.first_start
+    assert given.bounds.extra.fixed == 56
+    assert given.store_address == "10.200.1.7:8102"
+
+
+def test_missing_bounds_have_careful_defaults(tmp_path: pathlib.Path) -> None:
+    start, end = TEXT.index("[Bounds]"), TEXT.index("[platform]")
+    given = read(tmp_path, TEXT[:start] + TEXT[end:])
+    assert given.bounds.extra.fixed == 0
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [
+        ('"10.1.0.9:8104"', '"10.1.0.9"', "ListenAddrs.Front"),
+        ('"10.200.1.7:8102"', '"10.200.1.7:x"', "platform.Address"),
+        ("BudgetWindowS = 10", "BudgetWindowS = 0", "Bounds.BudgetWindowS"),
+        ("RetryBudgetRatio = 0.2", "RetryBudgetRatio = -1", "RetryBudget"),
+        ('Node = "vm-1"', "", "node"),
+        ("GraceS = 6", 'GraceS = "six"', "Bounds.GraceS"),
+        ("[Limits]", "[Limits", "settings.toml"),
+    ],
+)
+def test_a_wrong_field_is_named_in_one_line(
+    tmp_path: pathlib.Path, old: str, new: str, named: str
+) -> None:
+    problem = read_problem(tmp_path, TEXT.replace(old, new))
+    assert named.lower() in problem.lower()
+    assert "\n" not in problem
+
+
+def test_a_missing_file_is_named(tmp_path: pathlib.Path) -> None:
+    assert "absent" in settings.read(tmp_path / "absent").error
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,122 @@
+"""The store's client against a stand-in that speaks its protocol."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from azureramp import errors
+from azureramp.platform import store
+from azureramp.ports.store import api
+from azureramp_standins import virtual
+from azureramp_standins.fleet import deployment
+from azureramp_standins.fleet import store as store_standin
+
+Scenario = Callable[[store_standin.Store, store.PlatformStore], Awaitable[None]]
+
+
+def run(scenario: Scenario) -> None:
+    async def whole() -> None:
+        server = store_standin.Store(deployment.STORE_ADDRESS)
+        await server.start()
+        client = store.PlatformStore(deployment.STORE_ADDRESS)
+        try:
+            await scenario(server, client)
+        finally:
+            await client.close()
+            await server.server.stop(0.0)
+
+    virtual.run(whole())
+
+
+def test_all_pages_are_read_as_of_the_first() -> None:
+    async def scenario(
+        server: store_standin.Store, client: store.PlatformStore
+    ) -> None:
+        for number in range(120):
+            server.put(f"k/{number:03}", {"n": number})
+        listing = (await client.read_prefix("k/")).ok
+        assert len(listing.entries) == 120
+        assert listing.revision == 120
+        assert server.calls["/kv-range"] == 3
+
+    run(scenario)
+
+
+def test_writes_go_by_the_revision_and_tell_what_is_there() -> None:
+    async def scenario(
+        server: store_standin.Store, client: store.PlatformStore
+    ) -> None:
+        first = (await client.write("k", b"one", api.CREATE)).ok
+        assert isinstance(first, api.Written)
+        refused = (await client.write("k", b"two", api.CREATE)).ok
+        assert isinstance(refused, api.Conflicted)
+        assert refused.present is not None
+        assert refused.present.value == b"one"
+        read = (await client.read("k")).ok
+        assert read is not None
+        assert read.revision == first.revision
+        assert isinstance(
+            (await client.delete("k", first.revision)).ok, api.Written
+        )
+        assert (await client.read("k")).ok is None
+
+    run(scenario)
+
+
+def test_a_write_without_an_answer_is_unknown() -> None:
+    async def scenario(
+        server: store_standin.Store, client: store.PlatformStore
+    ) -> None:
+        server.faults.lost = 1
+        result = await client.write("k", b"one", api.CREATE)
+        assert result.error.kind is errors.Kind.STORE_OUTCOME_UNKNOWN
+        assert server.state.read("k") is not None
+
+    run(scenario)
+
+
+def test_a_watch_wakes_on_a_change_and_tells_removals() -> None:
+    async def scenario(
+        server: store_standin.Store, client: store.PlatformStore
+    ) -> None:
+        revision = server.put("k", {"n": 1})
+        waiting = asyncio.ensure_future(client.watch("", revision, 5.0))
+        await asyncio.sleep(0.5)
+        server.remove("k")
+        changes = (await waiting).ok
+        assert changes.entries == (api.Entry("k", None, revision + 1),)
+        quiet = (await client.watch("", changes.revision, 1.0)).ok
+        assert quiet.entries == ()
+
+    run(scenario)
+
+
+def test_a_forgotten_history_is_told_apart_from_an_outage() -> None:
+    async def scenario(
+        server: store_standin.Store, client: store.PlatformStore
+    ) -> None:
+        server.put("k", {"n": 1})
+        server.compact()
+        result = await client.watch("", 0, 1.0)
+        assert result.error.kind is errors.Kind.STORE_HISTORY_GONE
+        server.faults.busy = True
+        result = await client.watch("", 1, 1.0)
+        assert result.error.kind is errors.Kind.STORE_UNAVAILABLE
+
+    run(scenario)
+
+
+def test_a_lease_is_granted_kept_and_lapses() -> None:
+    async def scenario(
+        server: store_standin.Store, client: store.PlatformStore
+    ) -> None:
+        lease = (await client.grant_lease(3.0)).ok
+        assert (await client.write("k", b"x", api.CREATE, lease)).is_ok()
+        await asyncio.sleep(2.0)
+        assert (await client.keep_lease(lease)).ok
+        await asyncio.sleep(4.0)
+        assert not (await client.keep_lease(lease)).ok
+        assert (await client.read("k")).ok is None
+
+    run(scenario)
--- /dev/null
+++ b/tests/policy/test_routing.py
@@ -0,0 +1,66 @@
+"""Which route a request takes, and how split routes are shared out."""
+
+from __future__ import annotations
+
+import pytest
+
+from azureramp import catalog
+from azureramp.policy import merging, routing
+
+
+def make_route(prefix: str, host: str = "h") -> catalog.Route:
+    return catalog.Route(
+        name=prefix,
+        host=host,
+        prefix=prefix,
+        destination=catalog.OneOf((catalog.Weighted("s", 1.0),)),
+        repeatable=True,
+        timeout_s=1.0,
+        target_s=0.1,
+        attempts=2,
+        priority=1,
+    )
+
+
+@pytest.mark.parametrize(
+    ("path", "wanted"),
+    [
+        ("/a/x", "/a/"),
+        ("/a/b/x", "/a/b/"),
+        ("/a/b/", "/a/b/"),
+        ("/a/b", "/a/"),
+        ("/a", "/"),
+        ("/", "/"),
+        ("/other/x/y/z", "/"),
+    ],
+)
+def test_the_longest_prefix_wins(path: str, wanted: str) -> None:
+    routes = tuple(make_route(each) for each in ("/", "/a/", "/a/b/"))
+    limits = catalog.CallerLimits()
+    table = routing.Table(catalog.Configuration(1, routes, {}, limits))
+    found = table.find("h", path)
+    assert found is not None
+    assert found.prefix == wanted
+    assert table.find("another", path) is None
+
+
+def test_weights_are_kept_to_within_one_request() -> None:
+    splitter = routing.Splitter()
+    choices = (
+        catalog.Weighted("a", 0.7),
+        catalog.Weighted("b", 0.3),
+        catalog.Weighted("c", 0.0),
+    )
+    counts = dict.fromkeys("abc", 0)
+    for number in range(1, 301):
+        counts[splitter.choose("r", choices)] += 1
+        assert abs(counts["a"] - 0.7 * number) <= 1.0
+    assert counts["c"] == 0
+
+
+def test_remainders_are_dropped_and_equal_records_all_count() -> None:
+    low, high = b"\x01" * 16, b"\x02" * 16
+    parts = [low + high + b"rest", high]
+    assert merging.merge(parts, 3) == high + high + low
+    assert merging.merge(parts, 2) == high + high
+    assert merging.merge([], 5) == b""
--- /dev/null
+++ b/tests/policy/test_selection.py
@@ -0,0 +1,71 @@
+"""Which searcher gets a call."""
+
+from __future__ import annotations
+
+import random
+
+from azureramp.policy import selection
+
+
+def choose(records: dict[str, selection.Record], now_s: float = 10.0) -> str:
+    chosen = selection.choose(records.items(), now_s, random.Random(1))
+    assert chosen is not None
+    return chosen
+
+
+def test_a_searcher_that_holds_an_overdue_call_is_avoided() -> None:
+    """Every searcher stands still for a moment every few seconds.
+
+    Calls sent to one that stands still wait with the others. A call that is
+    overdue there shows it, so new ones go to the other, however near.
+    """
+    records = {
+        "paused": selection.Record(2, near=True, in_flight=1, overdue=1),
+        "other": selection.Record(2, near=False, in_flight=1),
+    }
+    assert choose(records) == "other"
+
+
+def test_a_slow_searcher_is_left_and_forgiven_with_time() -> None:
+    slow = selection.Record(2, near=True)
+    for _ in range(5):
+        slow.add_time(8.0, 10.0)
+    records = {"slow": slow, "other": selection.Record(2, near=False)}
+    assert choose(records, 10.0) == "other"
+    assert selection.rate(slow, 30.0) < selection.rate(slow, 10.0) / 2
+
+
+def test_the_near_one_goes_first_until_it_is_busy() -> None:
+    near = selection.Record(2, near=True)
+    records = {"near": near, "far": selection.Record(2, near=False)}
+    assert choose(records) == "near"
+    near.in_flight = 2
+    assert choose(records) == "far"
+
+
+def test_failures_in_a_row_make_a_searcher_rest_and_a_trial_ends_it() -> None:
+    """All calls to a crashed searcher fail, one after another.
+
+    It gets none for a moment, then a single one; the trial's failure makes
+    the rest longer, its success ends it.
+    """
+    record = selection.Record(2, near=True)
+    record.add_failure(10.0)
+    assert not record.rests(10.0)
+    record.add_failure(10.0)
+    assert record.rests(10.1)
+    assert not record.rests(10.3)
+    record.trial = True
+    assert record.rests(10.3)
+    record.add_failure(10.4)
+    assert record.rests(10.8)
+    record.add_success()
+    assert not record.rests(10.9)
+
+
+def test_nobody_is_chosen_when_all_rest() -> None:
+    record = selection.Record(2, near=True)
+    for _ in range(3):
+        record.add_failure(10.0)
+    records = {"a": record}
+    assert selection.choose(records.items(), 10.1, random.Random(1)) is None
