--- a/src/azureramp/catalog.py
+++ b/src/azureramp/catalog.py
@@ -182,6 +182,7 @@
         peer_address: The `IP:port` that other VMs connect to.
         cores: Its processor, in cores.
         leaving: True once callers should go elsewhere.
+        busy: True while its processor is busy enough to delay requests.
     """
 
     vm: str
@@ -190,6 +191,7 @@
     peer_address: str
     cores: float
     leaving: bool
+    busy: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -107,6 +107,8 @@
         zones_out: The availability zones whose searchers get nothing new.
         members: The VMs of this tier by name, this one included once it has
             announced itself. By the members controller.
+        told: The VMs among them that callers are told of.
+        busy: True while this VM's processor is busy.
         contact: Whether the store can be reached.
         leaving: True once the process is told to stop.
         running: Requests of callers that run now.
@@ -114,6 +116,7 @@
 
     __slots__ = (
         "bounds",
+        "busy",
         "by_service",
         "configuration",
         "contact",
@@ -124,6 +127,7 @@
         "started_s",
         "table",
         "targets",
+        "told",
         "zones_out",
     )
 
@@ -140,6 +144,8 @@
         self.by_service: dict[str, dict[str, Target]] = {}
         self.zones_out: set[str] = set()
         self.members: dict[str, catalog.Member] = {}
+        self.told: dict[str, catalog.Member] = {}
+        self.busy = False
         self.contact = StoreContact()
         self.leaving = False
         self.running = 0
--- a/src/azureramp/controllers/forwarding/members.py
+++ b/src/azureramp/controllers/forwarding/members.py
@@ -162,4 +162,5 @@
             peer_address=identity.peer_address,
             cores=identity.cores,
             leaving=self._board.leaving,
+            busy=self._board.busy,
         )
--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -10,7 +10,8 @@
 
 from azureramp import catalog
 from azureramp.controllers.forwarding import board as board_module
-from azureramp.policy import allowances, selection
+from azureramp.controllers.forwarding import telling
+from azureramp.policy import advertising, allowances, selection
 from azureramp.ports.forwarding import api, pool
 
 COLD_SLOWNESS = 1.6
@@ -90,9 +91,12 @@
 
     def update_limits(self) -> None:
         """Puts shares of the connections into force, and warms routes up."""
-        used = self._find_used_services()
+        telling.update(self._board)
+        used: set[str] = set()
+        if self._is_told():
+            used = telling.find_used_services(self._board.configuration)
         for target in self._board.targets.values():
-            target.pool.limit = self._get_share(target.searcher.service)
+            target.pool.set_limit(self._get_share(target.searcher.service))
             if target.searcher.service in used and self._is_usable(target):
                 target.pool.prepare(1)
 
@@ -200,23 +204,17 @@
             None if configuration is None else configuration.services.get(name)
         )
 
+    def _is_told(self) -> bool:
+        """Tells whether callers are told of this VM."""
+        return self._board.identity.vm in self._board.told
+
     def _get_share(self, name: str) -> int:
         """Returns how many connections this VM may hold to a searcher."""
         service = self._get_service(name)
         connections = service.connections if service else DEFAULT_CONNECTIONS
-        return max(1, connections // self._board.count_members())
-
-    def _find_used_services(self) -> set[str]:
-        """Returns the services that routes name."""
-        used: set[str] = set()
-        configuration = self._board.configuration
-        for route in configuration.routes if configuration else ():
-            match route.destination:
-                case catalog.OneOf(choices=choices):
-                    used.update(choice.service for choice in choices)
-                case catalog.AllOf(services=services):
-                    used.update(services)
-        return used
+        return advertising.get_link_share(
+            connections, len(self._board.told), self._is_told()
+        )
 
 
 def _is_same_process(old: catalog.Searcher, new: catalog.Searcher) -> bool:
--- /dev/null
+++ b/src/azureramp/controllers/forwarding/telling.py
@@ -0,0 +1,69 @@
+"""Which VMs this VM tells callers of, kept on the blackboard."""
+
+from __future__ import annotations
+
+from azureramp import catalog
+from azureramp.controllers.forwarding import board as board_module
+from azureramp.policy import advertising
+
+
+def update(board: board_module.Board) -> None:
+    """Chooses anew after a change of the VMs, searchers or routes."""
+    services = find_used_services(board.configuration)
+    told = advertising.choose(
+        board.members.values(),
+        measure_nearness(board, services),
+        find_fewest_connections(board.configuration, services),
+    )
+    board.told = {member.vm: member for member in told}
+
+
+def find_used_services(
+    configuration: catalog.Configuration | None,
+) -> set[str]:
+    """Returns the services that routes name."""
+    used: set[str] = set()
+    for route in configuration.routes if configuration else ():
+        match route.destination:
+            case catalog.OneOf(choices=choices):
+                used.update(choice.service for choice in choices)
+            case catalog.AllOf(services=services):
+                used.update(services)
+    return used
+
+
+def measure_nearness(
+    board: board_module.Board, services: set[str]
+) -> dict[str, float]:
+    """Returns the share of the searchers in use that each zone holds.
+
+    Each service counts the same, however many searchers it has: a request to
+    all shards makes one call to each.
+    """
+    nearness: dict[str, float] = {}
+    for service in services:
+        zones = [
+            target.searcher.zone
+            for target in board.by_service.get(service, {}).values()
+            if target.searcher.zone not in board.zones_out
+        ]
+        for zone in zones:
+            part = 1.0 / (len(zones) * len(services))
+            nearness[zone] = nearness.get(zone, 0.0) + part
+    return nearness
+
+
+def find_fewest_connections(
+    configuration: catalog.Configuration | None, services: set[str]
+) -> int:
+    """Returns the fewest connections that a searcher in use accepts."""
+    if configuration is None:
+        return 0
+    return min(
+        (
+            configuration.services[service].connections
+            for service in services
+            if service in configuration.services
+        ),
+        default=0,
+    )
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -26,7 +26,6 @@
     searchers,
 )
 from azureramp.platform import decoding, headers, settings, store
-from azureramp.policy import advertising
 from azureramp.ports.web import api as web_api
 from azureramp.ports.web import request_reader
 from azureramp.ports.web import server as web_server
@@ -179,8 +178,7 @@
         """Tells a caller which addresses to use."""
         if request.path != "/resolve":
             return web_api.Response(404)
-        told = advertising.choose(self.board.members.values())
-        addresses = [member.address for member in told]
+        addresses = [member.address for member in self.board.told.values()]
         own = self._settings.front_address
         if self.board.leaving:
             addresses = [address for address in addresses if address != own]
--- a/src/azureramp/ports/forwarding/pool.py
+++ b/src/azureramp/ports/forwarding/pool.py
@@ -114,6 +114,14 @@
         while self.count_open() < min(wanted, self.limit):
             self._open()
 
+    def set_limit(self, limit: int) -> None:
+        """Changes the limit; idle connections beyond it are closed."""
+        self.limit = limit
+        for link in list(self._idle):
+            if len(self._links) <= limit:
+                break
+            link.abort()
+
     def abandon(self, link: link_module.Link, linger_s: float) -> None:
         """Cuts a call's connection unless its answer comes soon."""
         self._cut_later(link, link.calls, linger_s)
