--- a/src/azureramp/controllers/forwarding/entry.py
+++ b/src/azureramp/controllers/forwarding/entry.py
@@ -11,6 +11,7 @@
 from azureramp.controllers.forwarding import (
     gather,
     pacing,
+    request_log,
     requests,
     searchers,
     single,
@@ -25,7 +26,7 @@
 class Entry:
     """Answers requests of callers."""
 
-    __slots__ = ("_board", "_paces", "_searchers", "_splitter")
+    __slots__ = ("_board", "_log", "_paces", "_searchers", "_splitter")
 
     def __init__(
         self, board: board_module.Board, known: searchers.Searchers
@@ -33,6 +34,7 @@
         """Makes the entry of a process."""
         self._board = board
         self._searchers = known
+        self._log = request_log.RequestLog(board)
         self._paces = pacing.Paces()
         self._splitter = routing.Splitter()
 
@@ -58,24 +60,52 @@
         """Finds the route and follows it."""
         table = self._board.table
         if table is None:
-            return _refuse(request, errors.Kind.NO_CONFIGURATION)
+            return self._refuse(request, None, errors.Kind.NO_CONFIGURATION)
         route = table.find(request.host, request.path)
         if route is None:
-            return _refuse(request, errors.Kind.NOT_FOUND)
+            return self._refuse(request, None, errors.Kind.NOT_FOUND)
         until_s = compute_until_s(request, route)
         if until_s <= asyncio.get_running_loop().time():
-            return _refuse(request, errors.Kind.DEADLINE_TOO_SHORT)
+            return self._refuse(request, route, errors.Kind.DEADLINE_TOO_SHORT)
+        run = self._make_run(request, route, until_s)
+        answer: requests.Answer | None = None
+        try:
+            answer = await run.run()
+        finally:
+            self._log.note(request, route, run.parts, answer)
+        return answer
+
+    def _make_run(
+        self,
+        request: requests.Incoming,
+        route: catalog.Route,
+        until_s: float,
+    ) -> gather.Gather | single.Single:
+        """Makes the request's way to its route's searchers."""
         pace = self._paces.get(route)
+        if request.deadline_s is not None:
+            pace.elapsed.add(request.deadline_s)
         match route.destination:
             case catalog.AllOf() as destination:
-                return await gather.Gather(
+                return gather.Gather(
                     self._searchers, pace, request, route, destination, until_s
-                ).run()
+                )
             case catalog.OneOf(choices=choices):
                 service = self._splitter.choose(route.name, choices)
-                return await single.Single(
+                return single.Single(
                     self._searchers, pace, request, route, service, until_s
-                ).run()
+                )
+
+    def _refuse(
+        self,
+        request: requests.Incoming,
+        route: catalog.Route | None,
+        kind: errors.Kind,
+    ) -> requests.Refused:
+        """Makes a refusal of a request that nothing was done for."""
+        refused = requests.Refused(errors.Failure(kind), request.id)
+        self._log.note(request, route, (), refused)
+        return refused
 
 
 def compute_until_s(request: requests.Incoming, route: catalog.Route) -> float:
@@ -84,8 +114,3 @@
     if request.deadline_s is not None:
         wait_s = min(wait_s, request.deadline_s - WAY_BACK_S)
     return request.began_s + wait_s
-
-
-def _refuse(request: requests.Incoming, kind: errors.Kind) -> requests.Refused:
-    """Makes a refusal of a request that nothing was done for."""
-    return requests.Refused(errors.Failure(kind), request.id)
--- a/src/azureramp/controllers/forwarding/feed.py
+++ b/src/azureramp/controllers/forwarding/feed.py
@@ -26,10 +26,10 @@
 connection that went silent within some 3 s, so a longer wait would save calls
 but not cost any time; it is bounded for stores that count waiting calls."""
 
-BATCH_S = 0.2
-"""Pause between two watches, in seconds. A storm of changes is read a few
-times a second instead of once a change; it is a small part of the seconds in
-which a change must be in force."""
+BATCH_S = 0.4
+"""Pause between two watches, in seconds. A storm of changes is read twice a
+second instead of once a change; it is a small part of the seconds in which a
+change must be in force."""
 
 RETRY_LEAST_S = 0.1
 RETRY_MOST_S = 0.5
--- a/src/azureramp/controllers/forwarding/gather.py
+++ b/src/azureramp/controllers/forwarding/gather.py
@@ -16,11 +16,23 @@
 
 CUT_SHARE = 0.85
 """Share of the route's target after which an answer goes out short, if enough
-shards are in. The rest of the time is the way back to the caller."""
+shards are in, where nothing is known of the way to the caller."""
+
+MERGE_SHARE = 0.06
+"""Share of the route's target kept for merging and sending an answer, where
+the way to the caller is known: 3 ms of 50."""
+
+MOST_SPENT_SHARE = 0.6
+"""Share of the route's target up to which a caller is believed to have waited
+before its request came; one that waited longer is late in any case."""
 
 
 class Gather:
-    """One request's way through all shards."""
+    """One request's way through all shards.
+
+    Attributes:
+        parts: One part a shard, once begun.
+    """
 
     __slots__ = (
         "_cut",
@@ -28,12 +40,12 @@
         "_done",
         "_least",
         "_pace",
-        "_parts",
         "_request",
         "_searchers",
         "_timers",
         "_waiting",
         "_work",
+        "parts",
     )
 
     def __init__(
@@ -51,7 +63,7 @@
         self._request = request
         self._destination = destination
         self._work = part.Work(request.message, route, until_s)
-        self._parts: list[part.Part] = []
+        self.parts: list[part.Part] = []
         self._timers: list[asyncio.TimerHandle] = []
         self._waiting = 0
         self._cut = False
@@ -77,7 +89,7 @@
         finally:
             for timer in self._timers:
                 timer.cancel()
-            for each in self._parts:
+            for each in self.parts:
                 if not each.done:
                     each.abandon()
         return self._make_answer()
@@ -88,23 +100,41 @@
             each = part.Part(
                 self._searchers, self._pace, self._work, service, self._take
             )
-            self._parts.append(each)
+            self.parts.append(each)
             if each.start():
                 self._waiting += 1
             else:
                 each.done = True
         target_s = self._work.route.target_s
         hedge_s = now_s + self._pace.get_hedge_s(target_s)
-        cut_s = self._request.began_s + CUT_SHARE * target_s
+        cut_s = self._request.began_s + compute_cut_s(
+            target_s, self._estimate_way_s(target_s)
+        )
         self._timers = [
             loop.call_at(hedge_s, self._hedge),
             loop.call_at(cut_s, self._cut_off),
             loop.call_at(self._work.until_s, self._finish),
         ]
 
+    def _estimate_way_s(self, target_s: float) -> float:
+        """Estimates the time that the caller spends outside of this VM.
+
+        Returns:
+            What it spent before it sent the request, and the round trip, in
+            seconds; 0 if nothing is known.
+        """
+        request = self._request
+        spent_s = request.opening_s
+        if request.deadline_s is not None:
+            estimated_s = self._pace.elapsed.estimate_s(
+                request.deadline_s, MOST_SPENT_SHARE * target_s
+            )
+            spent_s = max(spent_s, estimated_s)
+        return spent_s + request.round_trip_s
+
     def _hedge(self) -> None:
         """Makes second calls for the shards that are late."""
-        for each in self._parts:
+        for each in self.parts:
             if not each.done:
                 each.hedge()
 
@@ -132,39 +162,56 @@
 
     def _count_in(self) -> int:
         """Returns how many parts have an answer."""
-        return sum(_is_in(each) for each in self._parts)
+        return sum(_is_in(each) for each in self.parts)
 
     def _make_answer(self) -> requests.Answer:
         """Makes the answer of what is in."""
         replies = [
             each.reply
-            for each in self._parts
+            for each in self.parts
             if each.reply is not None and each.reply.is_success()
         ]
         if len(replies) >= max(1, self._least):
             return requests.Merged(
                 self._request.id,
                 tuple(reply.signature for reply in replies),
-                len(self._parts) - len(replies),
+                len(self.parts) - len(replies),
                 merging.merge(
                     (reply.body for reply in replies),
                     self._destination.most_records,
                 ),
             )
-        detail = f"{len(replies)} of {len(self._parts)} shards answered"
+        detail = f"{len(replies)} of {len(self.parts)} shards answered"
         if self._has_run():
             return self._refuse(errors.Kind.SHARDS_MISSING, detail)
         return self._refuse(errors.Kind.SHED, detail)
 
     def _has_run(self) -> bool:
         """Tells whether any searcher ran it, or may have."""
-        return any(each.runs or each.is_waiting() for each in self._parts)
+        return any(each.runs or each.is_waiting() for each in self.parts)
 
     def _refuse(self, kind: errors.Kind, detail: str) -> requests.Refused:
         """Makes a refusal."""
         return requests.Refused(errors.Failure(kind, detail), self._request.id)
 
 
+def compute_cut_s(target_s: float, way_s: float) -> float:
+    """Returns after how long an answer goes out short, in seconds.
+
+    The target counts from the moment in which the caller began, so the way
+    here and back is taken off: over a slow link a fixed share of the target
+    would be too late, over a fast one it would give up parts for nothing.
+
+    Args:
+        target_s: The route's target.
+        way_s: The time on the way, both directions; 0 if not known.
+    """
+    if way_s <= 0:
+        return CUT_SHARE * target_s
+    left_s = target_s * (1.0 - MERGE_SHARE) - way_s
+    return max(target_s / 2, left_s)
+
+
 def count_least(destination: catalog.AllOf) -> int:
     """Returns how many shards an answer must hold to count."""
     shards = len(destination.services)
--- a/src/azureramp/controllers/forwarding/pacing.py
+++ b/src/azureramp/controllers/forwarding/pacing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from azureramp import catalog
-from azureramp.policy import hedging
+from azureramp.policy import elapsed, hedging
 
 HEDGE_QUANTILE = 0.9
 """A call later than this quantile of its route is hedged: one in ten, half of
@@ -25,14 +25,19 @@
 
 
 class Pace:
-    """The times of one route's calls."""
+    """The times of one route's calls and callers.
 
-    __slots__ = ("_mean_s", "_sketch")
+    Attributes:
+        elapsed: What its callers had spent before.
+    """
+
+    __slots__ = ("_mean_s", "_sketch", "elapsed")
 
     def __init__(self) -> None:
         """Makes one without any time."""
         self._sketch = hedging.Sketch(HEDGE_QUANTILE)
         self._mean_s = 0.0
+        self.elapsed = elapsed.Elapsed()
 
     def add(self, took_s: float) -> float:
         """Takes a successful call's time.
--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -34,6 +34,8 @@
         ticket: The submitted call.
         overdue: True once it is counted as overdue.
         ended: True once its outcome is known.
+        ended_s: When that was.
+        outcome: Its outcome in a word; empty while it is not known.
     """
 
     target: board_module.Target
@@ -41,6 +43,8 @@
     ticket: api.Ticket | None = None
     overdue: bool = False
     ended: bool = False
+    ended_s: float = 0.0
+    outcome: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -150,6 +154,30 @@
             if attempt.ticket.abandon(LINGER_S):
                 self._end(attempt)
 
+    def count_extra(self) -> int:
+        """Returns how many calls it made beyond the first."""
+        return max(0, len(self._attempts) - 1)
+
+    def describe(self, began_s: float) -> list[str]:
+        """Describes its calls, unless the first one ended it well.
+
+        Args:
+            began_s: When the request began.
+        """
+        if not self._attempts:
+            return [f"{self.service} none: no searcher may get it"]
+        if len(self._attempts) == 1 and self._attempts[0].outcome == "200":
+            return []
+        told: list[str] = []
+        for attempt in self._attempts:
+            sent_ms = round((attempt.sent_s - began_s) * 1000)
+            end = attempt.outcome or "no answer yet"
+            if attempt.ended:
+                end = f"{round((attempt.ended_s - began_s) * 1000)} {end}"
+            name = attempt.target.searcher.id
+            told.append(f"{self.service} {name} {sent_ms}: {end}")
+        return told
+
     def is_waiting(self) -> bool:
         """Tells whether a call is without an answer."""
         return any(not attempt.ended for attempt in self._attempts)
@@ -208,6 +236,8 @@
             return
         self._end(attempt)
         now_s = asyncio.get_running_loop().time()
+        attempt.ended_s = now_s
+        attempt.outcome = describe_outcome(outcome)
         took_s = now_s - attempt.sent_s
         match outcome:
             case api.Reply():
@@ -262,7 +292,7 @@
             return
         if lost.sent and took_s >= SILENT_S:
             target.pool.retire(now_s - took_s)
-        target.record.add_failure(now_s)
+        target.record.add_failure(now_s, lost.sent)
 
     def _take_reply(self, reply: api.Reply, now_s: float) -> None:
         """Goes on after an answer."""
@@ -302,3 +332,18 @@
         self.reply = reply
         self.abandon()
         self._on_done(self)
+
+
+def describe_outcome(outcome: api.Outcome) -> str:
+    """Returns a call's outcome in a word or two."""
+    match outcome:
+        case api.Reply(misdirected=True):
+            return "another searcher answered"
+        case api.Reply(status=status, ran=api.Ran.NO):
+            return f"{status} not run"
+        case api.Reply(status=status, signature=b""):
+            return f"{status} unsigned"
+        case api.Reply(status=status):
+            return str(status)
+        case api.Lost(loss=loss, sent=sent):
+            return f"{loss.value}{'' if sent else ', not sent'}"
--- /dev/null
+++ b/src/azureramp/controllers/forwarding/request_log.py
@@ -0,0 +1,123 @@
+"""One log line for each request, with what decided it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any
+
+import logbook
+
+from azureramp import catalog
+from azureramp.controllers.forwarding import board as board_module
+from azureramp.controllers.forwarding import part, requests
+from azureramp.policy import sampling
+
+GOOD_LINES_PER_S = 5.0
+"""Lines a second for requests that went well; each costs some 0.1 ms of
+processor time. Requests that failed, or were answered short, always get
+theirs."""
+
+GOOD_LINES_BURST = 20.0
+
+MOST_CALLS = 60
+"""Most calls told in one line; a request to a hundred shards that all fail
+would fill a page."""
+
+_logger = logbook.Logger("azureramp.request")
+
+
+class RequestLog:
+    """Writes the lines."""
+
+    __slots__ = ("_board", "_sampler")
+
+    def __init__(self, board: board_module.Board) -> None:
+        """Makes a log for one process."""
+        self._board = board
+        self._sampler = sampling.Sampler(GOOD_LINES_PER_S, GOOD_LINES_BURST)
+
+    def note(
+        self,
+        request: requests.Incoming,
+        route: catalog.Route | None,
+        parts: Sequence[part.Part],
+        answer: requests.Answer | None,
+    ) -> None:
+        """Writes a request's line.
+
+        Args:
+            request: The request.
+            route: Its route; None if it has none.
+            parts: Its parts, as far as any were begun.
+            answer: Its answer; None if the caller went before it.
+        """
+        now_s = asyncio.get_running_loop().time()
+        outcome = describe_answer(answer)
+        good = outcome in GOOD
+        if good and not self._sampler.take(now_s):
+            return
+        line: dict[str, Any] = {
+            "request": request.id,
+            "route": route.name if route else "",
+            "configuration": self._get_version(),
+            "outcome": outcome,
+            "took_ms": round((now_s - request.began_s) * 1000, 1),
+            "round_trip_ms": round(request.round_trip_s * 1000, 1),
+        }
+        if request.deadline_s is not None:
+            line["deadline_ms"] = round(request.deadline_s * 1000)
+        match answer:
+            case requests.Refused(failure=failure):
+                line["detail"] = failure.detail
+                line["retry_after_ms"] = failure.get_retry_after_ms()
+            case requests.Merged(missing=missing):
+                line["missing"] = missing
+        if not good:
+            line["store_reachable"] = self._board.contact.reachable
+            line["calls"] = describe_calls(parts, request.began_s)
+        else:
+            line["extra_calls"] = sum(each.count_extra() for each in parts)
+            left_out = self._sampler.take_left_out()
+            if left_out:
+                line["lines_left_out"] = left_out
+        _logger.info("request", extra=line)
+
+    def _get_version(self) -> int:
+        """Returns the configuration's version; 0 if there is none."""
+        configuration = self._board.configuration
+        return 0 if configuration is None else configuration.version
+
+
+GOOD = frozenset(("answered", "complete", "not_found"))
+"""Outcomes of requests that need no explanation."""
+
+
+def describe_answer(answer: requests.Answer | None) -> str:
+    """Returns an answer's outcome as a word."""
+    match answer:
+        case None:
+            return "caller_gone"
+        case requests.Whole(reply=reply):
+            return "answered" if reply.is_success() else "searcher_failed"
+        case requests.Merged(missing=missing):
+            return "short" if missing else "complete"
+        case requests.Refused(failure=failure):
+            return failure.kind.value
+
+
+def describe_calls(parts: Sequence[part.Part], began_s: float) -> list[str]:
+    """Describes the calls of the parts that are of interest.
+
+    Returns:
+        For each call `service searcher sent+took outcome`, the times in
+        milliseconds from the request's beginning; parts that ended well with
+        their first call are left out.
+    """
+    told: list[str] = []
+    for each in parts:
+        told += each.describe(began_s)
+    if len(told) > MOST_CALLS:
+        more = f"and {len(told) - MOST_CALLS} more"
+        told = [*told[:MOST_CALLS], more]
+    return told
--- a/src/azureramp/controllers/forwarding/requests.py
+++ b/src/azureramp/controllers/forwarding/requests.py
@@ -18,6 +18,9 @@
         path: The path as sent, without the query.
         deadline_s: How long the caller waits, in seconds; None if not told.
         began_s: When its first byte was read, on the loop's clock.
+        round_trip_s: The round trip to the caller, in seconds; 0 if that is
+            not known.
+        opening_s: What it spent on opening its connection, in seconds.
         message: What is forwarded.
     """
 
@@ -26,6 +29,8 @@
     path: str
     deadline_s: float | None
     began_s: float
+    round_trip_s: float
+    opening_s: float
     message: api.Message
 
 
--- a/src/azureramp/controllers/forwarding/single.py
+++ b/src/azureramp/controllers/forwarding/single.py
@@ -15,9 +15,21 @@
 
 
 class Single:
-    """One request's way to a searcher, with a hedge where it may repeat."""
+    """One request's way to a searcher, with a hedge where it may repeat.
 
-    __slots__ = ("_done", "_pace", "_part", "_request", "_searchers", "_work")
+    Attributes:
+        parts: Its only part.
+    """
+
+    __slots__ = (
+        "_done",
+        "_pace",
+        "_part",
+        "_request",
+        "_searchers",
+        "_work",
+        "parts",
+    )
 
     def __init__(
         self,
@@ -34,6 +46,7 @@
         self._request = request
         self._work = part.Work(request.message, route, until_s)
         self._part = part.Part(known, pace, self._work, service, self._take)
+        self.parts = (self._part,)
         self._done: asyncio.Future[None] | None = None
 
     async def run(self) -> requests.Answer:
--- a/src/azureramp/logs.py
+++ b/src/azureramp/logs.py
@@ -34,7 +34,7 @@
             "channel": record.channel,
             "message": record.message,
         }
-        line.update({key: str(value) for key, value in record.extra.items()})
+        line.update(record.extra)
         if record.exc_info:
             line["exception"] = record.formatted_exception
         return msgspec.json.encode(line).decode()
--- a/src/azureramp/platform/headers.py
+++ b/src/azureramp/platform/headers.py
@@ -119,6 +119,8 @@
         path=path,
         deadline_s=deadline_s,
         began_s=request.began_s,
+        round_trip_s=request.round_trip_s,
+        opening_s=request.round_trip_s if request.first else 0.0,
         message=api.Message(
             id=request_id,
             method=request.method.encode("ascii"),
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -37,7 +37,7 @@
 EXIT_CUT = 1
 EXIT_SETTINGS = 2
 
-ADDRESS_LIFETIME_S = 1
+ADDRESS_LIFETIME_S = 5
 """How long callers should keep an address answer, in whole seconds. Some keep
 it three times as long, so one that names a VM that has just died misleads for
 three seconds."""
--- a/src/azureramp/policy/selection.py
+++ b/src/azureramp/policy/selection.py
@@ -28,7 +28,7 @@
 REPORT_FADES_S = 0.25
 """How long a searcher's report of its load counts, in seconds."""
 
-FORGET_S = 2.0
+FORGET_S = 3.0
 """In this time a searcher that gets no calls is half forgiven its slowness, in
 seconds: only a call shows that it is fast again."""
 
@@ -40,6 +40,14 @@
 """Longest time that a failing searcher is left alone, in seconds. One that is
 back must not be missed for long while its shard has few others."""
 
+FAILURE_COST = 6.0
+"""What a searcher that fails every call costs in the choice, in usual calls;
+one that fails a part of them costs that part. A failed call costs a retry's
+time, a new connection and some of the bound on extra calls."""
+
+FAILURE_SMOOTHING = 0.15
+"""Weight of the newest outcome in a searcher's share of failed calls."""
+
 TOLERATED = 2
 """Failures in a row from which on a searcher is left alone. Single answers
 get lost without the searcher being at fault."""
@@ -57,6 +65,7 @@
         slowness: Its mean time, relative to usual ones; 1 is usual.
         measured_s: When a call last showed it.
         failures: Failures in a row.
+        failed_share: The share of its latest calls that failed, 0 to 1.
         rest_until_s: It is left alone until then.
         trial: True while one call tries whether it is back.
         waiting: Requests that it reported to wait or run beyond ours.
@@ -70,6 +79,7 @@
     slowness: float = 1.0
     measured_s: float = 0.0
     failures: int = 0
+    failed_share: float = 0.0
     rest_until_s: float = 0.0
     trial: bool = False
     waiting: float = 0.0
@@ -84,12 +94,22 @@
     def add_success(self) -> None:
         """Takes an answer of whatever kind that shows it alive."""
         self.failures = 0
+        self.failed_share *= 1.0 - FAILURE_SMOOTHING
         self.rest_until_s = 0.0
         self.trial = False
 
-    def add_failure(self, now_s: float) -> None:
-        """Takes a call that failed by the searcher's fault."""
+    def add_failure(self, now_s: float, sent: bool = True) -> None:
+        """Takes a call that failed by the searcher's fault.
+
+        Args:
+            now_s: The time.
+            sent: False if it could not be reached. That it is down says
+                nothing of how it does once it is back.
+        """
         self.failures += 1
+        if sent:
+            self.failed_share += FAILURE_SMOOTHING * (1.0 - self.failed_share)
+            self.measured_s = now_s
         self.trial = False
         if self.failures >= TOLERATED:
             doublings = min(self.failures - TOLERATED, 8)
@@ -118,6 +138,7 @@
         load += record.waiting
     rating = slowness * (1.0 + load / max(1, record.slots))
     rating += OVERDUE * record.overdue
+    rating += FAILURE_COST * record.failed_share * kept
     if not record.near:
         rating += OTHER_ZONE
     return rating
--- a/src/azureramp/ports/web/api.py
+++ b/src/azureramp/ports/web/api.py
@@ -23,6 +23,9 @@
         target: The path with its query as the client sent it.
         fields: The headers as the client sent them, names in lower case.
         began_s: When its first byte was read, on the loop's clock.
+        round_trip_s: The kernel's estimate of the connection's round trip,
+            in seconds; 0 if there is none.
+        first: True if it is the first request on its connection.
     """
 
     method: str
@@ -33,6 +36,8 @@
     target: bytes = b""
     fields: tuple[tuple[bytes, bytes], ...] = ()
     began_s: float = 0.0
+    round_trip_s: float = 0.0
+    first: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/azureramp/ports/web/connection.py
+++ b/src/azureramp/ports/web/connection.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from collections.abc import Callable, Sequence
 
 import expression
@@ -22,6 +23,10 @@
 """Longest time that written bytes may stay without acknowledgement."""
 
 
+_ROUND_TRIP_AT = 68
+"""Where `tcpi_rtt` stands in Linux's `struct tcp_info`, in bytes."""
+
+
 class UnsentError(Exception):
     """The exchange ended before any byte was written."""
 
@@ -57,6 +62,24 @@
         )
 
 
+def measure_round_trip_s(transport: asyncio.BaseTransport) -> float:
+    """Returns the kernel's estimate of a connection's round trip, in seconds.
+
+    Returns:
+        The estimate; 0 if the transport has none.
+    """
+    sock = transport.get_extra_info("socket")
+    if not hasattr(sock, "getsockopt"):
+        return 0.0
+    with contextlib.suppress(OSError, AttributeError, struct.error):
+        info = sock.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _ROUND_TRIP_AT + 4
+        )
+        (microseconds,) = struct.unpack_from("I", info, _ROUND_TRIP_AT)
+        return float(microseconds) / 1e6
+    return 0.0
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Splits `IP:port`."""
     host, _, port = address.rpartition(":")
--- a/src/azureramp/ports/web/request_reader.py
+++ b/src/azureramp/ports/web/request_reader.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import urllib.parse
 from collections.abc import Callable
 
 import h11
 
 from azureramp.ports.web import api
+from azureramp.ports.web import connection as web_connection
 
 LINGER_S = 0.25
 """Longest time that a stopping server waits on an idle connection for a
@@ -17,8 +19,25 @@
 READ_BYTES = 65536
 
 
-Parse = Callable[[h11.Request, bytes, float], api.Request]
-"""Makes a request of its head, its body and when its first byte was read."""
+@dataclasses.dataclass(slots=True, frozen=True)
+class Arrival:
+    """How a request came.
+
+    Attributes:
+        began_s: When its first byte was read, on the loop's clock.
+        round_trip_s: See `api.Request`.
+        first: See `api.Request`.
+    """
+
+    began_s: float = 0.0
+    round_trip_s: float = 0.0
+    first: bool = False
+
+
+UNKNOWN_ARRIVAL = Arrival()
+
+Parse = Callable[[h11.Request, bytes, Arrival], api.Request]
+"""Makes a request of its head, its body and how it came."""
 
 
 class BadRequestError(Exception):
@@ -41,10 +60,12 @@
     __slots__ = (
         "_began",
         "_began_s",
+        "_first",
         "_http",
         "_limits",
         "_parse",
         "_reader",
+        "_round_trip_s",
         "_stopping",
         "_timeout",
         "_until_s",
@@ -65,6 +86,10 @@
         self._writer = writer
         self._limits = limits
         self._parse = parse
+        self._round_trip_s = web_connection.measure_round_trip_s(
+            writer.transport
+        )
+        self._first = True
         self._began = False
         self._began_s = 0.0
         self._stopping = False
@@ -111,10 +136,15 @@
                     if len(body) > self._limits.body_bytes:
                         raise BadRequestError(413, "the body is too large")
                 case h11.EndOfMessage() if head is not None:
-                    return self._parse(head, bytes(body), self._began_s)
+                    return self._parse(head, bytes(body), self._arrive())
                 case _:
                     raise IdleError
 
+    def _arrive(self) -> Arrival:
+        """Tells how a request came that has been read."""
+        first, self._first = self._first, False
+        return Arrival(self._began_s, self._round_trip_s, first)
+
     async def _receive(self) -> None:
         """Waits for bytes and gives them to h11."""
         if self._http.they_are_waiting_for_100_continue:
@@ -156,7 +186,9 @@
         raise BadRequestError(400, "both a length and a transfer encoding")
 
 
-def keep_request(head: h11.Request, body: bytes, began_s: float) -> api.Request:
+def keep_request(
+    head: h11.Request, body: bytes, arrival: Arrival
+) -> api.Request:
     """Makes a request of h11's that is forwarded as it came.
 
     Its path and its headers are not decoded, so that nothing that a server
@@ -170,12 +202,14 @@
         body=body,
         target=head.target,
         fields=tuple(head.headers),
-        began_s=began_s,
+        began_s=arrival.began_s,
+        round_trip_s=arrival.round_trip_s,
+        first=arrival.first,
     )
 
 
 def parse_request(
-    head: h11.Request, body: bytes, began_s: float = 0.0
+    head: h11.Request, body: bytes, arrival: Arrival = UNKNOWN_ARRIVAL
 ) -> api.Request:
     """Makes a request of h11's.
 
@@ -201,5 +235,7 @@
         dict(pairs),
         headers,
         body,
-        began_s=began_s,
+        began_s=arrival.began_s,
+        round_trip_s=arrival.round_trip_s,
+        first=arrival.first,
     )
--- a/tests/policy/test_selection.py
+++ b/tests/policy/test_selection.py
@@ -69,3 +69,29 @@
         record.add_failure(10.0)
     records = {"a": record}
     assert selection.choose(records.items(), 10.1, random.Random(1)) is None
+
+
+def test_a_searcher_that_loses_some_answers_is_used_less() -> None:
+    """Two in five answers of a searcher get lost, one at a time.
+
+    It never fails often enough in a row to rest, but each loss costs the
+    request a retry. The sound one is used until the faults are old.
+    """
+    faulty = selection.Record(2, near=True)
+    for number in range(20):
+        if number % 5 < 2:
+            faulty.add_failure(10.0)
+        else:
+            faulty.add_success()
+        faulty.measured_s = 10.0
+    records = {"faulty": faulty, "sound": selection.Record(2, near=False)}
+    assert choose(records, 10.0) == "sound"
+    assert choose(records, 40.0) == "faulty"
+
+
+def test_a_searcher_that_was_down_is_used_as_before_once_it_is_back() -> None:
+    record = selection.Record(2, near=True)
+    for _ in range(4):
+        record.add_failure(10.0, sent=False)
+    before = selection.rate(selection.Record(2, near=True), 12.0)
+    assert selection.rate(record, 12.0) == before
