--- a/src/azureramp/catalog.py
+++ b/src/azureramp/catalog.py
@@ -243,10 +243,12 @@
 
     Attributes:
         fingerprint: The request's fingerprint.
+        vm: The VM.
         crashes: How many searchers that VM saw crash.
     """
 
     fingerprint: str
+    vm: str
     crashes: int
 
 
--- a/src/azureramp/controllers/forwarding/entry.py
+++ b/src/azureramp/controllers/forwarding/entry.py
@@ -9,6 +9,7 @@
     board as board_module,
 )
 from azureramp.controllers.forwarding import (
+    crashes,
     gather,
     pacing,
     request_log,
@@ -26,14 +27,25 @@
 class Entry:
     """Answers requests of callers."""
 
-    __slots__ = ("_board", "_log", "_paces", "_searchers", "_splitter")
+    __slots__ = (
+        "_board",
+        "_crashes",
+        "_log",
+        "_paces",
+        "_searchers",
+        "_splitter",
+    )
 
     def __init__(
-        self, board: board_module.Board, known: searchers.Searchers
+        self,
+        board: board_module.Board,
+        known: searchers.Searchers,
+        blames: crashes.Crashes,
     ) -> None:
         """Makes the entry of a process."""
         self._board = board
         self._searchers = known
+        self._crashes = blames
         self._log = request_log.RequestLog(board)
         self._paces = pacing.Paces()
         self._splitter = routing.Splitter()
@@ -67,10 +79,17 @@
         until_s = compute_until_s(request, route)
         if until_s <= asyncio.get_running_loop().time():
             return self._refuse(request, route, errors.Kind.DEADLINE_TOO_SHORT)
+        refused_s = self._crashes.get_refused_s(request.message)
+        if refused_s > 0:
+            return self._refuse(
+                request, route, errors.Kind.QUARANTINED, refused_s
+            )
         run = self._make_run(request, route, until_s)
         answer: requests.Answer | None = None
         try:
             answer = await run.run()
+            if not isinstance(answer, requests.Refused):
+                self._crashes.take_answer(request.message)
         finally:
             self._log.note(request, route, run.parts, answer)
         return answer
@@ -88,12 +107,24 @@
         match route.destination:
             case catalog.AllOf() as destination:
                 return gather.Gather(
-                    self._searchers, pace, request, route, destination, until_s
+                    self._searchers,
+                    self._crashes,
+                    pace,
+                    request,
+                    route,
+                    destination,
+                    until_s,
                 )
             case catalog.OneOf(choices=choices):
                 service = self._splitter.choose(route.name, choices)
                 return single.Single(
-                    self._searchers, pace, request, route, service, until_s
+                    self._searchers,
+                    self._crashes,
+                    pace,
+                    request,
+                    route,
+                    service,
+                    until_s,
                 )
 
     def _refuse(
@@ -101,9 +132,14 @@
         request: requests.Incoming,
         route: catalog.Route | None,
         kind: errors.Kind,
+        retry_after_s: float | None = None,
     ) -> requests.Refused:
         """Makes a refusal of a request that nothing was done for."""
-        refused = requests.Refused(errors.Failure(kind), request.id)
+        retry_after_ms = None
+        if retry_after_s is not None:
+            retry_after_ms = round(retry_after_s * 1000)
+        failure = errors.Failure(kind, retry_after_ms=retry_after_ms)
+        refused = requests.Refused(failure, request.id)
         self._log.note(request, route, (), refused)
         return refused
 
--- a/src/azureramp/controllers/forwarding/feed.py
+++ b/src/azureramp/controllers/forwarding/feed.py
@@ -15,6 +15,7 @@
 )
 from azureramp.controllers.forwarding import (
     contact,
+    crashes,
     members,
     searchers,
 )
@@ -56,6 +57,7 @@
     __slots__ = (
         "_board",
         "_contact",
+        "_crashes",
         "_decode",
         "_known",
         "_members",
@@ -72,6 +74,7 @@
         store: store_api.Store,
         decode: Decode,
         known: searchers.Searchers,
+        blames: crashes.Crashes,
         others: members.Members,
         contacts: contact.Contacts,
         rng: random.Random,
@@ -81,6 +84,7 @@
         self._store = store
         self._decode = decode
         self._searchers = known
+        self._crashes = blames
         self._members = others
         self._contact = contacts
         self._rng = rng
@@ -170,6 +174,8 @@
                 self._members.put(member)
             case catalog.MemberGone(vm=vm):
                 self._members.remove(vm, self._contact.is_settled(SETTLE_S))
+            case catalog.RequestBlamed() as blamed:
+                self._crashes.adopt(blamed)
             case catalog.Unreadable(reason=reason):
                 _logger.warning("skipped an entry: {}", reason)
             case _:
--- a/src/azureramp/controllers/forwarding/gather.py
+++ b/src/azureramp/controllers/forwarding/gather.py
@@ -7,6 +7,7 @@
 
 from azureramp import catalog, errors
 from azureramp.controllers.forwarding import (
+    crashes,
     pacing,
     part,
     requests,
@@ -35,6 +36,7 @@
     """
 
     __slots__ = (
+        "_crashes",
         "_cut",
         "_destination",
         "_done",
@@ -51,6 +53,7 @@
     def __init__(
         self,
         known: searchers.Searchers,
+        blames: crashes.Crashes,
         pace: pacing.Pace,
         request: requests.Incoming,
         route: catalog.Route,
@@ -59,6 +62,7 @@
     ) -> None:
         """Makes one that has sent nothing; see `run`."""
         self._searchers = known
+        self._crashes = blames
         self._pace = pace
         self._request = request
         self._destination = destination
@@ -98,7 +102,12 @@
         """Makes the first call of each shard, and sets the timers."""
         for service in self._destination.services:
             each = part.Part(
-                self._searchers, self._pace, self._work, service, self._take
+                self._searchers,
+                self._crashes,
+                self._pace,
+                self._work,
+                service,
+                self._take,
             )
             self.parts.append(each)
             if each.start():
--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -8,7 +8,7 @@
 
 from azureramp import catalog
 from azureramp.controllers.forwarding import board as board_module
-from azureramp.controllers.forwarding import pacing, searchers
+from azureramp.controllers.forwarding import crashes, pacing, searchers
 from azureramp.ports.forwarding import api
 
 SILENT_S = 0.2
@@ -77,6 +77,7 @@
 
     __slots__ = (
         "_attempts",
+        "_crashes",
         "_on_done",
         "_pace",
         "_searchers",
@@ -93,6 +94,7 @@
     def __init__(
         self,
         known: searchers.Searchers,
+        blames: crashes.Crashes,
         pace: pacing.Pace,
         work: Work,
         service: str,
@@ -102,12 +104,14 @@
 
         Args:
             known: The searchers.
+            blames: Finds out which requests crash searchers.
             pace: How long calls of the route usually last.
             work: The request.
             service: The service to ask.
             on_done: Called once at its end, never before `start` returns.
         """
         self._searchers = known
+        self._crashes = blames
         self._pace = pace
         self._work = work
         self._on_done = on_done
@@ -290,6 +294,10 @@
             return
         if self.done and took_s < SILENT_S:
             return
+        if lost.sent and not self.done:
+            self._crashes.watch(
+                target, self._work.message, self._work.route.repeatable
+            )
         if lost.sent and took_s >= SILENT_S:
             target.pool.retire(now_s - took_s)
         target.record.add_failure(now_s, lost.sent)
--- a/src/azureramp/controllers/forwarding/single.py
+++ b/src/azureramp/controllers/forwarding/single.py
@@ -6,6 +6,7 @@
 
 from azureramp import catalog, errors
 from azureramp.controllers.forwarding import (
+    crashes,
     pacing,
     part,
     requests,
@@ -34,6 +35,7 @@
     def __init__(
         self,
         known: searchers.Searchers,
+        blames: crashes.Crashes,
         pace: pacing.Pace,
         request: requests.Incoming,
         route: catalog.Route,
@@ -45,7 +47,9 @@
         self._pace = pace
         self._request = request
         self._work = part.Work(request.message, route, until_s)
-        self._part = part.Part(known, pace, self._work, service, self._take)
+        self._part = part.Part(
+            known, blames, pace, self._work, service, self._take
+        )
         self.parts = (self._part,)
         self._done: asyncio.Future[None] | None = None
 
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -19,6 +19,7 @@
 )
 from azureramp.controllers.forwarding import (
     contact,
+    crashes,
     entry,
     feed,
     leaving,
@@ -59,6 +60,7 @@
     """
 
     __slots__ = (
+        "_crashes",
         "_entry",
         "_feed",
         "_front",
@@ -84,17 +86,19 @@
         self._members = members.Members(
             board, self._store, encode_member, contacts, rng
         )
+        self._crashes = crashes.Crashes(board, self._store, encode_blame)
         self._feed = feed.Feed(
             board,
             self._store,
             decoding.decode,
             known,
+            self._crashes,
             self._members,
             contacts,
             rng,
         )
         self._feed.on_configuration = self._follow_configuration
-        self._entry = entry.Entry(board, known)
+        self._entry = entry.Entry(board, known, self._crashes)
         self._limits = web_api.Limits(
             connections=max(100, given.descriptors - OTHER_DESCRIPTORS)
         )
@@ -134,6 +138,7 @@
         for name, run in (
             ("feed", self._feed.run),
             ("members", self._members.run),
+            ("crashes", self._crashes.run),
         ):
             self._tasks.append(asyncio.create_task(_keep_running(name, run)))
         _logger.info("started on {}", self._settings.front_address)
@@ -212,6 +217,12 @@
     return key, msgspec.json.encode(member)
 
 
+def encode_blame(blamed: catalog.RequestBlamed) -> tuple[str, bytes]:
+    """Returns the key and the value of a report on a request."""
+    name = f"{blamed.fingerprint}/{blamed.vm}"
+    return decoding.BLAME_PREFIX + name, msgspec.json.encode(blamed)
+
+
 def get_settings_path() -> pathlib.Path:
     """Returns the path of the settings file."""
     return pathlib.Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS))
--- a/src/azureramp/ports/forwarding/pool.py
+++ b/src/azureramp/ports/forwarding/pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 
 from azureramp.ports.forwarding import api
 from azureramp.ports.forwarding import link as link_module
@@ -58,6 +59,7 @@
         "_idle",
         "_links",
         "_opening",
+        "_probes",
         "_waiting",
         "address",
         "limit",
@@ -71,6 +73,7 @@
         self._links: set[link_module.Link] = set()
         self._opening: set[asyncio.Task[None]] = set()
         self._waiting: collections.deque[Ticket] = collections.deque()
+        self._probes: list[Callable[[bool], None]] = []
         self.address = address
         self.limit = limit
         self.opened = 0
@@ -126,6 +129,18 @@
         """Cuts a call's connection unless its answer comes soon."""
         self._cut_later(link, link.calls, linger_s)
 
+    def probe(self, receiver: Callable[[bool], None]) -> None:
+        """Finds out whether the searcher refuses new connections.
+
+        Args:
+            receiver: Called once with True if it does; with False if one
+                could be opened, which is then used for calls, or if there is
+                no telling.
+        """
+        self._probes.append(receiver)
+        if not self._opening:
+            self._open()
+
     def retire(self, before_s: float) -> None:
         """Closes idle connections that gave no sign of life for long.
 
@@ -232,7 +247,11 @@
     def _opened(self, task: asyncio.Task[None]) -> None:
         """Goes on after a connection was opened, or was not."""
         self._opening.discard(task)
-        failed = task.cancelled() or task.exception() is not None
+        failure = None if task.cancelled() else task.exception()
+        failed = task.cancelled() or failure is not None
+        probes, self._probes = self._probes, []
+        for receiver in probes:
+            receiver(isinstance(failure, ConnectionError))
         if failed and not self._links and not self._opening:
             self._fail_waiting(api.Loss.NO_CONNECTION)
         elif not failed:
--- /dev/null
+++ b/tests/forwarding/test_crashes.py
@@ -0,0 +1,95 @@
+"""Requests that crash the searchers that run them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from azureramp_standins.fleet import deployment, searcher
+from tests.forwarding import scenes
+
+
+async def restart_later(each: searcher.Searcher) -> None:
+    await asyncio.sleep(1.0)
+    await each.start()
+
+
+def make_fragile(scene: deployment.Deployment) -> list[str]:
+    """Makes all searchers crash on `poison`; returns who did, in order."""
+    crashed: list[str] = []
+
+    def script(each: searcher.Searcher) -> searcher.Script:
+        def act(seen: searcher.Seen) -> searcher.Act:
+            if "poison" not in seen.target:
+                return searcher.Act()
+            crashed.append(each.id)
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.003, each.crash)
+            tasks.append(asyncio.ensure_future(restart_later(each)))
+            return searcher.Act(after_s=0.5)
+
+        return act
+
+    tasks: list[asyncio.Task[None]] = []
+    for each in scene.searchers.values():
+        each.script = script(each)
+    return crashed
+
+
+def test_a_request_that_crashes_searchers_stops_on_every_vm() -> None:
+    """One request takes the statements down again and again.
+
+    Each searcher that runs it crashes, and its caller sends it again, to
+    another VM each time. After a few crashes it is refused on every VM, with
+    a time to come back; other requests are served.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        crashed = make_fragile(scene)
+        for round_ in range(6):
+            vm = f"vm-{round_ % 2}"
+            await scene.ask(vm, "/one/poison")
+            await deployment.settle(3.0)
+        assert 3 <= len(crashed) <= 6
+        for vm in scene.programs:
+            answer = await scene.ask(vm, "/one/poison")
+            assert answer.status == 503
+            assert float(scenes.get_headers(answer)["retry-after"]) > 10
+            assert (await scene.ask(vm, "/one/fine")).status == 200
+
+    scenes.run(scenario, vms=2)
+
+
+def test_a_request_that_may_run_once_is_counted_over_all_vms() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        crashed = make_fragile(scene)
+        for round_ in range(8):
+            await scene.ask(f"vm-{round_ % 4}", "/once/poison", "POST", b"x")
+            await deployment.settle(3.0)
+        assert 3 <= len(crashed) <= 5
+
+    scenes.run(scenario, vms=4)
+
+
+def test_lost_answers_blame_nobody() -> None:
+    """A searcher's answers get lost; the searcher lives.
+
+    Each loss breaks one connection and a new one can be opened, so the
+    request did not crash it and may come again.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        for index in range(2):
+            scene.searchers[f"statements-{index}"].script = lambda seen: (
+                searcher.Act(then="reset")
+            )
+        for _ in range(8):
+            answer = await scene.ask("vm-0", "/one/x")
+            assert answer.status in (502, 503)
+            await deployment.settle(2.0)
+        for index in range(2):
+            name = f"statements-{index}"
+            scene.searchers[name].script = searcher.Act().do
+        await deployment.settle(2.0)
+        assert (await scene.ask("vm-0", "/one/x")).status == 200
+
+    scenes.run(scenario)
