--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -9,7 +9,7 @@
 import dataclasses
 import math
 
-from azureramp import catalog
+from azureramp import catalog, metrics
 from azureramp.policy import allowances, routing, selection
 from azureramp.ports.forwarding import pool
 
@@ -109,6 +109,7 @@
             announced itself. By the members controller.
         told: The VMs among them that callers are told of.
         busy: True while this VM's processor is busy.
+        metrics: Everybody counts here.
         contact: Whether the store can be reached.
         leaving: True once the process is told to stop.
         running: Requests of callers that run now.
@@ -123,6 +124,7 @@
         "identity",
         "leaving",
         "members",
+        "metrics",
         "running",
         "started_s",
         "table",
@@ -132,7 +134,11 @@
     )
 
     def __init__(
-        self, identity: Identity, bounds: Bounds, now_s: float
+        self,
+        identity: Identity,
+        bounds: Bounds,
+        counters: metrics.Metrics,
+        now_s: float,
     ) -> None:
         """Makes the state of a process that has just begun."""
         self.identity = identity
@@ -146,6 +152,7 @@
         self.members: dict[str, catalog.Member] = {}
         self.told: dict[str, catalog.Member] = {}
         self.busy = False
+        self.metrics = counters
         self.contact = StoreContact()
         self.leaving = False
         self.running = 0
--- a/src/azureramp/controllers/forwarding/crashes.py
+++ b/src/azureramp/controllers/forwarding/crashes.py
@@ -107,6 +107,7 @@
         fingerprint = blame.make_fingerprint(message)
         now_s = asyncio.get_running_loop().time()
         crashes = self._blames.add(fingerprint, now_s)
+        self._board.metrics.count("crash.blamed")
         _logger.warning(
             "request {} was running on searcher {} when it crashed; crashes"
             " seen of {}: {}",
--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -140,7 +140,10 @@
         self.mark_overdue()
         if self.done or not self._work.route.repeatable:
             return False
-        return self._may_send() and self._send(now_s)
+        hedged = self._may_send() and self._send(now_s)
+        if hedged:
+            self._searchers.metrics.count("call.hedged")
+        return hedged
 
     def mark_overdue(self) -> None:
         """Counts the calls that wait now as overdue at their searchers."""
@@ -157,6 +160,8 @@
                 continue
             if attempt.ticket.abandon(LINGER_S):
                 self._end(attempt)
+                attempt.ended_s = asyncio.get_running_loop().time()
+                attempt.outcome = "dropped, not sent"
 
     def count_extra(self) -> int:
         """Returns how many calls it made beyond the first."""
@@ -206,7 +211,9 @@
         if self._count_arrivals() and not self._searchers.get_allowance(
             self.service
         ).spend(now_s, self._searchers.get_part(now_s)):
+            self._searchers.metrics.count("call.withheld")
             return False
+        self._searchers.metrics.count("call.sent")
         attempt = Attempt(target, now_s)
         self._attempts.append(attempt)
         self._tried.add(target.searcher.id)
@@ -272,6 +279,7 @@
         if reply.cold_s:
             target.cold_until_s = max(target.cold_until_s, now_s + reply.cold_s)
         if reply.is_success():
+            self._searchers.metrics.record_ms("call.took_ms", took_s * 1000)
             record.add_success()
             record.add_time(self._pace.add(took_s), now_s)
         elif reply.ran is api.Ran.NO:
@@ -290,6 +298,7 @@
         now_s: float,
     ) -> None:
         """Learns of a searcher from a call without an answer."""
+        self._searchers.metrics.count("call.lost")
         if lost.loss is api.Loss.NO_ROOM:
             return
         if self.done and took_s < SILENT_S:
@@ -306,6 +315,7 @@
         """Goes on after an answer."""
         if reply.ran is api.Ran.NO:
             self.rejections += 1
+            self._searchers.metrics.count("call.rejected")
             self._go_on(now_s)
             return
         self.runs += 1
@@ -331,6 +341,7 @@
     def _go_on(self, now_s: float) -> None:
         """Makes another call, or ends if none waits and none may be made."""
         if self._may_send() and self._send(now_s):
+            self._searchers.metrics.count("call.retried")
             return
         if not self.is_waiting():
             self._finish(None)
--- a/src/azureramp/controllers/forwarding/request_log.py
+++ b/src/azureramp/controllers/forwarding/request_log.py
@@ -8,7 +8,7 @@
 
 import logbook
 
-from azureramp import catalog
+from azureramp import catalog, errors
 from azureramp.controllers.forwarding import board as board_module
 from azureramp.controllers.forwarding import part, requests
 from azureramp.policy import sampling
@@ -54,6 +54,8 @@
         """
         now_s = asyncio.get_running_loop().time()
         outcome = describe_answer(answer)
+        took_ms = (now_s - request.began_s) * 1000
+        self._count(answer, took_ms)
         good = outcome in GOOD
         if good and not self._sampler.take(now_s):
             return
@@ -62,7 +64,7 @@
             "route": route.name if route else "",
             "configuration": self._get_version(),
             "outcome": outcome,
-            "took_ms": round((now_s - request.began_s) * 1000, 1),
+            "took_ms": round(took_ms, 1),
             "round_trip_ms": round(request.round_trip_s * 1000, 1),
         }
         if request.deadline_s is not None:
@@ -83,6 +85,28 @@
                 line["lines_left_out"] = left_out
         _logger.info("request", extra=line)
 
+    def _count(self, answer: requests.Answer | None, took_ms: float) -> None:
+        """Counts a request's end."""
+        counters = self._board.metrics
+        counters.count("forward.requests")
+        counters.record_ms("forward.took_ms", took_ms)
+        match answer:
+            case None:
+                counters.count("forward.gone")
+            case requests.Whole():
+                counters.count("forward.answered")
+            case requests.Merged(missing=0):
+                counters.count("forward.answered")
+            case requests.Merged(missing=missing):
+                counters.count("forward.short")
+                counters.count("forward.missing", missing)
+            case requests.Refused(failure=failure):
+                ran = failure.get_answer().ran
+                refused = ran is errors.Ran.NOT_RUN
+                counters.count(
+                    "forward.refused" if refused else "forward.failed"
+                )
+
     def _get_version(self) -> int:
         """Returns the configuration's version; 0 if there is none."""
         configuration = self._board.configuration
--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -26,9 +26,13 @@
 
 
 class Searchers:
-    """Keeps the searchers on the blackboard and chooses among them."""
+    """Keeps the searchers on the blackboard and chooses among them.
 
-    __slots__ = ("_allowances", "_board", "_codec", "_rng")
+    Attributes:
+        metrics: Counts the calls.
+    """
+
+    __slots__ = ("_allowances", "_board", "_codec", "_rng", "metrics")
 
     def __init__(
         self,
@@ -38,6 +42,7 @@
     ) -> None:
         """Makes a controller that knows no searcher."""
         self._board = board
+        self.metrics = board.metrics
         self._codec = codec
         self._rng = rng
         self._allowances: dict[str, allowances.Allowance] = {}
--- a/src/azureramp/metrics.py
+++ b/src/azureramp/metrics.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 import dataclasses
 import enum
@@ -45,6 +46,28 @@
         Metric("request.short", Type.COUNTER, "Answers marked short."),
         Metric("request.took_ms", Type.TIMER, "Admission to answer."),
         Metric("request.running", Type.GAUGE, "Requests that run now."),
+        Metric("forward.requests", Type.COUNTER, "Forwarded requests ended."),
+        Metric("forward.answered", Type.COUNTER, "Answered whole."),
+        Metric("forward.short", Type.COUNTER, "Answered with shards missing."),
+        Metric("forward.missing", Type.COUNTER, "Shards missing in answers."),
+        Metric("forward.refused", Type.COUNTER, "Refused, not run."),
+        Metric("forward.failed", Type.COUNTER, "Ended without an answer."),
+        Metric("forward.gone", Type.COUNTER, "Callers that left before it."),
+        Metric("forward.took_ms", Type.TIMER, "First byte to answer."),
+        Metric("forward.running", Type.GAUGE, "Requests that run now."),
+        Metric("call.sent", Type.COUNTER, "Calls to searchers."),
+        Metric("call.hedged", Type.COUNTER, "Of these, hedges."),
+        Metric("call.retried", Type.COUNTER, "Of these, retries."),
+        Metric("call.withheld", Type.COUNTER, "Extra calls over the bound."),
+        Metric("call.rejected", Type.COUNTER, "Rejected by searchers, unrun."),
+        Metric("call.lost", Type.COUNTER, "Calls without an answer."),
+        Metric("call.took_ms", Type.TIMER, "Time of a successful call."),
+        Metric("crash.blamed", Type.COUNTER, "Crashes blamed on requests."),
+        Metric("log.dropped", Type.COUNTER, "Log lines that nobody read."),
+        Metric("vm.told", Type.GAUGE, "VMs that callers are told of."),
+        Metric("vm.members", Type.GAUGE, "VMs that are known."),
+        Metric("searcher.known", Type.GAUGE, "Searchers that are known."),
+        Metric("store.reachable", Type.GAUGE, "1 while the store answers."),
         Metric("part.needed", Type.COUNTER, "Sub-requests needed."),
         Metric("part.hedged", Type.COUNTER, "Hedged sub-requests."),
         Metric("part.retried", Type.COUNTER, "Retried sub-requests."),
@@ -71,6 +94,33 @@
 }
 
 
+BUCKETS_MS = (1, 2, 5, 10, 20, 30, 50, 75, 100, 150, 250, 500, 1000, 2500)
+"""Upper edges of a histogram's buckets, in milliseconds: finest around the
+tens in which callers want their answers."""
+
+
+class Histogram:
+    """Durations, counted by bucket.
+
+    Attributes:
+        counts: How many fell into each bucket of `BUCKETS_MS`; the last one
+            is for all that are longer.
+        sum_ms: Their sum, in milliseconds.
+    """
+
+    __slots__ = ("counts", "sum_ms")
+
+    def __init__(self) -> None:
+        """Makes an empty histogram."""
+        self.counts = [0] * (len(BUCKETS_MS) + 1)
+        self.sum_ms = 0.0
+
+    def add(self, took_ms: float) -> None:
+        """Adds a duration, in milliseconds."""
+        self.counts[bisect.bisect_left(BUCKETS_MS, took_ms)] += 1
+        self.sum_ms += took_ms
+
+
 class Sender(Protocol):
     """What a statsd client offers."""
 
@@ -90,9 +140,10 @@
     Attributes:
         counts: The counters' sums since the start.
         gauges: The gauges' present values.
+        histograms: The timers' durations since the start.
     """
 
-    __slots__ = ("_sender", "counts", "gauges")
+    __slots__ = ("_sender", "counts", "gauges", "histograms")
 
     def __init__(self, sender: Sender | None = None) -> None:
         """Makes metrics at zero.
@@ -102,6 +153,7 @@
         """
         self.counts: collections.Counter[str] = collections.Counter()
         self.gauges: dict[str, float] = {}
+        self.histograms: dict[str, Histogram] = {}
         self._sender = sender
 
     def count(self, name: str, by: int = 1) -> None:
@@ -118,5 +170,9 @@
 
     def record_ms(self, name: str, took_ms: float) -> None:
         """Records a duration for a timer of `TABLE`."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = self.histograms[TABLE[name].name] = Histogram()
+        histogram.add(took_ms)
         if self._sender is not None:
             self._sender.timing(TABLE[name].name, took_ms)
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -12,8 +12,9 @@
 
 import logbook
 import msgspec
+import statsd
 
-from azureramp import catalog, logs
+from azureramp import catalog, exposition, logs, metrics
 from azureramp.controllers.forwarding import (
     board as board_module,
 )
@@ -27,13 +28,17 @@
     searchers,
 )
 from azureramp.platform import decoding, headers, settings, store
+from azureramp.ports.store import counting
 from azureramp.ports.web import api as web_api
+from azureramp.ports.web import connection as web_connection
 from azureramp.ports.web import request_reader
 from azureramp.ports.web import server as web_server
 
 SETTINGS_VARIABLE = "AZURERAMP_CONFIG"
 DEFAULT_SETTINGS = "/etc/azureramp/settings.toml"
 
+METRICS_PATH = "/metrics"
+
 EXIT_GRACEFUL = 0
 EXIT_CUT = 1
 EXIT_SETTINGS = 2
@@ -65,6 +70,7 @@
         "_feed",
         "_front",
         "_limits",
+        "_lines",
         "_members",
         "_servers",
         "_settings",
@@ -73,16 +79,29 @@
         "board",
     )
 
-    def __init__(self, given: settings.Settings) -> None:
-        """Joins the parts of a process; see `run`."""
+    def __init__(
+        self, given: settings.Settings, lines: logs.LineWriter | None = None
+    ) -> None:
+        """Joins the parts of a process; see `run`.
+
+        Args:
+            given: The settings.
+            lines: Writes the logs; None if they go elsewhere.
+        """
+        self._lines = lines
         loop = asyncio.get_running_loop()
         rng = random.Random(f"{given.identity.vm}/{time.time_ns()}")
-        board = board_module.Board(given.identity, given.bounds, loop.time())
+        counters = make_metrics(given.own)
+        board = board_module.Board(
+            given.identity, given.bounds, counters, loop.time()
+        )
         contacts = contact.Contacts(board)
         known = searchers.Searchers(board, headers.Codec(), rng)
         self._settings = given
         self.board = board
-        self._store = store.PlatformStore(given.store_address)
+        self._store = counting.CountingStore(
+            store.PlatformStore(given.store_address), counters
+        )
         self._members = members.Members(
             board, self._store, encode_member, contacts, rng
         )
@@ -108,11 +127,16 @@
             self._limits,
             request_reader.keep_request,
         )
-        self._servers = (
+        self._servers: tuple[web_server.Server, ...] = (
             self._front,
             web_server.Server(given.ready_address, self._handle_readiness),
             web_server.Server(given.directory_address, self._handle_resolve),
         )
+        if given.own.metrics_port:
+            host = given.front_address.rpartition(":")[0]
+            address = f"{host}:{given.own.metrics_port}"
+            server = web_server.Server(address, self._handle_metrics)
+            self._servers = (*self._servers, server)
         self._tasks: list[asyncio.Task[None]] = []
 
     async def run(self) -> int:
@@ -197,13 +221,35 @@
         body = msgspec.json.encode({"addrs": addresses, "ttl_s": lifetime_s})
         return web_api.Response(200, body, "application/json")
 
+    async def _handle_metrics(
+        self, request: web_api.Request
+    ) -> web_api.Response:
+        """Tells the metrics."""
+        if request.path != METRICS_PATH:
+            return web_api.Response(404)
+        board = self.board
+        version = board.configuration.version if board.configuration else 0
+        for name, value in (
+            ("forward.running", board.running),
+            ("vm.told", len(board.told)),
+            ("vm.members", len(board.members)),
+            ("searcher.known", len(board.targets)),
+            ("store.reachable", int(board.contact.reachable)),
+            ("configuration.revision", version),
+        ):
+            board.metrics.set_gauge(name, value)
+        dropped = self._lines.dropped if self._lines else 0
+        board.metrics.counts["log.dropped"] = dropped
+        body = exposition.render(board.metrics)
+        return web_api.Response(200, body, exposition.CONTENT_TYPE)
+
     def _follow_configuration(self, new: catalog.Configuration) -> None:
         """Puts what callers may send into force."""
         headers.to_web_limits(new.limits, self._limits)
 
     def _reload(self) -> None:
         """Takes the bounds of a changed settings file."""
-        result = settings.read(get_settings_path())
+        result = settings.read(get_settings_path(), os.environ)
         if result.is_error():
             _logger.error("kept the settings: {}", result.error)
             return
@@ -211,6 +257,16 @@
         _logger.info("took the settings anew")
 
 
+def make_metrics(own: settings.OwnSettings) -> metrics.Metrics:
+    """Makes the metrics, with a statsd sender if one is set."""
+    if not own.statsd_address:
+        return metrics.Metrics()
+    host, port = web_connection.split_address(own.statsd_address)
+    return metrics.Metrics(
+        statsd.StatsClient(host, port, prefix=metrics.PREFIX)
+    )
+
+
 def encode_member(member: catalog.Member) -> tuple[str, bytes]:
     """Returns the key and the value of a VM's entry in the store."""
     key = decoding.MEMBER_PREFIX + member.vm
@@ -239,16 +295,17 @@
         await asyncio.sleep(RESTART_S)
 
 
-async def _run(given: settings.Settings) -> int:
+async def _run(given: settings.Settings, lines: logs.LineWriter) -> int:
     """Runs a process of these settings."""
-    return await Program(given).run()
+    return await Program(given, lines).run()
 
 
 def main() -> None:
     """Runs the daemon; exits with 2 for a setting that is not allowed."""
-    result = settings.read(get_settings_path())
+    result = settings.read(get_settings_path(), os.environ)
     if result.is_error():
         sys.stderr.write(f"azurerampd: {result.error}\n")
         sys.exit(EXIT_SETTINGS)
-    logs.set_up(result.ok.identity.vm, sys.stdout)
-    sys.exit(asyncio.run(_run(result.ok)))
+    lines = logs.LineWriter(sys.stdout.fileno())
+    logs.set_up(result.ok.identity.vm, lines)
+    sys.exit(asyncio.run(_run(result.ok, lines)))
--- a/src/azureramp/platform/settings.py
+++ b/src/azureramp/platform/settings.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import dataclasses
 import pathlib
 import tomllib
+from collections.abc import Mapping
 from typing import Any
 
 import expression
@@ -94,6 +96,23 @@
     bootstrap: bool = False
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class OwnSettings:
+    """Settings of the project's own, from the environment.
+
+    Attributes:
+        metrics_port: Where the metrics are served; 0 for nowhere.
+        statsd_address: `IP:port` of a statsd server; empty for none.
+    """
+
+    metrics_port: int = 0
+    statsd_address: str = ""
+
+
+METRICS_PORT = "AZURERAMP_METRICS_PORT"
+STATSD_ADDRESS = "AZURERAMP_STATSD_ADDRESS"
+
+
 class Settings(msgspec.Struct, frozen=True):
     """What the file says, in the project's types.
 
@@ -105,6 +124,7 @@
         directory_address: Where callers ask for addresses.
         store_address: The platform's store.
         descriptors: Most descriptors of the process.
+        own: The project's own settings.
     """
 
     identity: board.Identity
@@ -114,10 +134,17 @@
     directory_address: str
     store_address: str
     descriptors: int
+    own: OwnSettings = OwnSettings()
 
 
-def read(path: pathlib.Path) -> expression.Result[Settings, str]:
-    """Reads and checks a settings file.
+def read(
+    path: pathlib.Path, environment: Mapping[str, str]
+) -> expression.Result[Settings, str]:
+    """Reads and checks a settings file and the project's own variables.
+
+    Args:
+        path: The file.
+        environment: The process's environment.
 
     Returns:
         The settings, or one line that names the wrong field and value.
@@ -134,7 +161,37 @@
     problem = find_problem(body)
     if problem:
         return expression.Error(f"{path}: {problem}")
-    return expression.Ok(_to_settings(body))
+    own = read_own(environment)
+    if own.is_error():
+        return expression.Error(own.error)
+    return expression.Ok(_to_settings(body, own.ok))
+
+
+def read_own(
+    environment: Mapping[str, str],
+) -> expression.Result[OwnSettings, str]:
+    """Reads and checks the project's own variables.
+
+    Returns:
+        The settings, or one line that names the wrong variable and value.
+    """
+    port = environment.get(METRICS_PORT, "0")
+    if not port.isascii() or not port.isdigit() or int(port) > 65535:
+        return expression.Error(
+            f"{METRICS_PORT}: {port!r}; allowed: 0 to 65535"
+        )
+    address = environment.get(STATSD_ADDRESS, "")
+    if address and not is_address(address):
+        return expression.Error(
+            f"{STATSD_ADDRESS}: {address!r}; allowed: IP:port"
+        )
+    return expression.Ok(OwnSettings(int(port), address))
+
+
+def is_address(value: str) -> bool:
+    """Tells whether a word is `IP:port`."""
+    host, _, port = value.rpartition(":")
+    return bool(host) and port.isdigit() and 0 < int(port) < 65536
 
 
 def find_problem(body: SettingsBody) -> str:
@@ -147,8 +204,7 @@
         "platform.Address": body.platform.address,
     }
     for field, value in addresses.items():
-        host, _, port = value.rpartition(":")
-        if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        if not is_address(value):
             return f"{field}: {value!r}; allowed: IP:port"
     if not body.node or not body.zone:
         return "Node and Zone: empty; allowed: a name"
@@ -173,7 +229,7 @@
     return ""
 
 
-def _to_settings(body: SettingsBody) -> Settings:
+def _to_settings(body: SettingsBody, own: OwnSettings) -> Settings:
     """Makes the settings of a checked file."""
     listen, bounds = body.listen_addrs, body.bounds
     extra = allowances.Terms(
@@ -202,4 +258,5 @@
         directory_address=listen.directory,
         store_address=body.platform.address,
         descriptors=body.limits.max_fds,
+        own=own,
     )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -34,13 +34,13 @@
 def read(tmp_path: pathlib.Path, text: str) -> settings.Settings:
     path = tmp_path / "settings.toml"
     path.write_text(text, "utf-8")
-    return settings.read(path).ok
+    return settings.read(path, {}).ok
 
 
 def read_problem(tmp_path: pathlib.Path, text: str) -> str:
     path = tmp_path / "settings.toml"
     path.write_text(text, "utf-8")
-    return settings.read(path).error
+    return settings.read(path, {}).error
 
 
 def test_fields_are_read_and_unknown_ones_passed_over(
@@ -81,4 +81,18 @@
 
 
 def test_a_missing_file_is_named(tmp_path: pathlib.Path) -> None:
-    assert "absent" in settings.read(tmp_path / "absent").error
+    assert "absent" in settings.read(tmp_path / "absent", {}).error
+
+
+@pytest.mark.parametrize(
+    ("variable", "value"),
+    [
+        (settings.METRICS_PORT, "many"),
+        (settings.METRICS_PORT, "70000"),
+        (settings.STATSD_ADDRESS, "nowhere"),
+    ],
+)
+def test_a_wrong_variable_is_named(variable: str, value: str) -> None:
+    problem = settings.read_own({variable: value}).error
+    assert variable in problem
+    assert value in problem
