--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -86,11 +86,13 @@
         reachable: False after a call that failed, until one works.
         lost_s: When calls last began to fail.
         regained_s: When a call first worked after that.
+        confirmed_s: When a call last worked.
     """
 
     reachable: bool = True
     lost_s: float = -math.inf
     regained_s: float = -math.inf
+    confirmed_s: float = -math.inf
 
 
 class Board:
@@ -111,6 +113,8 @@
         busy: True while this VM's processor is busy.
         metrics: Everybody counts here.
         contact: Whether the store can be reached.
+        follows_store: True while this VM hears of changes from the store
+            itself, not from another VM. By the feed.
         leaving: True once the process is told to stop.
         running: Requests of callers that run now.
     """
@@ -121,6 +125,7 @@
         "by_service",
         "configuration",
         "contact",
+        "follows_store",
         "identity",
         "leaving",
         "members",
@@ -154,6 +159,7 @@
         self.busy = False
         self.metrics = counters
         self.contact = StoreContact()
+        self.follows_store = False
         self.leaving = False
         self.running = 0
 
--- a/src/azureramp/controllers/forwarding/contact.py
+++ b/src/azureramp/controllers/forwarding/contact.py
@@ -15,20 +15,22 @@
 class Contacts:
     """Keeps the state of contact on the blackboard."""
 
-    __slots__ = ("_board", "_changed")
+    __slots__ = ("_board", "_changed", "_lost")
 
     def __init__(self, board: board_module.Board) -> None:
         """Makes one that has not reached the store yet."""
         self._board = board
         self._changed = asyncio.Event()
+        self._lost = asyncio.Event()
 
     def note_success(self) -> None:
         """Takes a call that worked."""
         contact = self._board.contact
+        contact.confirmed_s = asyncio.get_running_loop().time()
         if contact.reachable:
             return
         contact.reachable = True
-        contact.regained_s = asyncio.get_running_loop().time()
+        contact.regained_s = contact.confirmed_s
         self._changed.set()
         _logger.info("the store can be reached")
 
@@ -39,12 +41,18 @@
             return
         contact.reachable = False
         contact.lost_s = asyncio.get_running_loop().time()
+        self._lost.set()
+        self._lost = asyncio.Event()
         _logger.warning(
             "the store can't be reached: {} {}",
             failure.kind.value,
             failure.detail,
         )
 
+    async def wait_lost(self) -> None:
+        """Waits until a call fails while the store could be reached."""
+        await self._lost.wait()
+
     def is_settled(self, after_s: float) -> bool:
         """Tells whether the store has been reachable for some time."""
         contact = self._board.contact
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -16,18 +16,21 @@
 
 from azureramp import catalog, exposition, logs, metrics
 from azureramp.controllers.forwarding import (
-    board as board_module,
-)
-from azureramp.controllers.forwarding import (
+    applying,
     contact,
     crashes,
     entry,
     feed,
     leaving,
     members,
+    relay,
     searchers,
 )
+from azureramp.controllers.forwarding import (
+    board as board_module,
+)
 from azureramp.platform import decoding, headers, settings, store
+from azureramp.ports.relays import http as relays_http
 from azureramp.ports.store import counting
 from azureramp.ports.web import api as web_api
 from azureramp.ports.web import connection as web_connection
@@ -65,6 +68,7 @@
     """
 
     __slots__ = (
+        "_applying",
         "_crashes",
         "_entry",
         "_feed",
@@ -72,6 +76,8 @@
         "_limits",
         "_lines",
         "_members",
+        "_relay",
+        "_relays",
         "_servers",
         "_settings",
         "_store",
@@ -80,17 +86,23 @@
     )
 
     def __init__(
-        self, given: settings.Settings, lines: logs.LineWriter | None = None
+        self,
+        given: settings.Settings,
+        lines: logs.LineWriter | None = None,
+        seed: int | None = None,
     ) -> None:
         """Joins the parts of a process; see `run`.
 
         Args:
             given: The settings.
             lines: Writes the logs; None if they go elsewhere.
+            seed: Makes its draws repeat; None for another at each start.
         """
         self._lines = lines
         loop = asyncio.get_running_loop()
-        rng = random.Random(f"{given.identity.vm}/{time.time_ns()}")
+        rng = random.Random(
+            f"{given.identity.vm}/{time.time_ns() if seed is None else seed}"
+        )
         counters = make_metrics(given.own)
         board = board_module.Board(
             given.identity, given.bounds, counters, loop.time()
@@ -106,17 +118,27 @@
             board, self._store, encode_member, contacts, rng
         )
         self._crashes = crashes.Crashes(board, self._store, encode_blame)
-        self._feed = feed.Feed(
+        self._applying = applying.Applying(
             board,
-            self._store,
             decoding.decode,
             known,
             self._crashes,
             self._members,
             contacts,
+        )
+        self._applying.on_configuration = self._follow_configuration
+        self._relay = relay.Relay(board)
+        self._relays = relays_http.HttpRelays()
+        self._feed = feed.Feed(
+            board,
+            self._store,
+            self._relays,
+            given.seeds,
+            self._relay,
+            contacts,
+            self._applying.apply,
             rng,
         )
-        self._feed.on_configuration = self._follow_configuration
         self._entry = entry.Entry(board, known, self._crashes)
         self._limits = web_api.Limits(
             connections=max(100, given.descriptors - OTHER_DESCRIPTORS)
@@ -132,6 +154,11 @@
             web_server.Server(given.ready_address, self._handle_readiness),
             web_server.Server(given.directory_address, self._handle_resolve),
         )
+        if given.identity.peer_address:
+            server = web_server.Server(
+                given.identity.peer_address, self._relay.handle
+            )
+            self._servers = (*self._servers, server)
         if given.own.metrics_port:
             host = given.front_address.rpartition(":")[0]
             address = f"{host}:{given.own.metrics_port}"
@@ -161,6 +188,7 @@
             await server.start()
         for name, run in (
             ("feed", self._feed.run),
+            ("applying", self._applying.run),
             ("members", self._members.run),
             ("crashes", self._crashes.run),
         ):
@@ -180,6 +208,7 @@
             task.cancel()
         for server in self._servers:
             await server.stop(0.0)
+        await self._relays.close()
         await self._store.close()
 
     async def _handle_request(
--- a/src/azureramp/platform/settings.py
+++ b/src/azureramp/platform/settings.py
@@ -84,6 +84,7 @@
         node: This VM's name.
         zone: Its availability zone.
         platform: The store.
+        seeds: Where some VMs listen to others, `IP:port`; they may be down.
         bootstrap: True if the whole tier starts for the first time.
     """
 
@@ -93,6 +94,7 @@
     platform: StoreBody = msgspec.field(name="platform")
     bounds: BoundsBody = msgspec.field(default_factory=BoundsBody)
     limits: ProcessLimitsBody = msgspec.field(default_factory=ProcessLimitsBody)
+    seeds: list[str] = []
     bootstrap: bool = False
 
 
@@ -123,6 +125,7 @@
         ready_address: Where the platform asks for readiness.
         directory_address: Where callers ask for addresses.
         store_address: The platform's store.
+        seeds: Where some VMs listen to others.
         descriptors: Most descriptors of the process.
         own: The project's own settings.
     """
@@ -133,6 +136,7 @@
     ready_address: str
     directory_address: str
     store_address: str
+    seeds: tuple[str, ...]
     descriptors: int
     own: OwnSettings = OwnSettings()
 
@@ -257,6 +261,7 @@
         ready_address=listen.ready,
         directory_address=listen.directory,
         store_address=body.platform.address,
+        seeds=tuple(body.seeds),
         descriptors=body.limits.max_fds,
         own=own,
     )
--- /dev/null
+++ b/src/azureramp/ports/relays/__init__.py
@@ -0,0 +1,1 @@
+"""Hearing of the store's entries from another VM."""
--- /dev/null
+++ b/src/azureramp/ports/relays/http.py
@@ -0,0 +1,68 @@
+"""Asking other VMs over HTTP, by the same client as the store's."""
+
+from __future__ import annotations
+
+import expression
+import msgspec
+
+from azureramp import errors
+from azureramp.ports.relays import api
+from azureramp.ports.web import pool
+
+ANSWER_S = 0.4
+"""Longest time that an answer may take beyond the wait, in seconds. A VM that
+stands still must be left soon: a change has some seconds to be in force."""
+
+MOST_VMS = 16
+"""Most VMs that connections are kept to; a VM asks one, and tries others."""
+
+
+class HttpRelays:
+    """The other VMs over HTTP; see `api.Relays`."""
+
+    __slots__ = ("_decoder", "_pools")
+
+    def __init__(self) -> None:
+        """Makes it without connections."""
+        self._decoder = msgspec.msgpack.Decoder(api.Told)
+        self._pools: dict[str, pool.Pool] = {}
+
+    async def ask(
+        self, address: str, after: int, wait_s: float
+    ) -> expression.Result[api.Told, errors.Failure]:
+        """Asks a VM for changes; see `api.Relays`."""
+        target = (
+            f"{api.CHANGES_PATH}?after={after}&wait_ms={int(wait_s * 1000)}"
+        )
+        result = await self._get_pool(address).exchange(
+            "GET", target, timeout_s=wait_s + ANSWER_S
+        )
+        kind = errors.Kind.STORE_UNAVAILABLE
+        if result.is_error():
+            return expression.Error(errors.Failure(kind, result.error.detail))
+        if result.ok.status == 410:
+            return expression.Error(
+                errors.Failure(errors.Kind.STORE_HISTORY_GONE)
+            )
+        if result.ok.status != 200:
+            detail = f"{address}: status {result.ok.status}"
+            return expression.Error(errors.Failure(kind, detail))
+        try:
+            return expression.Ok(self._decoder.decode(result.ok.body))
+        except msgspec.DecodeError as error:
+            return expression.Error(errors.Failure(kind, str(error)))
+
+    async def close(self) -> None:
+        """Closes every idle connection."""
+        for each in self._pools.values():
+            each.close()
+
+    def _get_pool(self, address: str) -> pool.Pool:
+        """Returns the connections to a VM."""
+        found = self._pools.get(address)
+        if found is None:
+            if len(self._pools) >= MOST_VMS:
+                oldest = next(iter(self._pools))
+                self._pools.pop(oldest).close()
+            found = self._pools[address] = pool.Pool(address)
+        return found
--- a/src/azureramp/ports/web/connection.py
+++ b/src/azureramp/ports/web/connection.py
@@ -19,8 +19,16 @@
 
 READ_BYTES = 65536
 
-USER_TIMEOUT_MS = 5000
-"""Longest time that written bytes may stay without acknowledgement."""
+USER_TIMEOUT_MS = 3000
+"""Longest time that bytes or probes may stay without acknowledgement. A watch
+on a connection that went silent must be given up while there is still time to
+hear of a change that has to be in force within some 4 s."""
+
+PROBE_S = 1
+"""Time between keepalive probes of an idle connection, in seconds."""
+
+PROBES = 3
+"""Unanswered probes after which a connection is given up."""
 
 
 _ROUND_TRIP_AT = 68
@@ -54,9 +62,9 @@
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 2)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
         sock.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
         )
--- a/src/azureramp_standins/fleet/deployment.py
+++ b/src/azureramp_standins/fleet/deployment.py
@@ -30,8 +30,13 @@
         configuration: What the operators declared, as it stands in the store.
     """
 
-    def __init__(self) -> None:
-        """Makes a deployment without searchers and VMs."""
+    def __init__(self, seed: int = 0) -> None:
+        """Makes a deployment without searchers and VMs.
+
+        Args:
+            seed: Makes the daemons' draws repeat.
+        """
+        self._seed = seed
         self.store = store.Store(STORE_ADDRESS)
         self.searchers: dict[str, searcher.Searcher] = {}
         self.programs: dict[str, program.Program] = {}
@@ -99,7 +104,7 @@
         """Starts a daemon."""
         base = 30000 + 10 * len(self.programs)
         given = make_settings(vm, zone, base)
-        started = program.Program(given)
+        started = program.Program(given, seed=self._seed)
         await started.start()
         self.programs[vm] = started
         return started
@@ -152,7 +157,7 @@
             vm=vm,
             zone=zone,
             front_address=f"127.0.0.1:{base}",
-            peer_address="",
+            peer_address=f"127.0.0.1:{base + 3}",
             cores=1.0,
             first_start=True,
         ),
@@ -167,6 +172,7 @@
         ready_address=f"127.0.0.1:{base + 1}",
         directory_address=f"127.0.0.1:{base + 2}",
         store_address=STORE_ADDRESS,
+        seeds=tuple(f"127.0.0.1:{30003 + 10 * index}" for index in range(3)),
         descriptors=4000,
     )
 
--- a/tests/forwarding/scenes.py
+++ b/tests/forwarding/scenes.py
@@ -13,7 +13,9 @@
 PLAIN = "statements"
 
 
-def run(scenario: Scenario, vms: int = 1, searchers: int = 2) -> None:
+def run(
+    scenario: Scenario, vms: int = 1, searchers: int = 2, seed: int = 0
+) -> None:
     """Runs a scenario.
 
     There is a route `/all/` over `SHARDS`, of which three must be in, a route
@@ -21,7 +23,7 @@
     """
 
     async def whole() -> None:
-        scene = deployment.Deployment()
+        scene = deployment.Deployment(seed)
         await scene.start()
         for service in (*SHARDS, PLAIN):
             await scene.add_searchers(service, searchers)
--- a/tests/forwarding/test_configuration.py
+++ b/tests/forwarding/test_configuration.py
@@ -71,6 +71,7 @@
     """
 
     async def scenario(scene: deployment.Deployment) -> None:
+        await scene.programs["vm-0"].kill()
         setattr(scene.store.faults, fault, True)
         await scene.add_vm("late")
         await deployment.settle()
@@ -126,3 +127,27 @@
         assert scene.store.calls["/kv-watch"] - before <= 12
 
     scenes.run(scenario)
+
+
+@pytest.mark.parametrize("fault", ["busy", "silent"])
+def test_a_vm_that_starts_in_an_outage_takes_its_start_from_another(
+    fault: str,
+) -> None:
+    """A VM is replaced while the store is away, and refuses every lookup.
+
+    The others know the configuration and the searchers. It takes their copy,
+    serves, and takes on what the store says once it is back.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        setattr(scene.store.faults, fault, True)
+        await scene.add_vm("late")
+        await deployment.settle(3.0)
+        assert (await scene.ask("late", "/one/x")).status == 200
+        setattr(scene.store.faults, fault, False)
+        scene.add_route("/new/", Backend=scenes.PLAIN)
+        scene.declare()
+        await deployment.settle(4.0)
+        assert (await scene.ask("late", "/new/x")).status == 200
+
+    scenes.run(scenario)
--- /dev/null
+++ b/tests/forwarding/test_relay.py
@@ -0,0 +1,103 @@
+"""Hearing of changes from another VM instead of the store."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from azureramp.platform import store
+from azureramp_standins.fleet import deployment
+from tests.forwarding import scenes
+
+VMS = 6
+
+
+async def settle_sources(scene: deployment.Deployment) -> None:
+    await deployment.settle(3.0)
+    following = [
+        vm
+        for vm, program in scene.programs.items()
+        if not program.board.follows_store
+    ]
+    assert sorted(following) == ["vm-2", "vm-3", "vm-4", "vm-5"]
+
+
+async def check_change(scene: deployment.Deployment, within_s: float) -> None:
+    """Checks that a change is in force on all running VMs in time."""
+    scene.configuration["Version"] += 1
+    wanted = scene.configuration["Version"]
+    scene.store.put("op/config", scene.configuration)
+    await deployment.settle(within_s)
+    for vm, program in scene.programs.items():
+        configuration = program.board.configuration
+        assert configuration is not None
+        assert configuration.version == wanted, vm
+
+
+def test_one_vm_a_zone_watches_and_all_hear_of_a_change() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        await settle_sources(scene)
+        before = scene.store.calls["/kv-watch"]
+        await check_change(scene, 0.6)
+        assert scene.store.calls["/kv-watch"] - before <= 4
+
+    scenes.run(scenario, vms=VMS)
+
+
+def test_a_relay_that_is_killed_is_replaced_in_time() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        await settle_sources(scene)
+        await scene.programs.pop("vm-0").kill()
+        await check_change(scene, 2.0)
+
+    scenes.run(scenario, vms=VMS)
+
+
+def test_a_relay_that_lost_the_store_is_left_in_time() -> None:
+    """One VM is cut off from the store, and its zone misses a change.
+
+    It goes on answering the other VMs of its zone, but nothing new reaches
+    it. They see that the store has not answered it for too long, and watch
+    the store themselves.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        await settle_sources(scene)
+        cut = scene.programs.pop("vm-0")
+        nowhere = store.PlatformStore("127.0.0.1:1")
+        await cut._store.close()
+        cut._feed._store = cut._members._store = nowhere
+        await check_change(scene, 2.9)
+
+    scenes.run(scenario, vms=VMS)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_relay_that_stands_still_is_left_in_time(seed: int) -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        await settle_sources(scene)
+        still = scene.programs.pop("vm-0")
+
+        async def hang(request: object) -> None:
+            await asyncio.sleep(3600)
+
+        for server in still._servers:
+            server._handler = hang  # type: ignore[assignment]
+        await asyncio.sleep(1.0)
+        await check_change(scene, 2.0)
+        await still.kill()
+
+    scenes.run(scenario, vms=VMS, seed=seed)
+
+
+@pytest.mark.parametrize("fault", ["busy", "silent"])
+def test_all_hear_of_a_change_after_an_outage(fault: str) -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        await settle_sources(scene)
+        setattr(scene.store.faults, fault, True)
+        await deployment.settle(8.0)
+        setattr(scene.store.faults, fault, False)
+        await check_change(scene, 3.0)
+
+    scenes.run(scenario, vms=VMS)
