--- a/src/azureramp/controllers/forwarding/members.py
+++ b/src/azureramp/controllers/forwarding/members.py
@@ -11,6 +11,7 @@
 from azureramp import catalog, errors
 from azureramp.controllers.forwarding import board as board_module
 from azureramp.controllers.forwarding import contact
+from azureramp.policy import strain as strain_module
 from azureramp.ports.store import api as store_api
 
 LEASE_S = 3.0
@@ -20,6 +21,9 @@
 RENEW_S = 1.0
 """Time between renewals, in seconds: two may be lost."""
 
+STRAIN_S = 0.25
+"""Time between two looks at how late timers fire, in seconds."""
+
 WRITES = 2
 """Writes in one turn: the first may run into an older entry."""
 
@@ -99,6 +103,20 @@
                 await self._announce()
             await asyncio.sleep(RENEW_S * self._rng.uniform(0.9, 1.0))
 
+    async def run_strain(self) -> None:
+        """Tells the other VMs when this one is busy, forever."""
+        strain = strain_module.Strain()
+        loop = asyncio.get_running_loop()
+        while True:
+            due_s = loop.time() + STRAIN_S
+            await asyncio.sleep(STRAIN_S)
+            now_s = loop.time()
+            busy = strain.add(now_s - due_s, now_s)
+            if busy != self._board.busy:
+                self._board.busy = busy
+                self._written = False
+                _logger.info("this VM is {}", "busy" if busy else "not busy")
+
     async def leave(self) -> None:
         """Takes this VM's entry away, as far as the store can be reached."""
         key, _ = self._encode(self._describe())
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -190,6 +190,7 @@
             ("feed", self._feed.run),
             ("applying", self._applying.run),
             ("members", self._members.run),
+            ("strain", self._members.run_strain),
             ("crashes", self._crashes.run),
         ):
             self._tasks.append(asyncio.create_task(_keep_running(name, run)))
--- a/src/azureramp/policy/advertising.py
+++ b/src/azureramp/policy/advertising.py
@@ -15,7 +15,7 @@
 MOST_TOLD = 64
 """Most addresses in an answer; callers read no more."""
 
-LEAST_TOLD = 3
+LEAST_TOLD = 4
 """Fewest VMs that are told while there are as many: with two, the loss of one
 would leave no choice to those that keep an answer."""
 
@@ -23,7 +23,7 @@
 """Fewest availability zones that are told while there are as many, so that
 the loss of one leaves VMs that are told and warm."""
 
-LINKS_EACH = 4
+LINKS_EACH = 8
 """Connections that a VM should be able to hold to each searcher: two for the
 calls of two requests at once, and as many for hedges and late answers."""
 
