--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -84,13 +84,11 @@
 
     Attributes:
         reachable: False after a call that failed, until one works.
-        lost_s: When calls last began to fail.
         regained_s: When a call first worked after that.
         confirmed_s: When a call last worked.
     """
 
     reachable: bool = True
-    lost_s: float = -math.inf
     regained_s: float = -math.inf
     confirmed_s: float = -math.inf
 
--- a/src/azureramp/controllers/forwarding/contact.py
+++ b/src/azureramp/controllers/forwarding/contact.py
@@ -40,7 +40,6 @@
         if not contact.reachable:
             return
         contact.reachable = False
-        contact.lost_s = asyncio.get_running_loop().time()
         self._lost.set()
         self._lost = asyncio.Event()
         _logger.warning(
--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -140,7 +140,7 @@
         self.mark_overdue()
         if self.done or not self._work.route.repeatable:
             return False
-        hedged = self._may_send() and self._send(now_s)
+        hedged = self._may_send() and self._send(now_s, hedge=True)
         if hedged:
             self._searchers.metrics.count("call.hedged")
         return hedged
@@ -200,13 +200,18 @@
             and len(self._attempts) < attempts + MORE_SENDS
         )
 
-    def _send(self, now_s: float) -> bool:
-        """Makes one call; False if none may be made."""
+    def _send(self, now_s: float, hedge: bool = False) -> bool:
+        """Makes one call; False if none may be made.
+
+        A hedge to a searcher that holds overdue calls itself is left out: where
+        all searchers of a shard are slow or stand still, it would only add to
+        their load and spend what other requests could use.
+        """
         left_s = self._work.until_s - now_s
         if left_s <= 0:
             return False
         target = self._searchers.choose(self.service, self._tried, now_s)
-        if target is None:
+        if target is None or (hedge and target.record.overdue):
             return False
         if self._count_arrivals() and not self._searchers.get_allowance(
             self.service
--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -82,6 +82,11 @@
         target.pool.close()
         _logger.info("searcher {} is gone", searcher)
 
+    def close(self) -> None:
+        """Forgets all searchers, as at the process's end."""
+        for searcher in list(self._board.targets):
+            self.remove(searcher)
+
     def lapse(self, searcher: str) -> None:
         """Takes that an entry went while the store was away."""
         target = self._board.targets.get(searcher)
--- a/src/azureramp/controllers/forwarding/single.py
+++ b/src/azureramp/controllers/forwarding/single.py
@@ -96,7 +96,8 @@
             return self._refuse(errors.Kind.DEADLINE_PASSED, "no answer yet")
         if self._part.runs:
             return self._refuse(errors.Kind.OUTCOME_UNKNOWN, "the call broke")
-        return self._refuse(errors.Kind.SHED, "all searchers rejected it")
+        detail = f"{self._part.rejections} searchers rejected it, no other may"
+        return self._refuse(errors.Kind.SHED, f"{detail} get it")
 
     def _refuse(self, kind: errors.Kind, detail: str) -> requests.Refused:
         """Makes a refusal."""
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -51,6 +51,10 @@
 it three times as long, so one that names a VM that has just died misleads for
 three seconds."""
 
+SETTINGS_S = 2.0
+"""Time between two looks at whether the settings file has changed without a
+signal, in seconds."""
+
 OTHER_DESCRIPTORS = 400
 """Descriptors kept for files, searchers, the store and peers."""
 
@@ -78,6 +82,7 @@
         "_members",
         "_relay",
         "_relays",
+        "_searchers",
         "_servers",
         "_settings",
         "_store",
@@ -118,6 +123,7 @@
             board, self._store, encode_member, contacts, rng
         )
         self._crashes = crashes.Crashes(board, self._store, encode_blame)
+        self._searchers = known
         self._applying = applying.Applying(
             board,
             decoding.decode,
@@ -192,6 +198,7 @@
             ("members", self._members.run),
             ("strain", self._members.run_strain),
             ("crashes", self._crashes.run),
+            ("settings", self._watch_settings),
         ):
             self._tasks.append(asyncio.create_task(_keep_running(name, run)))
         _logger.info("started on {}", self._settings.front_address)
@@ -207,8 +214,11 @@
         """Ends at once."""
         for task in self._tasks:
             task.cancel()
+        if self._tasks:
+            await asyncio.wait(self._tasks)
         for server in self._servers:
             await server.stop(0.0)
+        self._searchers.close()
         await self._relays.close()
         await self._store.close()
 
@@ -277,6 +287,17 @@
         """Puts what callers may send into force."""
         headers.to_web_limits(new.limits, self._limits)
 
+    async def _watch_settings(self) -> None:
+        """Takes the settings anew when the file changes, forever."""
+        path = get_settings_path()
+        known = read_change_time(path)
+        while True:
+            await asyncio.sleep(SETTINGS_S)
+            changed = read_change_time(path)
+            if changed != known:
+                known = changed
+                self._reload()
+
     def _reload(self) -> None:
         """Takes the bounds of a changed settings file."""
         result = settings.read(get_settings_path(), os.environ)
@@ -314,6 +335,14 @@
     return pathlib.Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS))
 
 
+def read_change_time(path: pathlib.Path) -> int:
+    """Returns when a file last changed, in ns; 0 if there is none."""
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        return 0
+
+
 async def _keep_running(name: str, run: feed.Run) -> None:
     """Runs a loop; after a bug in it, logs and runs it again."""
     while True:
@@ -331,7 +360,17 @@
 
 
 def main() -> None:
-    """Runs the daemon; exits with 2 for a setting that is not allowed."""
+    """Runs the daemon; exits with 2 for a setting that is not allowed.
+
+    With `--check FILE` it only says whether a settings file is allowed.
+    """
+    if sys.argv[1:2] == ["--check"] and len(sys.argv) == 3:
+        checked = settings.read(pathlib.Path(sys.argv[2]), os.environ)
+        if checked.is_ok():
+            sys.stdout.write(f"{sys.argv[2]}: allowed\n")
+            return
+        sys.stderr.write(f"azurerampd: {checked.error}\n")
+        sys.exit(EXIT_SETTINGS)
     result = settings.read(get_settings_path(), os.environ)
     if result.is_error():
         sys.stderr.write(f"azurerampd: {result.error}\n")
--- a/src/azureramp/ports/forwarding/link.py
+++ b/src/azureramp/ports/forwarding/link.py
@@ -28,13 +28,34 @@
     would otherwise be read as the answer to the next caller's request.
 
     Attributes:
-        opened_s: When it was opened, on the loop's clock.
-        proven_s: When the searcher last gave a sign of life on it.
+        proven_s: When the searcher last gave a sign of life on it, on the
+            loop's clock.
         busy: True while a call waits for its answer on it.
         closed: True once it can't be used again.
         calls: How many calls it has carried.
     """
 
+    __slots__ = (
+        "_address",
+        "_body",
+        "_call",
+        "_codec",
+        "_head",
+        "_http",
+        "_keep_s",
+        "_keep_until_s",
+        "_loop",
+        "_on_closed",
+        "_on_idle",
+        "_receiver",
+        "_strays",
+        "_transport",
+        "busy",
+        "calls",
+        "closed",
+        "proven_s",
+    )
+
     def __init__(
         self,
         codec: api.Codec,
@@ -64,7 +85,6 @@
         self._keep_until_s = float("inf")
         self._keep_s = float("inf")
         self._strays = 0
-        self.opened_s = 0.0
         self.proven_s = 0.0
         self.busy = False
         self.closed = False
@@ -73,7 +93,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes the open transport."""
         self._transport = transport
-        self.opened_s = self.proven_s = self._loop.time()
+        self.proven_s = self._loop.time()
         web_connection.set_transport_options(transport)
 
     def is_usable(self, now_s: float) -> bool:
--- a/src/azureramp/ports/forwarding/pool.py
+++ b/src/azureramp/ports/forwarding/pool.py
@@ -155,7 +155,7 @@
                 link.abort()
 
     def close(self) -> None:
-        """Closes idle connections, and takes no more calls."""
+        """Closes idle connections; busy ones close with their call."""
         self.limit = 0
         for link in list(self._idle):
             link.abort()
--- a/src/azureramp_standins/fleet/deployment.py
+++ b/src/azureramp_standins/fleet/deployment.py
@@ -17,6 +17,9 @@
 from azureramp_standins.fleet import searcher, store
 
 HOST = "search.example"
+CLOSING_S = 0.5
+"""Time for the last connections to close, in seconds."""
+
 STORE_ADDRESS = "127.0.0.1:7000"
 
 
@@ -148,6 +151,8 @@
         for other in self.searchers.values():
             other.crash()
         await self.store.server.stop(0.0)
+        # Connections that were aborted are closed in the loop's next turns.
+        await asyncio.sleep(CLOSING_S)
 
 
 def make_settings(vm: str, zone: str, base: int) -> settings.Settings:
--- a/tests/forwarding/test_gather.py
+++ b/tests/forwarding/test_gather.py
@@ -181,3 +181,26 @@
         assert arrived == 4
 
     scenes.run(scenario)
+
+
+def test_a_shard_that_is_slow_as_a_whole_is_not_asked_twice() -> None:
+    """All searchers of a shard turn many times slower at once.
+
+    Each lookup asked both, twice the work for a shard that could not do it
+    once; its queues grew until nothing came back in time. A hedge is left out
+    where the other searcher holds overdue calls too.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        slow = [scene.searchers[f"shard-a-{index}"] for index in range(2)]
+        for each in slow:
+            each.script = searcher.Act(after_s=0.4).do
+        asking = []
+        for _ in range(8):
+            asking.append(asyncio.ensure_future(scene.ask("vm-0", "/all/x")))
+            await asyncio.sleep(0.04)
+        answers = await asyncio.gather(*asking)
+        assert all(answer.status == 200 for answer in answers)
+        assert sum(len(each.seen) for each in slow) <= 10
+
+    scenes.run(scenario)
--- a/tests/forwarding/test_relay.py
+++ b/tests/forwarding/test_relay.py
@@ -69,6 +69,7 @@
         await cut._store.close()
         cut._feed._store = cut._members._store = nowhere
         await check_change(scene, 2.9)
+        await cut.kill()
 
     scenes.run(scenario, vms=VMS)
 
