--- a/src/azureramp/policy/allowances.py
+++ b/src/azureramp/policy/allowances.py
@@ -61,12 +61,6 @@
         allowed = SAFETY * (earned + self._terms.fixed * part)
         return allowed - len(self._extras_s)
 
-    def get_used_share(self, now_s: float, part: float) -> float:
-        """Returns which share of the allowance is spent, 0 to 1."""
-        left = self.get_left(now_s, part)
-        total = left + len(self._extras_s)
-        return 1.0 if total <= 0 else min(1.0, len(self._extras_s) / total)
-
     def spend(self, now_s: float, part: float) -> bool:
         """Takes leave for one extra call, if there is any."""
         if self.get_left(now_s, part) < 1.0:
--- a/src/azureramp/ports/forwarding/pool.py
+++ b/src/azureramp/ports/forwarding/pool.py
@@ -99,11 +99,6 @@
             self._open_more()
         return ticket
 
-    def count_free(self) -> int:
-        """Returns how many calls could be written at once."""
-        now_s = asyncio.get_running_loop().time()
-        return sum(link.is_usable(now_s) for link in self._idle)
-
     def count_open(self) -> int:
         """Returns how many connections are open or being opened."""
         return len(self._links) + len(self._opening)
