Replace busy VMs two for one, and leave searchers alone that are full

Cause, from the log: at second 6 five slowed VMs on stand-by said that they were busy, so all 64 were told of. Each opened a connection to each of 405 searchers that accept 54, was reset, and tried again at each change of the store's entries; by second 9.6 all 64 were busy themselves. Ruled out: the load of callers (23 requests a second, 0.04 cores a VM before) and the resharding (the storm begins with the telling, before its searchers start).

Change: a busy VM is replaced by two others, so a slowed VM on stand-by changes nothing and loaded ones double; however many are busy, each told VM keeps three connections a searcher. A searcher that ends a connection before it answered anything on it gets no second one for 1 to 8 s.

--- a/src/azureramp/policy/advertising.py
+++ b/src/azureramp/policy/advertising.py
@@ -27,6 +27,11 @@
 """Connections that a VM should be able to hold to each searcher: two for the
 calls of two requests at once, and as many for hedges and late answers."""
 
+LINKS_LEAST = 3
+"""The same however many VMs are busy: one for a call, one for its late answer
+and one for the next call. With fewer, calls wait for each other, and VMs whose
+views differ go past what a searcher accepts; it resets what comes beyond."""
+
 NEAR_SHARE = 0.5
 """An availability zone is near the searchers if its share of them is this part
 of the largest share."""
@@ -40,7 +45,10 @@
     """Chooses the VMs to tell of.
 
     VMs in availability zones that hold many searchers go first, since their
-    calls need not cross zones; among them those with most processor.
+    calls need not cross zones; among them those with most processor. Two VMs
+    take the place of each one that is busy: if it is slow, others do its work;
+    if all are loaded, twice as many share the load. A busy VM is told only
+    where there are no others.
 
     Args:
         members: The VMs that are known.
@@ -52,19 +60,24 @@
         The VMs, in the order of their names.
     """
     staying = [member for member in members if not member.leaving]
-    most = MOST_TOLD
-    if connections:
-        most = min(most, max(LEAST_TOLD, connections // LINKS_EACH))
-    if any(member.busy for member in staying):
-        most = MOST_TOLD
-        nearness = {}
-    zones = _rank_zones(staying, nearness)
-    told: list[catalog.Member] = []
-    for zone_group in _group_zones(zones, nearness):
-        if len(told) >= LEAST_TOLD and _count_zones(told) >= LEAST_ZONES:
+    usual, most = _count_wanted(connections)
+    taken: list[catalog.Member] = []
+    passed: list[catalog.Member] = []
+    groups = _group_zones(_rank_zones(staying, nearness), nearness)
+    for number, zones in enumerate(groups):
+        if (
+            len(taken) >= LEAST_TOLD + len(passed)
+            and _count_zones(taken) >= LEAST_ZONES
+        ):
             break
-        told += _take_evenly(staying, zone_group, most - len(told))
-    return tuple(sorted(told, key=lambda member: member.vm))
+        # The last place is kept for another zone.
+        alone = number == 0 and len(zones) == 1 and len(groups) > 1
+        for member in _rank_evenly(staying, zones):
+            if len(taken) >= min(most, usual + len(passed)) - alone:
+                break
+            (passed if member.busy else taken).append(member)
+    taken += passed[: min(most, usual + len(passed)) - len(taken)]
+    return tuple(sorted(taken, key=lambda member: member.vm))
 
 
 def get_link_share(connections: int, told: int, is_told: bool) -> int:
@@ -83,6 +96,15 @@
     return max(1, math.floor(0.9 * connections / max(1, told)))
 
 
+def _count_wanted(connections: int) -> tuple[int, int]:
+    """Returns how many VMs are told usually, and at most."""
+    if not connections:
+        return MOST_TOLD, MOST_TOLD
+    usual = max(LEAST_TOLD, connections // LINKS_EACH)
+    most = max(LEAST_TOLD, connections // LINKS_LEAST)
+    return min(MOST_TOLD, usual), min(MOST_TOLD, most)
+
+
 def _rank_zones(
     members: Iterable[catalog.Member], nearness: Mapping[str, float]
 ) -> list[str]:
@@ -106,10 +128,10 @@
     return [near, *([zone] for zone in zones if zone not in near)]
 
 
-def _take_evenly(
-    members: list[catalog.Member], zones: list[str], most: int
+def _rank_evenly(
+    members: list[catalog.Member], zones: list[str]
 ) -> list[catalog.Member]:
-    """Takes VMs from zones in turn, those with most processor first."""
+    """Ranks VMs of zones in turn, those with most processor first."""
     queues = [
         sorted(
             (member for member in members if member.zone == zone),
@@ -117,12 +139,10 @@
         )
         for zone in zones
     ]
-    taken: list[catalog.Member] = []
-    while len(taken) < most and any(queues):
-        for queue in queues:
-            if queue and len(taken) < most:
-                taken.append(queue.pop())
-    return taken
+    ranked: list[catalog.Member] = []
+    while any(queues):
+        ranked += [queue.pop() for queue in queues if queue]
+    return ranked
 
 
 def _count_zones(members: list[catalog.Member]) -> int:
--- a/src/azureramp/ports/forwarding/link.py
+++ b/src/azureramp/ports/forwarding/link.py
@@ -41,6 +41,7 @@
         "_call",
         "_codec",
         "_head",
+        "_heard",
         "_http",
         "_keep_s",
         "_keep_until_s",
@@ -69,7 +70,8 @@
             codec: Reads and names the headers.
             address: The searcher's `IP:port`.
             on_idle: Called once another call may be sent.
-            on_closed: Called once, at the end; True if a call was cut.
+            on_closed: Called once, at the end; True if the searcher ended it
+                before it had answered anything on it.
         """
         self._codec = codec
         self._address = address
@@ -81,6 +83,7 @@
         self._call: api.Call | None = None
         self._receiver: api.Receiver | None = None
         self._head: h11.Response | None = None
+        self._heard = False
         self._body = bytearray()
         self._keep_until_s = float("inf")
         self._keep_s = float("inf")
@@ -129,6 +132,7 @@
             self.abort()
             return
         self.proven_s = self._loop.time()
+        self._heard = True
         self._feed(data)
 
     def eof_received(self) -> bool:
@@ -139,7 +143,7 @@
         if self.busy:
             self._feed(b"")
         if not self.closed:
-            self._end(api.Loss.BROKEN)
+            self._end(api.Loss.BROKEN, refused=not self._heard)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -149,7 +153,7 @@
         come of it is not used.
         """
         if not self.closed:
-            self._end(api.Loss.BROKEN)
+            self._end(api.Loss.BROKEN, refused=not self._heard)
 
     def _encode(self, call: api.Call) -> bytes:
         """Encodes a call by h11."""
@@ -277,14 +281,14 @@
         self._transport.close()
         self._on_closed(self, False)
 
-    def _end(self, loss: api.Loss) -> None:
+    def _end(self, loss: api.Loss, refused: bool = False) -> None:
         """Ends the connection; a call that waits gets its outcome."""
         if self.closed:
             return
         self.closed = True
-        receiver, cut = self._receiver, self.busy
+        receiver = self._receiver
         self._reset_call()
-        self._on_closed(self, cut)
+        self._on_closed(self, refused)
         if receiver is not None:
             receiver(api.Lost(loss, sent=True))
 
--- a/src/azureramp/ports/forwarding/pool.py
+++ b/src/azureramp/ports/forwarding/pool.py
@@ -17,6 +17,13 @@
 MAX_WAITING = 64
 """Most calls that wait for a connection; more than a few would be late."""
 
+CROWDED_LEAST_S = 1.0
+CROWDED_MOST_S = 8.0
+"""How long no second connection is opened after the searcher ended one that
+it had answered nothing on, in seconds, at first and after several: most likely
+it holds as many as it accepts. VMs that connect again at once keep it, and
+themselves, busy with handshakes; a few seconds let idle ones elsewhere end."""
+
 GRACE_S = 0.1
 """How long after a call's time its connection is kept, in seconds: the
 searcher's own answer that the time is over still comes on it."""
@@ -56,6 +63,8 @@
 
     __slots__ = (
         "_codec",
+        "_crowded_s",
+        "_crowded_until_s",
         "_idle",
         "_links",
         "_opening",
@@ -69,6 +78,8 @@
     def __init__(self, codec: api.Codec, address: str, limit: int) -> None:
         """Makes a pool without connections."""
         self._codec = codec
+        self._crowded_s = 0.0
+        self._crowded_until_s = 0.0
         self._idle: list[link_module.Link] = []
         self._links: set[link_module.Link] = set()
         self._opening: set[asyncio.Task[None]] = set()
@@ -104,11 +115,13 @@
         return len(self._links) + len(self._opening)
 
     def prepare(self, wanted: int) -> None:
-        """Opens connections ahead of need.
+        """Opens connections ahead of need, unless the searcher is crowded.
 
         Args:
             wanted: How many should be open, within the limit.
         """
+        if self._is_crowded():
+            return
         while self.count_open() < min(wanted, self.limit):
             self._open()
 
@@ -205,6 +218,7 @@
         while (
             len(self._opening) < len(self._waiting)
             and self.count_open() < self.limit
+            and not (self._is_crowded() and self.count_open())
         ):
             self._open()
         if self._waiting and not self.count_open():
@@ -252,16 +266,26 @@
         elif not failed:
             self._serve_waiting()
 
+    def _is_crowded(self) -> bool:
+        """Tells whether the searcher ended new connections just now."""
+        return asyncio.get_running_loop().time() < self._crowded_until_s
+
     def _take_idle(self, link: link_module.Link) -> None:
         """Takes a connection back whose call has ended."""
+        self._crowded_s = self._crowded_until_s = 0.0
         if self.limit == 0 or len(self._links) > self.limit:
             link.abort()
             return
         self._idle.append(link)
         self._serve_waiting()
 
-    def _take_closed(self, link: link_module.Link, cut: bool) -> None:
+    def _take_closed(self, link: link_module.Link, refused: bool) -> None:
         """Forgets a connection that has ended."""
+        if refused:
+            longer_s = max(CROWDED_LEAST_S, 2 * self._crowded_s)
+            self._crowded_s = min(CROWDED_MOST_S, longer_s)
+            now_s = asyncio.get_running_loop().time()
+            self._crowded_until_s = now_s + self._crowded_s
         self._links.discard(link)
         if link in self._idle:
             self._idle.remove(link)
--- a/src/azureramp_standins/fleet/searcher.py
+++ b/src/azureramp_standins/fleet/searcher.py
@@ -84,6 +84,7 @@
         seen: What reached it.
         connections: How many connections it accepted.
         open: How many are open.
+        most_open: How many it accepts; it resets what comes beyond.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
         self.seen: list[Seen] = []
         self.connections = 0
         self.open = 0
+        self.most_open = 1_000_000
         self.cancelled: collections.Counter[str] = collections.Counter()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -134,6 +136,9 @@
     ) -> None:
         """Serves one connection."""
         self.connections += 1
+        if self.open >= self.most_open:
+            writer.transport.abort()
+            return
         self.open += 1
         self._writers.add(writer)
         http = h11.Connection(h11.SERVER)
--- /dev/null
+++ b/tests/forwarding/test_connections.py
@@ -0,0 +1,51 @@
+"""Connections to searchers that accept only so many."""
+
+from __future__ import annotations
+
+from azureramp_standins.fleet import deployment
+from tests.forwarding import scenes
+
+
+def test_a_searcher_that_is_full_is_not_connected_to_again_and_again() -> None:
+    """New searchers are announced, and a searcher resets each new connection.
+
+    It held as many as it accepts. Each announcement made every VM connect to
+    it again, 100,000 times in ten seconds on 64 VMs, which kept the VMs so
+    busy that callers got half of their answers.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        full = scene.searchers["shard-a-0"]
+        full.crash()
+        await full.start()
+        full.most_open = 0
+        before = full.connections
+        for number in range(40):
+            entry = scene.searchers["statements-0"].describe(Slots=2 + number)
+            scene.store.put("servers/statements-0", entry)
+            await deployment.settle(0.25)
+        assert 1 <= full.connections - before <= 8
+
+    scenes.run(scenario)
+
+
+def test_calls_still_open_a_first_connection_to_a_full_searcher() -> None:
+    """A searcher was full for a while, and is the only one of its shard.
+
+    A VM that waited for the end of its pause would miss that there is room
+    again; a call that has no connection at all opens one at any time.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        only = scene.searchers["statements-0"]
+        only.most_open = 0
+        only.crash()
+        await only.start()
+        for _ in range(3):
+            await scene.ask("vm-0", "/one/x")
+        only.most_open = 4
+        await deployment.settle(1.0)
+        answer = await scene.ask("vm-0", "/one/x")
+        assert answer.status == 200
+
+    scenes.run(scenario, searchers=1)
