Say truly that a call which never got a connection has not run

A request whose only call still waited for a connection at its deadline was answered 504, as if it might have run; the caller may not send it again then. The call is dropped first now, and what was never written is refused with a time to come back. Test: all connections hang, an order waits for one; 504 before, 503 after.

--- a/src/azureramp/controllers/forwarding/single.py
+++ b/src/azureramp/controllers/forwarding/single.py
@@ -69,10 +69,9 @@
         finally:
             for timer in timers:
                 timer.cancel()
-            waiting = self._part.is_waiting()
             if not self._part.done:
                 self._part.abandon()
-        return self._make_answer(waiting)
+        return self._make_answer()
 
     def _take(self, _: part.Part) -> None:
         """Takes that the part has ended."""
@@ -83,16 +82,16 @@
         if self._done is not None and not self._done.done():
             self._done.set_result(None)
 
-    def _make_answer(self, waiting: bool) -> requests.Answer:
+    def _make_answer(self) -> requests.Answer:
         """Makes the answer.
 
-        Args:
-            waiting: True if a call was still without an answer.
+        A call that was still waiting for a connection was dropped unwritten,
+        so it is among those that have not run.
         """
         reply = self._part.reply or self._part.failed
         if reply is not None and is_returnable(reply):
             return requests.Whole(reply)
-        if waiting:
+        if self._part.is_waiting():
             return self._refuse(errors.Kind.DEADLINE_PASSED, "no answer yet")
         if self._part.runs:
             return self._refuse(errors.Kind.OUTCOME_UNKNOWN, "the call broke")
--- a/tests/forwarding/test_single.py
+++ b/tests/forwarding/test_single.py
@@ -239,3 +239,32 @@
         assert answer.status == 404
 
     scenes.run(scenario)
+
+
+def test_a_call_that_never_got_a_connection_has_not_run() -> None:
+    """A dispatcher's order is answered as unknown though nobody got it.
+
+    All connections to the only searcher carry calls that hang. The order
+    waits for one until its time is over, and not a byte of it was written:
+    the dispatcher may send it again.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        set_script(scene, scenes.PLAIN, searcher.Act(then="hang"))
+        target = next(iter(scene.programs["vm-0"].board.targets.values()))
+        before = [
+            asyncio.ensure_future(scene.ask("vm-0", "/once/x", "POST", b"a"))
+            for _ in range(target.pool.limit)
+        ]
+        await deployment.settle(0.05)
+        late = await scene.ask(
+            "vm-0", "/once/x", "POST", b"order", deadline_ms=300, request_id="l"
+        )
+        assert late.status == 503
+        assert float(scenes.get_headers(late)["retry-after"]) > 0
+        for task in before:
+            assert (await task).status == 504
+        seen = scene.searchers["statements-0"].seen
+        assert "l" not in {each.id for each in seen}
+
+    scenes.run(scenario, searchers=1)
