Encode what calls of one request share once, and keep one timer a connection

Profile: h11 checked the same eight headers for each shard again, its sequence of headers was walked five times an answer, end-to-end headers were sorted out for answers that are merged, and each call set two timers.

What differs between the calls of a request is put in behind h11's head, so names of searchers that fit no header are not used any more (test: a line's end in a store key). Ruled out: the choice of searchers and merging (under a tenth together).

--- a/src/azureramp/platform/decoding.py
+++ b/src/azureramp/platform/decoding.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import msgspec
 
 from azureramp import catalog
@@ -23,6 +25,10 @@
     "draining": catalog.SearcherState.DRAINING,
 }
 
+_SENDABLE = re.compile(r"[!-~]+")
+"""Names that can stand in a header as they are. A line's end in one would let
+whoever writes such an entry put headers into every call."""
+
 _configuration_decoder = msgspec.json.Decoder(bodies.ConfigurationBody)
 _searcher_decoder = msgspec.json.Decoder(bodies.SearcherBody)
 _member_decoder = msgspec.json.Decoder(catalog.Member)
@@ -61,7 +67,7 @@
 
     One that can't be used names no searcher, also where it did before.
     """
-    if value is None:
+    if value is None or not _SENDABLE.fullmatch(name):
         return catalog.SearcherGone(name)
     try:
         body = _searcher_decoder.decode(value)
--- a/src/azureramp/platform/headers.py
+++ b/src/azureramp/platform/headers.py
@@ -50,18 +50,22 @@
 
     __slots__ = ()
 
-    def encode_call(self, call: api.Call, address: str) -> api.Fields:
-        """Returns a call's headers; see `api.Codec`."""
-        message = call.message
+    def encode_message(self, message: api.Message) -> api.Fields:
+        """Returns the headers of all calls of a message; see `api.Codec`."""
         fields = list(message.fields)
         if message.body or message.method not in (b"GET", b"HEAD"):
             length = str(len(message.body)).encode("ascii")
             fields.append((b"content-length", length))
-        left_ms = max(1, int(call.left_s * 1000))
-        fields.append((DEADLINE, str(left_ms).encode("ascii")))
-        fields.append((TARGET, call.searcher.encode("latin-1")))
         return fields
 
+    def encode_call(self, call: api.Call) -> api.Fields:
+        """Returns a call's own headers; see `api.Codec`."""
+        left_ms = max(1, int(call.left_s * 1000))
+        return (
+            (DEADLINE, str(left_ms).encode("ascii")),
+            (TARGET, call.searcher.encode("latin-1")),
+        )
+
     def read_id(self, fields: api.Fields) -> bytes:
         """Returns the request id of an answer; see `api.Codec`."""
         for name, value in fields:
@@ -78,7 +82,7 @@
         not_run = misdirected or NOT_RUN in known
         return api.Reply(
             status=status,
-            fields=_keep_end_to_end(fields),
+            fields=fields,
             body=body,
             signature=known.get(SIGNATURE, b""),
             ran=api.Ran.NO if not_run else api.Ran.YES,
@@ -139,7 +143,7 @@
                 status=reply.status,
                 body=reply.body,
                 content_type="",
-                headers=_to_text(reply.fields),
+                headers=_to_text(_keep_end_to_end(reply.fields)),
             )
         case requests.Merged():
             signatures = b", ".join(answer.signatures).decode("latin-1")
--- a/src/azureramp/ports/forwarding/api.py
+++ b/src/azureramp/ports/forwarding/api.py
@@ -7,11 +7,13 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
+import h11
+
 Fields = Sequence[tuple[bytes, bytes]]
 """Headers as they stand in a message, names in lower case."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
+@dataclasses.dataclass(slots=True)
 class Message:
     """What a caller sent, ready to be forwarded any number of times.
 
@@ -22,6 +24,8 @@
         fields: The headers that are forwarded; none that concerns only the
             caller's own connection, and none that the tier sets itself.
         body: The body.
+        head: Its request line and headers as h11 checked them; None until the
+            first call is encoded.
     """
 
     id: bytes
@@ -29,6 +33,9 @@
     target: bytes
     fields: Fields
     body: bytes
+    head: h11.Request | None = dataclasses.field(
+        default=None, compare=False, repr=False
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -75,7 +82,7 @@
 
     Attributes:
         status: The HTTP status.
-        fields: The headers that are returned to the caller.
+        fields: Its headers as they came.
         body: The whole body.
         signature: The searcher's signature of the answer; empty if none.
         ran: Whether it ran the call, by its own word.
@@ -127,13 +134,12 @@
 class Codec(Protocol):
     """Names and reads the headers that the tier and searchers exchange."""
 
-    def encode_call(self, call: Call, address: str) -> Fields:
-        """Returns a call's headers.
+    def encode_message(self, message: Message) -> Fields:
+        """Returns the headers that all calls of a message have in common."""
+        ...
 
-        Args:
-            call: The call.
-            address: The searcher's `IP:port`.
-        """
+    def encode_call(self, call: Call) -> Fields:
+        """Returns the headers that a call has besides."""
         ...
 
     def read_id(self, fields: Fields) -> bytes:
--- a/src/azureramp/ports/forwarding/link.py
+++ b/src/azureramp/ports/forwarding/link.py
@@ -36,10 +36,10 @@
     """
 
     __slots__ = (
-        "_address",
         "_body",
         "_call",
         "_codec",
+        "_cut_s",
         "_head",
         "_heard",
         "_http",
@@ -50,6 +50,7 @@
         "_on_idle",
         "_receiver",
         "_strays",
+        "_timer",
         "_transport",
         "busy",
         "calls",
@@ -60,7 +61,6 @@
     def __init__(
         self,
         codec: api.Codec,
-        address: str,
         on_idle: Callable[[Link], None],
         on_closed: Callable[[Link, bool], None],
     ) -> None:
@@ -68,13 +68,11 @@
 
         Args:
             codec: Reads and names the headers.
-            address: The searcher's `IP:port`.
             on_idle: Called once another call may be sent.
             on_closed: Called once, at the end; True if the searcher ended it
                 before it had answered anything on it.
         """
         self._codec = codec
-        self._address = address
         self._on_idle = on_idle
         self._on_closed = on_closed
         self._loop = asyncio.get_running_loop()
@@ -88,6 +86,8 @@
         self._keep_until_s = float("inf")
         self._keep_s = float("inf")
         self._strays = 0
+        self._cut_s = 0.0
+        self._timer: asyncio.TimerHandle | None = None
         self.proven_s = 0.0
         self.busy = False
         self.closed = False
@@ -119,6 +119,30 @@
         self._strays = 0
         self._transport.write(self._encode(call))
 
+    def cut_after(self, seconds: float) -> None:
+        """Cuts the connection if its present call still waits then.
+
+        A timer for each call would cost more than the call's own writing, so
+        one timer serves many: it looks again where a later call moved the
+        time, and is set anew only where the time comes closer.
+        """
+        self._cut_s = self._loop.time() + seconds
+        if self._timer is not None:
+            if self._timer.when() <= self._cut_s:
+                return
+            self._timer.cancel()
+        self._timer = self._loop.call_at(self._cut_s, self._cut_when_due)
+
+    def _cut_when_due(self) -> None:
+        """Cuts the connection if its call's time is over."""
+        self._timer = None
+        if self.closed or not self.busy:
+            return
+        if self._loop.time() < self._cut_s:
+            self._timer = self._loop.call_at(self._cut_s, self._cut_when_due)
+            return
+        self.abort()
+
     def abort(self) -> None:
         """Closes at once; a call that waits is lost."""
         self._end(api.Loss.BROKEN)
@@ -156,14 +180,26 @@
             self._end(api.Loss.BROKEN, refused=not self._heard)
 
     def _encode(self, call: api.Call) -> bytes:
-        """Encodes a call by h11."""
+        """Encodes a call by h11.
+
+        Calls of one message differ in a few headers only. h11 checks the
+        common ones once for each message, and what differs is put in before
+        the empty line that ends the head: a request to 90 shards takes a
+        tenth less processor time so.
+        """
         message = call.message
-        request = h11.Request(
-            method=message.method,
-            target=message.target,
-            headers=list(self._codec.encode_call(call, self._address)),
+        if message.head is None:
+            message.head = h11.Request(
+                method=message.method,
+                target=message.target,
+                headers=list(self._codec.encode_message(message)),
+            )
+        common = self._http.send(message.head) or b""
+        own = b"".join(
+            name + b": " + value + b"\r\n"
+            for name, value in self._codec.encode_call(call)
         )
-        data = self._http.send(request) or b""
+        data = common[:-2] + own + b"\r\n"
         if message.body:
             data += self._http.send(h11.Data(data=message.body)) or b""
         return data + (self._http.send(h11.EndOfMessage()) or b"")
@@ -197,14 +233,16 @@
         head, call = self._head, self._call
         assert head is not None
         assert call is not None
-        if self._codec.read_id(head.headers) != call.message.id:
+        # h11's own sequence of headers makes a tuple anew at each step.
+        fields = list(head.headers)
+        if self._codec.read_id(fields) != call.message.id:
             self._skip_stray(call)
             return
         reply = self._codec.decode_reply(
-            head.status_code, head.headers, bytes(self._body)
+            head.status_code, fields, bytes(self._body)
         )
         receiver = self._receiver
-        self._read_keep_alive(head)
+        self._read_keep_alive(fields)
         self._reset_call()
         if self._may_reuse():
             self._http.start_next_cycle()
@@ -253,9 +291,9 @@
             and self._transport.get_write_buffer_size() == 0
         )
 
-    def _read_keep_alive(self, head: h11.Response) -> None:
+    def _read_keep_alive(self, fields: api.Fields) -> None:
         """Takes how long the searcher keeps an idle connection."""
-        for name, value in head.headers:
+        for name, value in fields:
             if name == b"keep-alive":
                 seconds = parse_keep_alive(value)
                 if seconds is not None:
@@ -278,6 +316,8 @@
     def _close(self) -> None:
         """Ends the connection between two calls."""
         self.closed = True
+        if self._timer is not None:
+            self._timer.cancel()
         self._transport.close()
         self._on_closed(self, False)
 
@@ -286,6 +326,8 @@
         if self.closed:
             return
         self.closed = True
+        if self._timer is not None:
+            self._timer.cancel()
         receiver = self._receiver
         self._reset_call()
         self._on_closed(self, refused)
--- a/src/azureramp/ports/forwarding/pool.py
+++ b/src/azureramp/ports/forwarding/pool.py
@@ -135,7 +135,7 @@
 
     def abandon(self, link: link_module.Link, linger_s: float) -> None:
         """Cuts a call's connection unless its answer comes soon."""
-        self._cut_later(link, link.calls, linger_s)
+        link.cut_after(linger_s)
 
     def probe(self, receiver: Callable[[bool], None]) -> None:
         """Finds out whether the searcher refuses new connections.
@@ -188,18 +188,7 @@
             return
         ticket.link = link
         link.send(ticket.call, receiver)
-        self._cut_later(link, link.calls, ticket.call.left_s + GRACE_S)
-
-    def _cut_later(
-        self, link: link_module.Link, calls: int, after_s: float
-    ) -> None:
-        """Cuts a connection if the same call still waits on it then."""
-
-        def cut() -> None:
-            if link.busy and link.calls == calls:
-                link.abort()
-
-        asyncio.get_running_loop().call_later(after_s, cut)
+        link.cut_after(ticket.call.left_s + GRACE_S)
 
     def _serve_waiting(self) -> None:
         """Gives connections to the calls that wait."""
@@ -249,9 +238,7 @@
 
     def _make_link(self) -> link_module.Link:
         """Makes the protocol of a new connection."""
-        return link_module.Link(
-            self._codec, self.address, self._take_idle, self._take_closed
-        )
+        return link_module.Link(self._codec, self._take_idle, self._take_closed)
 
     def _opened(self, task: asyncio.Task[None]) -> None:
         """Goes on after a connection was opened, or was not."""
--- a/tests/forwarding/test_searchers.py
+++ b/tests/forwarding/test_searchers.py
@@ -66,6 +66,27 @@
     scenes.run(scenario)
 
 
+@pytest.mark.parametrize("name", ["a\r\nX-Forged: 1", "a b", "\u0151", ""])
+def test_a_searcher_whose_name_fits_no_header_is_not_used(name: str) -> None:
+    """Another writer's entry has a line's end in its key.
+
+    The name goes out with every call. Each would carry a header that nobody
+    sent, or fail where it is encoded, and the caller's request with it.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        described = scene.searchers["statements-0"].describe()
+        for known in ("statements-0", "statements-1"):
+            scene.store.remove(f"servers/{known}")
+        scene.store.put(f"servers/{name}", described)
+        await deployment.settle(3.0)
+        answer = await scene.ask("vm-0", "/one/x")
+        assert answer.status == 503
+        assert not scene.searchers["statements-0"].seen
+
+    scenes.run(scenario)
+
+
 def test_entries_that_lapsed_while_the_store_was_away_stay_in_use() -> None:
     """The store goes down for a while, and all lookups fail at its return.
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -37,7 +37,9 @@
     assert incoming.host == "search.example"
     assert incoming.deadline_s == 0.3
     call = api.Call(incoming.message, "i-7", 0.25)
-    sent = dict(headers.Codec().encode_call(call, "10.0.0.1:80"))
+    codec = headers.Codec()
+    common = codec.encode_message(incoming.message)
+    sent = dict((*common, *codec.encode_call(call)))
     assert sent == {
         b"host": b"Search.Example:8104",
         b"azureramp-request-id": b"r1",
@@ -46,6 +48,7 @@
         b"azureramp-deadline-ms": b"250",
         b"azureramp-target-instance": b"i-7",
     }
+    assert len(sent) == len(common) + 2
 
 
 @pytest.mark.parametrize("value", [b"soon", b"", b"-5", b"1.5"])
