Split the common bounds among the VMs that serve

The log: 198 requests with shards missing, nearly all with 76 to 85 of the 86 shards that they needed, and 3,998 calls '503 not run' in their lines; most parts made one or two calls and then had none left to make, in 60 ms of 600.

Cause: the fixed number of extra calls (164 in 10 s for each service) was split evenly among 62 VMs, of which callers are told of 6: nine tenths lay with VMs that hardly get a request. The bound of cold searchers was split the same way.

--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -164,8 +164,3 @@
     def is_ready(self) -> bool:
         """Tells whether callers may be sent here."""
         return self.configuration is not None and not self.leaving
-
-    def count_members(self) -> int:
-        """Returns how many VMs share what is bounded for all together."""
-        others = len(self.members.keys() - {self.identity.vm})
-        return others + 1
--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -11,13 +11,21 @@
 from azureramp import catalog
 from azureramp.controllers.forwarding import board as board_module
 from azureramp.controllers.forwarding import telling
-from azureramp.policy import advertising, allowances, selection
+from azureramp.policy import advertising, allowances, selection, shares
 from azureramp.ports.forwarding import api, pool
 
 COLD_SLOWNESS = 1.6
 """What a cold searcher's calls are taken to last, in usual times, until its
 own calls show it."""
 
+COLD_WINDOW_S = 1.0
+"""The span in which the requests to a cold searcher are bounded, in seconds;
+the operators' bound is a number a second."""
+
+SHARES_S = 0.5
+"""Time between two looks at this VM's part of the common bounds, in seconds; a
+contact that is lost for long enough to matter lasts several times that."""
+
 DEFAULT_CONNECTIONS = 8
 """Connections that a searcher is taken to accept while its service is not
 declared."""
@@ -32,7 +40,15 @@
         metrics: Counts the calls.
     """
 
-    __slots__ = ("_allowances", "_board", "_codec", "_rng", "metrics")
+    __slots__ = (
+        "_allowances",
+        "_board",
+        "_codec",
+        "_cold_share",
+        "_extra_share",
+        "_rng",
+        "metrics",
+    )
 
     def __init__(
         self,
@@ -46,6 +62,11 @@
         self._codec = codec
         self._rng = rng
         self._allowances: dict[str, allowances.Allowance] = {}
+        first = board.identity.first_start
+        self._extra_share = shares.Share(
+            board.bounds.extra.window_s, board.started_s, first
+        )
+        self._cold_share = shares.Share(COLD_WINDOW_S, board.started_s, first)
 
     def put(self, searcher: catalog.Searcher) -> None:
         """Takes what a searcher says of itself."""
@@ -99,9 +120,20 @@
             if target.lapsed:
                 self.remove(name)
 
+    async def run(self) -> None:
+        """Takes this VM's part of the common bounds again, forever.
+
+        A part counts by the least that it was in the last window, so a moment
+        in which it was small must be seen also while no call asks for it.
+        """
+        while True:
+            self._update_shares(asyncio.get_running_loop().time())
+            await asyncio.sleep(SHARES_S)
+
     def update_limits(self) -> None:
         """Puts shares of the connections into force, and warms routes up."""
         telling.update(self._board)
+        self._update_shares(asyncio.get_running_loop().time())
         used: set[str] = set()
         if self._is_told():
             used = telling.find_used_services(self._board.configuration)
@@ -151,14 +183,9 @@
         return allowance
 
     def get_part(self, now_s: float) -> float:
-        """Returns this VM's part of what is bounded for all together."""
-        board = self._board
-        return allowances.get_part(
-            board.count_members(),
-            now_s - board.started_s,
-            board.identity.first_start,
-            board.bounds.extra.window_s,
-        )
+        """Returns this VM's part of the fixed number of extra calls."""
+        self._update_shares(now_s)
+        return self._extra_share.part
 
     def note_cold_call(self, target: board_module.Target, now_s: float) -> None:
         """Counts a call to a searcher that is cold."""
@@ -190,10 +217,25 @@
             return True
         bounds = self._board.bounds
         bound = service.cold_per_s * bounds.cold_overage + bounds.cold_slack
-        part = bound / self._board.count_members()
-        recent = [at_s for at_s in target.cold_sent_s if at_s > now_s - 1.0]
+        self._update_shares(now_s)
+        oldest_s = now_s - COLD_WINDOW_S
+        recent = [at_s for at_s in target.cold_sent_s if at_s > oldest_s]
         target.cold_sent_s = recent
-        return len(recent) + 1 <= part
+        return len(recent) + 1 <= bound * self._cold_share.part
+
+    def _update_shares(self, now_s: float) -> None:
+        """Takes this VM's part of what is bounded for all together."""
+        board = self._board
+        known = board.members.keys() | {board.identity.vm}
+        stale_s = now_s - board.contact.confirmed_s
+        part = shares.compute_part(
+            len(board.told),
+            len(known - board.told.keys()),
+            self._is_told(),
+            stale_s > shares.STALE_S,
+        )
+        self._extra_share.update(part, now_s)
+        self._cold_share.update(part, now_s)
 
     def _make_target(self, searcher: catalog.Searcher) -> board_module.Target:
         """Makes the state of a searcher that has just been seen."""
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -198,6 +198,7 @@
             ("members", self._members.run),
             ("strain", self._members.run_strain),
             ("crashes", self._crashes.run),
+            ("shares", self._searchers.run),
             ("settings", self._watch_settings),
         ):
             self._tasks.append(asyncio.create_task(_keep_running(name, run)))
--- a/src/azureramp/policy/allowances.py
+++ b/src/azureramp/policy/allowances.py
@@ -3,8 +3,8 @@
 The operators bound the extra calls (hedges, retries, and calls that a
 searcher rejects) of all VMs together, in any span of a given length: a share
 of the service's requests and a fixed number. Each VM spends the share of the
-requests that it took itself, which adds up exactly, and an even part of the
-fixed number.
+requests that it took itself, which adds up exactly, and a part of the fixed
+number; see `shares`.
 """
 
 from __future__ import annotations
@@ -74,24 +74,3 @@
         for times in (self._requests_s, self._extras_s):
             while times and times[0] < oldest_s:
                 times.popleft()
-
-
-def get_part(
-    members: int, age_s: float, first_start: bool, window_s: float
-) -> float:
-    """Returns a VM's part of a fixed number that all VMs share.
-
-    A process that replaces one that was killed doesn't know what that one
-    spent, so it has no part until the span has passed; what it earns by its
-    own requests it may spend at once. When all VMs start together for the
-    first time, nothing was spent before.
-
-    Args:
-        members: The VMs that are known, this one included.
-        age_s: Time since the process started, in seconds.
-        first_start: True if the whole tier starts for the first time.
-        window_s: The length of the span, in seconds.
-    """
-    if age_s < window_s and not first_start:
-        return 0.0
-    return 1.0 / max(1, members)
