Soak real daemons under faults from outside

Daemons run as processes by the deploy file's program; a store and searchers of the project's own, a loopback proxy on each link to them, signals, operators.

Free ports now lie below those of outgoing connections: a daemon that started again lost its port to one. Not done: links between daemons, and from callers to daemons, pass no proxy; clocks don't step.

--- a/src/azureramp_standins/fleet/searcher.py
+++ b/src/azureramp_standins/fleet/searcher.py
@@ -48,6 +48,7 @@
         id: The request id of the answer; None for the request's own.
         raw: Bytes sent in place of an answer.
         extra: Bytes sent after the answer.
+        extra_after_s: How much later these are sent, in seconds.
         framed: False for an answer without a length, ended by a close.
         then: `keep`, `close`, `reset` or `hang`: what follows; `hang` sends
             nothing at all.
@@ -61,6 +62,7 @@
     id: str | None = None
     raw: bytes | None = None
     extra: bytes = b""
+    extra_after_s: float = 0.0
     framed: bool = True
     then: str = "keep"
 
@@ -117,6 +119,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def is_listening(self) -> bool:
+        """Tells whether it takes connections."""
+        return self._server is not None
+
     def describe(self, **changes: object) -> dict[str, object]:
         """Returns its entry in the store."""
         return {
@@ -163,6 +169,7 @@
         if seen is None:
             return False
         self.seen.append(seen)
+        signature = f"{self.id}.{seen.id}.{len(self.seen)}"
         wanted = seen.headers.get("azureramp-target-instance", self.id)
         act = self.script(seen)
         if wanted != self.id:
@@ -182,7 +189,11 @@
         if act.then == "reset" and act.raw is None:
             writer.transport.abort()
             return False
-        writer.write(self._encode(http, seen, act))
+        writer.write(self._encode(http, seen, act, signature))
+        if act.extra_after_s:
+            asyncio.get_running_loop().call_later(
+                act.extra_after_s, writer.write, act.extra
+            )
         await writer.drain()
         if act.then == "reset":
             writer.transport.abort()
@@ -219,16 +230,16 @@
             bytes(body),
         )
 
-    def _encode(self, http: h11.Connection, seen: Seen, act: Act) -> bytes:
+    def _encode(
+        self, http: h11.Connection, seen: Seen, act: Act, signature: str
+    ) -> bytes:
         """Encodes what is sent back."""
         if act.raw is not None:
             return act.raw
         name = seen.id if act.id is None else act.id
         headers = [("Azureramp-Request-Id", name)]
         if act.signed:
-            headers.append(
-                ("Azureramp-Server-Stamp", f"{self.id}.{name}.{len(self.seen)}")
-            )
+            headers.append(("Azureramp-Server-Stamp", signature))
         if act.not_run:
             headers.append(("Azureramp-Not-Executed", "1"))
         if act.framed:
@@ -241,4 +252,5 @@
             lines += [f"{field}: {value}" for field, value in headers]
             return "\r\n".join([*lines, "", ""]).encode() + act.body
         events = (head, h11.Data(data=act.body), h11.EndOfMessage())
-        return b"".join(http.send(event) or b"" for event in events) + act.extra
+        extra = b"" if act.extra_after_s else act.extra
+        return b"".join(http.send(event) or b"" for event in events) + extra
--- a/src/azureramp_standins/processes.py
+++ b/src/azureramp_standins/processes.py
@@ -8,6 +8,7 @@
 import dataclasses
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -21,6 +22,11 @@
 """Longest wait for a process to end, in seconds."""
 
 
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+"""Where free ports are looked for."""
+
+
 class StartError(Exception):
     """A process ended, or never listened."""
 
@@ -60,16 +66,26 @@
 def find_ports(count: int) -> list[int]:
     """Finds free ports on loopback.
 
+    They lie below those that the system gives to outgoing connections, which
+    could otherwise take a daemon's port while it starts again.
+
     Args:
         count: How many.
 
     Returns:
         Ports that were free a moment ago.
     """
-    sockets = [socket.socket() for _ in range(count)]
+    sockets: list[socket.socket] = []
+    port = random.randrange(FIRST_PORT, LAST_PORT - 4 * count)
     try:
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
+        while len(sockets) < count:
+            sock = socket.socket()
+            try:
+                sock.bind(("127.0.0.1", port))
+                sockets.append(sock)
+            except OSError:
+                sock.close()
+            port += 1
         return [int(sock.getsockname()[1]) for sock in sockets]
     finally:
         for sock in sockets:
--- /dev/null
+++ b/src/azureramp_standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized run of real daemons under faults from outside."""
--- /dev/null
+++ b/src/azureramp_standins/soak/mutants.py
@@ -0,0 +1,152 @@
+"""The daemon with one promise broken, to show that the checks see it."""
+
+from __future__ import annotations
+
+import dataclasses
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from azureramp import errors
+from azureramp.controllers.forwarding import (
+    applying,
+    leaving,
+    members,
+    searchers,
+)
+from azureramp.platform import decoding, headers, program
+from azureramp.policy import allowances, merging, routing
+
+PATCHED: Any = setattr
+
+
+def repeat_everything() -> None:
+    """Repeats also what may run once only."""
+    PATCHED(decoding, "REPEATABLE", "non_idempotent")
+
+
+def promise_not_run() -> None:
+    """Says of each unknown outcome that the request has not run."""
+    for kind in (errors.Kind.OUTCOME_UNKNOWN, errors.Kind.DEADLINE_PASSED):
+        answer = errors.ANSWERS[kind]
+        PATCHED(
+            errors,
+            "ANSWERS",
+            {**errors.ANSWERS, kind: dataclasses.replace(answer, status=503)},
+        )
+
+
+def use_leaving_searchers() -> None:
+    """Sends to searchers in any state and zone."""
+    PATCHED(searchers.Searchers, "_is_usable", lambda self, target: True)
+
+
+def keep_first_version() -> None:
+    """Takes no second configuration."""
+    take = applying.Applying._take_configuration
+
+    def take_first(self: Any, new: Any) -> None:
+        if self._board.configuration is None:
+            take(self, new)
+
+    PATCHED(applying.Applying, "_take_configuration", take_first)
+
+
+def stop_at_once() -> None:
+    """Ends at SIGTERM with requests running."""
+
+    async def leave(board: Any, others: Any, front: Any) -> int:
+        board.leaving = True
+        return int(await front.stop(0.0))
+
+    PATCHED(leaving, "leave", leave)
+
+
+def spend_without_bound() -> None:
+    """Makes extra calls without a bound."""
+    PATCHED(allowances.Allowance, "spend", lambda self, now_s, part: True)
+
+
+def load_cold_searchers() -> None:
+    """Sends cold searchers as much as others."""
+    PATCHED(
+        searchers.Searchers, "_is_warm_enough", lambda self, target, now: True
+    )
+
+
+def hand_out_more_time() -> None:
+    """Lets searchers work for a minute."""
+    encode = headers.Codec.encode_call
+
+    def encode_call(self: Any, call: Any) -> Any:
+        return encode(self, dataclasses.replace(call, left_s=60.0))
+
+    PATCHED(headers.Codec, "encode_call", encode_call)
+
+
+def lose_records() -> None:
+    """Leaves the greatest record out of each merged answer."""
+    merge = merging.merge
+    PATCHED(
+        merging,
+        "merge",
+        lambda parts, most: merge(parts, most)[merging.RECORD_BYTES :],
+    )
+
+
+def take_any_answer() -> None:
+    """Takes whatever answer comes first on a connection for its call's."""
+    PATCHED(headers.Codec, "read_id", lambda self, fields: _Anything())
+
+
+def refuse_known_routes() -> None:
+    """Answers 404 for one route that is configured."""
+    find = routing.Table.find
+
+    def find_some(self: Any, host: str, path: str) -> Any:
+        return None if path.startswith("/one/") else find(self, host, path)
+
+    PATCHED(routing.Table, "find", find_some)
+
+
+def name_the_dead() -> None:
+    """Never forgets a VM."""
+    PATCHED(members.Members, "remove", lambda self, vm, settled: None)
+
+
+class _Anything:
+    """Equals everything."""
+
+    def __eq__(self, other: object) -> bool:
+        return True
+
+    def __hash__(self) -> int:
+        return 0
+
+
+MUTANTS: dict[str, tuple[Callable[[], None], str]] = {
+    "repeat_everything": (repeat_everything, "once"),
+    "promise_not_run": (promise_not_run, "refused"),
+    "use_leaving_searchers": (use_leaving_searchers, "drain"),
+    "keep_first_version": (keep_first_version, "configured"),
+    "stop_at_once": (stop_at_once, "stop"),
+    "spend_without_bound": (spend_without_bound, "budget"),
+    "load_cold_searchers": (load_cold_searchers, "cold"),
+    "hand_out_more_time": (hand_out_more_time, "deadline"),
+    "lose_records": (lose_records, "whole"),
+    "take_any_answer": (take_any_answer, "whole"),
+    "name_the_dead": (name_the_dead, "named"),
+    "refuse_known_routes": (refuse_known_routes, "allowed"),
+}
+"""Each mutant with the promise that it breaks."""
+
+
+def main() -> None:
+    """Runs the daemon with the mutation named as the only argument."""
+    mutate, _ = MUTANTS[sys.argv.pop(1)]
+    mutate()
+    program.main()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/azureramp_standins/soak/world.py
@@ -0,0 +1,390 @@
+"""The deployment of a run: store, searchers, links, daemons, and its faults."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import hashlib
+import pathlib
+import random
+import signal
+from typing import Any
+
+from azureramp_standins import processes
+from azureramp_standins.fleet import deployment, searcher, store
+from azureramp_standins.soak import daemons, history, plan, proxy
+
+SHARDS = ("shard-a", "shard-b", "shard-c", "shard-d")
+LEAST_SHARE = 0.75
+MOST_RECORDS = 8
+PLAIN = "plain"
+MOVES = 6
+"""Versions of the configuration, each of which moves a route to a service of
+its own, so that an answer shows which version it was given under."""
+
+SEARCHERS_EACH = 2
+ATTEMPTS = 2
+TIMEOUT_MS = 1500
+TARGET_MS = 150
+
+RATIO = 0.02
+SLACK = 16
+WINDOW_S = 10.0
+COLD_PER_S = 4.0
+COLD_OVERAGE = 1.5
+COLD_SLACK = 5.0
+COLD_S = 3.0
+GRACE_S = 5.0
+"""What the operators bound; see the daemon's settings."""
+
+DRAINED_S = 3.0
+EVACUATED_S = 5.0
+"""In this time a draining searcher, or a zone taken out, must get nothing
+more, in seconds; a fault lasts for as long again as it was drawn to."""
+
+DOWN_FACTOR = 2.0
+"""A killed daemon stays down for this many times its fault's length: up to ten
+seconds, some more than callers may be told of it."""
+
+LINGER_S = 1.5
+"""How long a crashed searcher stays away, in seconds."""
+
+
+def make_records(service: str, name: str) -> bytes:
+    """Returns a shard's records for a request, the same from each replica."""
+    seed = hashlib.blake2b(f"{service}/{name}".encode(), digest_size=48)
+    return seed.digest()
+
+
+class World:
+    """The deployment.
+
+    Attributes:
+        daemons: The daemons.
+        history: What was seen.
+    """
+
+    def __init__(
+        self, seed: int, vms: int, folder: pathlib.Path, mutant: str
+    ) -> None:
+        """Makes a deployment that does not run; see `start`."""
+        self._rng = random.Random(f"world/{seed}")
+        self.history = history.History()
+        services = [*SHARDS, PLAIN, *(f"move-{n}" for n in range(MOVES))]
+        count = len(services) * SEARCHERS_EACH
+        ports = iter(processes.find_ports(1 + 5 * vms + 2 * count))
+        self._addresses = (f"127.0.0.1:{port}" for port in ports)
+        store_address = next(self._addresses)
+        self._store = store.Store(store_address)
+        self._searchers: list[searcher.Searcher] = []
+        self._acts: dict[str, searcher.Act] = {}
+        self._entries: dict[str, dict[str, Any]] = {}
+        self._links: dict[tuple[str, int], proxy.Proxy] = {}
+        for service in services:
+            for index in range(SEARCHERS_EACH):
+                self._add_searcher(service, index)
+        self._version = 0
+        self._draining: set[str] = set()
+        self._evacuations = 0
+        self.daemons = self._make_daemons(vms, folder, mutant)
+
+    async def start(self) -> None:
+        """Starts everything and waits until the daemons serve."""
+        await self._store.start()
+        for link in self._links.values():
+            await link.start()
+        for each in self._searchers:
+            await each.start()
+            self._store.put(f"servers/{each.id}", self._entries[each.id])
+        self.configure()
+        for daemon in self.daemons:
+            daemon.start()
+            self.history.starts[daemon.name] = daemon.starts
+            self.history.ends[daemon.name] = daemon.ends
+
+    async def stop(self) -> None:
+        """Ends everything that was started."""
+        for daemon in self.daemons:
+            await daemon.end()
+        for link in self._links.values():
+            await link.stop()
+        for each in self._searchers:
+            each.crash()
+        await self._store.server.stop(0.0)
+
+    def count_searchers(self) -> int:
+        """Returns how many searchers there are."""
+        return len(self._searchers)
+
+    def configure(self) -> None:
+        """Writes a new version, which moves a route on."""
+        if self._version >= MOVES:
+            return
+        service = f"move-{self._version}"
+        self._version += 1
+        self._store.put("op/config", make_configuration(self._version, service))
+        now_s = asyncio.get_running_loop().time()
+        self.history.versions.append((service, now_s))
+
+    async def play(self, planned: plan.Planned) -> None:
+        """Lets one fault happen, from its beginning to its end."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        fault = planned.fault
+        match fault:
+            case plan.Signalled(vm=vm, how=how):
+                kind, name = "vm", self.daemons[vm].name
+                await self._signal(self.daemons[vm], how, planned.for_s)
+            case plan.LinkHarmed(link=link, number=number, how=how):
+                kind, name = "link", f"{link}-{number}"
+                harmed = self._links[link, number]
+                harmed.harm(how)
+                await asyncio.sleep(planned.for_s)
+                harmed.heal()
+            case plan.StoreHarmed(how=how):
+                kind, name = "store", "store"
+                await self._harm_store(how, planned.for_s)
+            case plan.SearcherHarmed(number=number, how=how):
+                harmed_searcher = self._searchers[number]
+                kind, name = "searcher", harmed_searcher.id
+                if how == "drain" and name in self._draining:
+                    return
+                await self._harm_searcher(harmed_searcher, how, planned.for_s)
+            case plan.Operated(how="configure" as how):
+                kind, name = "operator", "configure"
+                self.configure()
+            case plan.Operated(how=how):
+                kind, name = "operator", "zone-0"
+                await self._evacuate(EVACUATED_S + planned.for_s)
+        span = history.Span(kind, name, how, began_s, loop.time())
+        self.history.spans.append(span)
+
+    async def _evacuate(self, for_s: float) -> None:
+        """Takes a zone out; of several at once the last one ends it."""
+        self._evacuations += 1
+        self._store.put("op/evacuate/zone-0", {})
+        await asyncio.sleep(for_s)
+        self._evacuations -= 1
+        if not self._evacuations:
+            self._store.remove("op/evacuate/zone-0")
+
+    async def _signal(
+        self, daemon: daemons.Daemon, how: str, for_s: float
+    ) -> None:
+        """Sends a daemon a signal."""
+        match how:
+            case "kill":
+                daemon.hold_s = DOWN_FACTOR * for_s
+                daemon.send(signal.SIGKILL)
+                await asyncio.sleep(daemon.hold_s)
+            case "stop":
+                daemon.send(signal.SIGTERM)
+                await asyncio.sleep(GRACE_S)
+            case "reload":
+                daemon.send(signal.SIGHUP)
+            case _:
+                daemon.send(signal.SIGSTOP)
+                await asyncio.sleep(for_s)
+                daemon.send(signal.SIGCONT)
+
+    async def _harm_store(self, how: str, for_s: float) -> None:
+        """Lets the store misbehave."""
+        faults = self._store.faults
+        match how:
+            case "compact":
+                self._store.compact()
+                return
+            case "lost":
+                faults.lost += 3
+            case "slow":
+                faults.slow_s = 0.4
+            case "busy":
+                faults.busy = True
+            case _:
+                faults.silent = True
+        await asyncio.sleep(for_s)
+        self._store.faults = store.Faults()
+
+    async def _harm_searcher(
+        self, harmed: searcher.Searcher, how: str, for_s: float
+    ) -> None:
+        """Lets a searcher misbehave."""
+        match how:
+            case "crash":
+                harmed.crash()
+                await asyncio.sleep(LINGER_S)
+                await self._restart(harmed)
+            case "drain":
+                self._draining.add(harmed.id)
+                self._announce(harmed)
+                await asyncio.sleep(for_s + DRAINED_S)
+                self._draining.discard(harmed.id)
+                self._announce(harmed)
+            case _:
+                self._acts[harmed.id] = ACTS[how]
+                await asyncio.sleep(for_s)
+                self._acts.pop(harmed.id, None)
+
+    async def _restart(self, harmed: searcher.Searcher) -> None:
+        """Starts a crashed searcher again under its id, cold."""
+        if harmed.is_listening():
+            return
+        self._entries[harmed.id]["born"] += 1
+        await harmed.start()
+        self._announce(harmed, ColdRemainingMs=int(COLD_S * 1000))
+        now_s = asyncio.get_running_loop().time()
+        self.history.spans.append(
+            history.Span("searcher", harmed.id, "cold", now_s, now_s + COLD_S)
+        )
+        await asyncio.sleep(COLD_S)
+        self._announce(harmed)
+
+    def _announce(self, announced: searcher.Searcher, **changes: Any) -> None:
+        """Writes a searcher's entry."""
+        entry = self._entries[announced.id] | changes
+        if announced.id in self._draining:
+            entry["State"] = "draining"
+        self._store.put(f"servers/{announced.id}", entry)
+
+    def _add_searcher(self, service: str, index: int) -> None:
+        """Makes a searcher behind a link of its own."""
+        name = f"{service}:{index}"
+        own, told = next(self._addresses), next(self._addresses)
+        made = searcher.Searcher(name, service, own, f"zone-{index % 2}")
+        made.script = lambda seen: self._act(made, seen)
+        number = len(self._searchers)
+        self._links["searcher", number] = proxy.Proxy(told, own)
+        self._searchers.append(made)
+        self._entries[name] = made.describe(Address=told)
+
+    def _act(
+        self, made: searcher.Searcher, seen: searcher.Seen
+    ) -> searcher.Act:
+        """Decides what a searcher does with a request, and keeps it."""
+        act = self._acts.get(made.id, searcher.Act(after_s=0.01))
+        if made.service in SHARDS:
+            body = make_records(made.service, seen.id)
+        else:
+            body = f"{made.service} {seen.method} {seen.target}".encode()
+        act = dataclasses.replace(act, body=body if act.status < 300 else b"")
+        meant = seen.headers.get("azureramp-target-instance", made.id)
+        self.history.arrivals.append(
+            history.Arrival(
+                seen.at_s,
+                seen.id,
+                made.id,
+                made.service,
+                not act.not_run and meant == made.id,
+                float(seen.headers.get("azureramp-deadline-ms", "1e9")) / 1000,
+                f"{made.id}.{seen.id}.{len(made.seen)}",
+                body,
+            )
+        )
+        return act
+
+    def _make_daemons(
+        self, vms: int, folder: pathlib.Path, mutant: str
+    ) -> list[daemons.Daemon]:
+        """Makes the daemons, each with a link of its own to the store."""
+        names = ("front", "ready", "control", "directory")
+        addresses = [
+            {name: next(self._addresses) for name in names} for _ in range(vms)
+        ]
+        seeds = ", ".join(f'"{each["control"]}"' for each in addresses[:3])
+        made: list[daemons.Daemon] = []
+        for number, own in enumerate(addresses):
+            link = proxy.Proxy(
+                next(self._addresses), self._store.server.address
+            )
+            self._links["store", number] = link
+            text = daemons.SETTINGS.format(
+                name=f"vm-{number}",
+                zone=f"zone-{number % 2}",
+                seeds=seeds,
+                store=link.address,
+                ratio=RATIO,
+                slack=SLACK,
+                window_s=WINDOW_S,
+                cold_overage=COLD_OVERAGE,
+                cold_slack=COLD_SLACK,
+                grace_s=GRACE_S,
+                **own,
+            )
+            made.append(
+                daemons.Daemon(f"vm-{number}", own, text, folder, mutant)
+            )
+        return made
+
+
+STRAY = (
+    b"HTTP/1.1 200 OK\r\nAzureramp-Request-Id: other\r\n"
+    b"Azureramp-Server-Stamp: x.other.1\r\nContent-Length: 2\r\n\r\nno"
+)
+"""An answer that nobody waits for."""
+
+ACTS = {
+    "hang": searcher.Act(then="hang"),
+    "shed": searcher.Act(after_s=0.0, status=503, signed=False, not_run=True),
+    "reset": searcher.Act(after_s=0.02, then="reset"),
+    "cut": searcher.Act(
+        after_s=0.01,
+        raw=b"HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\nhalf",
+        then="reset",
+    ),
+    "extra": searcher.Act(after_s=0.01, extra=STRAY),
+    "late": searcher.Act(after_s=0.01, extra=STRAY, extra_after_s=0.004),
+    "slow": searcher.Act(after_s=0.3),
+}
+"""What a harmed searcher does with each request."""
+
+
+def make_configuration(version: int, service: str) -> dict[str, Any]:
+    """Makes a version of the configuration.
+
+    Args:
+        version: Its number.
+        service: Where the moving route goes.
+    """
+    services = [*SHARDS, PLAIN, *(f"move-{n}" for n in range(MOVES))]
+    routes: list[dict[str, Any]] = [
+        {
+            "Prefix": "/all/",
+            "FanoutServices": list(SHARDS),
+            "TopK": MOST_RECORDS,
+            "MinShardShare": LEAST_SHARE,
+        },
+        {"Prefix": "/one/", "Backend": PLAIN},
+        {"Prefix": "/once/", "Backend": PLAIN, "RouteType": "non_idempotent"},
+        {"Prefix": "/move/", "Backend": service},
+    ]
+    common = {
+        "Hostname": deployment.HOST,
+        "RouteType": "idempotent",
+        "TimeoutMs": TIMEOUT_MS,
+        "TargetLatencyMs": TARGET_MS,
+        "Priority": 1,
+        "Attempts": ATTEMPTS,
+    }
+    return {
+        "Version": version,
+        "Routes": [
+            common | {"Name": f"route{route['Prefix']}"} | route
+            for route in routes
+        ],
+        "Services": [
+            {
+                "Name": name,
+                "HealthPath": "/health",
+                "MaxConnections": 64,
+                "ColdStartS": COLD_S,
+                "ColdPerS": COLD_PER_S,
+            }
+            for name in services
+        ],
+        "Limits": {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 262144,
+            "HeaderTimeoutMs": 3000,
+            "IdleTimeoutMs": 15000,
+        },
+    }
