Serve a connection that was accepted in the moment of a stop

The VM's log: 'caller_gone' for it, 'stopped; 0 requests cut' 3 ms later. All other connections had ended, so the stop waited for none, and the new one was known only after that. Ruled out: the caller (it waited), the end of the grace time (2 of 5 s had passed).

Accepting ends first now, and the stop looks again after 50 ms.

--- a/src/azureramp/ports/web/server.py
+++ b/src/azureramp/ports/web/server.py
@@ -15,6 +15,10 @@
 from azureramp.ports.web import api, request_reader, server_connection
 from azureramp.ports.web import connection as web_connection
 
+ACCEPTED_S = 0.05
+"""Time in which a connection that was accepted is known, in seconds: a few
+turns of the event loop, each of some milliseconds under load."""
+
 BACKLOG = 1024
 
 
@@ -89,13 +93,23 @@
         Returns:
             How many requests were cut since the limit was reached.
         """
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + limit_s
         self._stopping = True
-        if self._server is not None:
-            self._server.close()
+        listening = self._server.sockets if self._server is not None else ()
+        for each in listening:
+            loop.remove_reader(each.fileno())
         for served in self._connections.values():
             served.stop()
-        if self._connections:
-            await asyncio.wait(self._connections, timeout=limit_s)
+        # A connection that was accepted in this very moment is not among those
+        # known yet. Its request would be cut as soon as the process ends, and
+        # asyncio would drop it where its server is closed first.
+        await asyncio.sleep(min(limit_s, ACCEPTED_S))
+        if self._server is not None:
+            self._server.close()
+        while self._connections and loop.time() < until_s:
+            left_s = until_s - loop.time()
+            await asyncio.wait(self._connections, timeout=left_s)
         cut = self.running
         for task in list(self._connections):
             task.cancel()
--- a/tests/ports/web/test_server.py
+++ b/tests/ports/web/test_server.py
@@ -285,3 +285,36 @@
         await served.stop(1.0)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("turns", range(16))
+def test_a_connection_made_while_the_server_stops_is_served(
+    turns: int,
+) -> None:
+    """A VM stops by plan, and a caller's lookup on a new connection is cut.
+
+    The connection was accepted in the very moment in which the server began
+    to wait for those that it had. The new one was not among them, so the
+    process ended while its request ran on a searcher.
+    """
+
+    async def scenario(handler: Handler, served: server.Server) -> None:
+        handler.takes_s = 0.1
+
+        async def ask() -> int:
+            async with asyncio.timeout(3.0):
+                client = await connect()
+                response = await client.exchange("GET", "/x", ())
+                client.abort()
+                return response.status
+
+        asked = asyncio.ensure_future(ask())
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        await served.stop(5.0)
+        await asyncio.sleep(0.01)
+        await served.stop(0.0)
+        (outcome,) = await asyncio.gather(asked, return_exceptions=True)
+        assert outcome == 200 or handler.cancelled == 0
+
+    run(scenario)
