Send lookups to searchers that fail often where all of a service do

Cause: two failures in a row make a searcher rest, and where all lose answers all rest soon, though three in five calls would be answered. Ruled out: the bound of extra calls (none withheld).

A request that may be repeated goes to the best of those that show life; what may run once is still refused unrun, since its outcome would be unknown two times in five. Tests first: policy, and a deployment.

--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -210,7 +210,10 @@
         left_s = self._work.until_s - now_s
         if left_s <= 0:
             return False
-        target = self._searchers.choose(self.service, self._tried, now_s)
+        # What may run once only is better refused than lost.
+        target = self._searchers.choose(
+            self.service, self._tried, now_s, self._work.route.repeatable
+        )
         if target is None or (hedge and target.record.overdue):
             return False
         if self._count_arrivals() and not self._searchers.get_allowance(
@@ -314,7 +317,7 @@
             )
         if lost.sent and took_s >= SILENT_S:
             target.pool.retire(now_s - took_s)
-        target.record.add_failure(now_s, lost.sent)
+        target.record.add_failure(now_s, lost.sent, took_s >= SILENT_S)
 
     def _take_reply(self, reply: api.Reply, now_s: float) -> None:
         """Goes on after an answer."""
--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -143,7 +143,11 @@
                 target.pool.prepare(1)
 
     def choose(
-        self, service: str, without: Collection[str], now_s: float
+        self,
+        service: str,
+        without: Collection[str],
+        now_s: float,
+        faulty: bool = False,
     ) -> board_module.Target | None:
         """Chooses a searcher of a service for one call.
 
@@ -151,6 +155,7 @@
             service: The service's name.
             without: The ids of those that may not be chosen.
             now_s: The time.
+            faulty: True if one that fails often is better than none.
 
         Returns:
             The searcher; None if none may get a call now.
@@ -164,13 +169,16 @@
             and self._is_warm_enough(target, now_s)
         ]
         chosen = selection.choose(usable, now_s, self._rng)
+        if chosen is None and faulty:
+            chosen = selection.choose_faulty(usable, now_s)
         return None if chosen is None else targets[chosen]
 
     def count_usable(self, service: str, now_s: float) -> int:
         """Returns how many searchers of a service may get a call now."""
         targets = self._board.by_service.get(service, {})
         return sum(
-            self._is_usable(target) and not target.record.rests(now_s)
+            self._is_usable(target)
+            and (target.record.alive or not target.record.rests(now_s))
             for target in targets.values()
         )
 
--- a/src/azureramp/policy/selection.py
+++ b/src/azureramp/policy/selection.py
@@ -65,6 +65,9 @@
         slowness: Its mean time, relative to usual ones; 1 is usual.
         measured_s: When a call last showed it.
         failures: Failures in a row.
+        alive: True if the last failure came from the searcher itself, soon:
+            an error or a lost answer. One that can't be reached or is silent
+            shows no sign of life.
         failed_share: The share of its latest calls that failed, 0 to 1.
         rest_until_s: It is left alone until then.
         trial: True while one call tries whether it is back.
@@ -79,6 +82,7 @@
     slowness: float = 1.0
     measured_s: float = 0.0
     failures: int = 0
+    alive: bool = True
     failed_share: float = 0.0
     rest_until_s: float = 0.0
     trial: bool = False
@@ -98,15 +102,19 @@
         self.rest_until_s = 0.0
         self.trial = False
 
-    def add_failure(self, now_s: float, sent: bool = True) -> None:
+    def add_failure(
+        self, now_s: float, sent: bool = True, silent: bool = False
+    ) -> None:
         """Takes a call that failed by the searcher's fault.
 
         Args:
             now_s: The time.
             sent: False if it could not be reached. That it is down says
                 nothing of how it does once it is back.
+            silent: True if nothing came of it for long.
         """
         self.failures += 1
+        self.alive = sent and not silent
         if sent:
             self.failed_share += FAILURE_SMOOTHING * (1.0 - self.failed_share)
             self.measured_s = now_s
@@ -166,3 +174,23 @@
         if best is None or rating < best_rating:
             best, best_rating = searcher, rating
     return best
+
+
+def choose_faulty(
+    records: Iterable[tuple[str, Record]], now_s: float
+) -> str | None:
+    """Chooses among searchers that are left alone, as a last resort.
+
+    Where all searchers of a service lose some of their answers, each fails
+    twice in a row soon, and requests would be refused though most of them
+    could be answered. One that shows no sign of life is no help.
+
+    Args:
+        records: The ids of those that may be chosen, with their records.
+        now_s: The time.
+
+    Returns:
+        The id of the best one; None if none is alive.
+    """
+    alive = [(rate(each, now_s), name) for name, each in records if each.alive]
+    return min(alive)[1] if alive else None
--- a/tests/forwarding/test_single.py
+++ b/tests/forwarding/test_single.py
@@ -268,3 +268,26 @@
         assert "l" not in {each.id for each in seen}
 
     scenes.run(scenario, searchers=1)
+
+
+def test_a_lookup_goes_to_searchers_that_fail_where_all_do() -> None:
+    """A clerk's lookup is refused at once though its searchers run.
+
+    Both lose some of their answers, and the last two calls to each were among
+    them. A lookup may be repeated, so it is tried; a grant, whose outcome
+    would be unknown if its answer got lost too, is refused unrun.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        lost = searcher.Act(after_s=0.01, then="reset")
+        set_script(scene, scenes.PLAIN, lost)
+        for _ in range(4):
+            await scene.ask("vm-0", "/one/x")
+        set_script(scene, scenes.PLAIN, searcher.Act())
+        before = count_runs(scene, scenes.PLAIN)
+        grant = await scene.ask("vm-0", "/once/x", "POST", b"grant")
+        assert grant.status == 503
+        assert count_runs(scene, scenes.PLAIN) == before
+        assert (await scene.ask("vm-0", "/one/x")).status == 200
+
+    scenes.run(scenario)
--- a/tests/policy/test_selection.py
+++ b/tests/policy/test_selection.py
@@ -95,3 +95,25 @@
         record.add_failure(10.0, sent=False)
     before = selection.rate(selection.Record(2, near=True), 12.0)
     assert selection.rate(record, 12.0) == before
+
+
+def test_where_all_fail_often_one_that_is_alive_is_used_all_the_same() -> None:
+    """All searchers of a shard lose two in five of their answers.
+
+    Each soon fails twice in a row and is left alone. Lookups were refused
+    then, though three in five would have been answered; but one that can't be
+    reached or is silent would only take their time.
+    """
+    lossy = selection.Record(2, near=True)
+    silent = selection.Record(2, near=True)
+    down = selection.Record(2, near=True)
+    for _ in range(2):
+        lossy.add_failure(10.0)
+        silent.add_failure(10.0, silent=True)
+        down.add_failure(10.0, sent=False)
+    records = {"lossy": lossy, "silent": silent, "down": down}
+    rng = random.Random(1)
+    assert selection.choose(records.items(), 10.1, rng) is None
+    assert selection.choose_faulty(records.items(), 10.1) == "lossy"
+    del records["lossy"]
+    assert selection.choose_faulty(records.items(), 10.1) is None
