Prefer a near searcher while it has a free slot

A far searcher went before a near one that had one call in two slots, though that call waits for nothing.

--- a/src/azureramp/policy/selection.py
+++ b/src/azureramp/policy/selection.py
@@ -16,10 +16,11 @@
 """Weight of the newest time in a searcher's mean: about the last five calls
 count, so that a searcher that turns slow is left within a few calls."""
 
-OTHER_ZONE = 0.15
+OTHER_ZONE = 0.3
 """What a searcher in another availability zone costs in the choice, as a part
 of a usual call. A round trip between zones takes some 2 to 3 ms of 10 to 20,
-and its bytes are paid for."""
+and its bytes are paid for; it is more than a quarter, so that a near searcher
+with one call in two slots still goes first."""
 
 OVERDUE = 4.0
 """What a call that is overdue costs its searcher in the choice, in usual
@@ -144,7 +145,9 @@
     load = float(record.in_flight)
     if now_s - record.reported_s < REPORT_FADES_S:
         load += record.waiting
-    rating = slowness * (1.0 + load / max(1, record.slots))
+    # A call beside another in a free slot hardly waits; one beyond the slots
+    # waits for a whole call.
+    rating = slowness * (1.0 + (load / max(1, record.slots)) ** 2)
     rating += OVERDUE * record.overdue
     rating += FAILURE_COST * record.failed_share * kept
     if not record.near:
--- a/tests/policy/test_selection.py
+++ b/tests/policy/test_selection.py
@@ -39,6 +39,8 @@
     near = selection.Record(2, near=True)
     records = {"near": near, "far": selection.Record(2, near=False)}
     assert choose(records) == "near"
+    near.in_flight = 1
+    assert choose(records) == "near", "a slot is free"
     near.in_flight = 2
     assert choose(records) == "far"
 
