Explain a failed request from the logs of all VMs

An engineer on call had grep and the operations page. `azureramp explain ID FILE...` reads the logs of all VMs and says the cause, what the request's VM knew and for how long, each call, what other requests saw of the same searchers within a second, crashes around it, and where lines are missing.

--- a/src/azureramp/cli/main.py
+++ b/src/azureramp/cli/main.py
@@ -12,6 +12,7 @@
     delete,
     drain_zone,
     exits,
+    explain,
     get,
     options,
     restore_zone,
@@ -38,6 +39,7 @@
     restore_zone,
     status,
     timeline,
+    explain,
 ):
     options.name_variables(_module.command)
     group.add_command(_module.command)
--- /dev/null
+++ b/tests/test_explanations.py
@@ -0,0 +1,136 @@
+"""Explaining a failed request from the logs of all VMs."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Any
+
+import msgspec
+import pytest
+
+from azureramp import explanations
+from azureramp.cli import main
+
+
+def write(at: float, vm: str, channel: str, message: str, **more: Any) -> str:
+    line = {
+        "at": f"2026-07-14T04:46:{at:06.3f}Z",
+        "level": "info",
+        "vm": vm,
+        "channel": f"azureramp.{channel}",
+        "message": message,
+    }
+    return msgspec.json.encode(line | more).decode()
+
+
+def write_request(
+    at: float, vm: str, name: str, outcome: str, *calls: str
+) -> str:
+    return write(
+        at,
+        vm,
+        "request",
+        "request",
+        request=name,
+        outcome=outcome,
+        calls=list(calls),
+    )
+
+
+def explain(*rows: str) -> explanations.Explanation:
+    explanation = explanations.explain(explanations.parse(rows), "mine")
+    assert explanation is not None
+    return explanation
+
+
+def test_a_refusal_names_what_other_vms_saw_of_the_searcher() -> None:
+    """A statement is refused though three searchers stand there.
+
+    The one that was asked rejected it unrun, and rejected the calls of other
+    VMs as well: it is the searcher, not the way of one VM to it.
+    """
+    found = explain(
+        write(1, "vm-0", "program", "started on 10.0.0.1:80"),
+        write(
+            2, "vm-0", "searchers", "searcher i-7 of s at 10.0.0.2:80 is ready"
+        ),
+        write_request(9.9, "vm-1", "a", "shed", "s i-7 0: 2 503 not run"),
+        write_request(10, "vm-0", "mine", "shed", "s i-7 0: 2 503 not run"),
+        write_request(10.2, "vm-2", "b", "answered", "s i-7 0: 3 503 not run"),
+    )
+    assert found.calls == [explanations.Call("s", "i-7", 0, 2, "503 not run")]
+    assert "i-7 mostly '503 not run' (2 of 2" in found.cause
+    assert "seen by 2 VMs" in found.cause
+    assert [line.message for line in found.beliefs] == [
+        "started on 10.0.0.1:80"
+    ]
+    assert [line.at_s - found.request.at_s for line in found.states] == [-8.0]
+    assert not found.gaps
+
+
+def test_a_short_answer_names_the_shard_and_why_it_is_missing() -> None:
+    found = explain(
+        write_request(
+            10,
+            "vm-0",
+            "mine",
+            "short",
+            "a i-1 0: no answer yet",
+            "a i-2 19: no answer yet",
+            "b i-3 0: 5 broken",
+            "b i-4 5: 9 200",
+            "c none: no searcher may get it",
+            "d i-5 0: no answer yet",
+        ),
+        write_request(10.5, "vm-1", "a", "short", "a i-1 0: no answer yet"),
+    )
+    shards = found.cause.split("; ")
+    assert shards[0].startswith("a: i-1 mostly 'no answer yet'")
+    assert "i-2 no answer yet (seen by this request alone)" in shards[0]
+    assert shards[1] == "c: no searcher may get it"
+    assert shards[2].endswith("no second call was allowed")
+    assert len(shards) == 3
+    assert found.gaps == ["no earlier line of vm-0: its logs begin later"]
+
+
+@pytest.mark.parametrize("crashed", [True, False])
+def test_an_unknown_outcome_tells_a_crash_from_a_lost_answer(
+    crashed: bool,
+) -> None:
+    rows = [
+        write_request(
+            10, "vm-0", "mine", "outcome_unknown", "s i-7 0: 3 broken"
+        )
+    ]
+    if crashed:
+        message = "request x was running on searcher i-7 when it crashed"
+        rows.append(write(10.4, "vm-1", "crashes", message))
+    found = explain(*rows)
+    assert ("crashed while it ran" in found.cause) is crashed
+    assert ("answer was lost" in found.cause) is not crashed
+
+
+def test_lines_of_other_programs_and_prefixes_are_passed_over() -> None:
+    lines = explanations.parse(
+        [
+            "no log line",
+            '{"at":"soon","vm":"x"}',
+            '{"at":5}',
+            "  3.01 vm-0 " + write(3, "vm-0", "contact", "the store is back"),
+        ]
+    )
+    assert [line.message for line in lines] == ["the store is back"]
+
+
+def test_the_tool_prints_it_and_says_when_there_is_no_line(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "vm-0.log"
+    row = write_request(10, "vm-0", "mine", "shed", "s i-7 0: 2 503 not run")
+    path.write_text(row + "\n", "utf-8")
+    assert main.run(["explain", "mine", str(path)]) == 0
+    told = capsys.readouterr().out
+    assert "request mine: shed" in told
+    assert "cause: searchers rejected it unrun" in told
+    assert main.run(["explain", "other", str(path)]) == 4
+    assert "no line of request other" in capsys.readouterr().err
