--- a/src/azureramp/cli/explain.py
+++ b/src/azureramp/cli/explain.py
@@ -7,7 +7,7 @@
 
 import click
 
-from azureramp import explanations, timelines
+from azureramp import explanations, log_lines, timelines
 from azureramp.cli import exits
 
 
@@ -24,7 +24,7 @@
 
     REQUEST is its id; FILES are the VMs' logs, in any order.
     """
-    lines = explanations.parse(_read(files))
+    lines = log_lines.parse(_read(files))
     explanation = explanations.explain(lines, request)
     if explanation is None:
         click.echo(
@@ -70,7 +70,7 @@
 
 
 def _describe_lines(
-    title: str, lines: list[explanations.Line], own: explanations.Line
+    title: str, lines: list[log_lines.Line], own: log_lines.Line
 ) -> Iterator[str]:
     """Describes other lines with their age."""
     if lines:
--- a/src/azureramp/explanations.py
+++ b/src/azureramp/explanations.py
@@ -9,12 +9,8 @@
 
 import collections
 import dataclasses
-import datetime
-import re
-from collections.abc import Iterable, Mapping
-from typing import Any
 
-import msgspec
+from azureramp import log_lines
 
 AROUND_S = 1.0
 """How far from a request another one still tells of the same trouble, in
@@ -34,47 +30,6 @@
 )
 """Channels of what a VM knows apart from single searchers."""
 
-_CALL = re.compile(r"(\S+) (\S+) (\d+): (?:(\d+) )?(.+)")
-_NO_CALL = re.compile(r"(\S+) none: (.+)")
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Line:
-    """A log line.
-
-    Attributes:
-        at_s: When, in seconds since 1970.
-        vm: The VM.
-        channel: The channel.
-        message: The message.
-        fields: All fields.
-    """
-
-    at_s: float
-    vm: str
-    channel: str
-    message: str
-    fields: Mapping[str, Any]
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Call:
-    """A call of a request, as its line tells it.
-
-    Attributes:
-        service: The service that was asked.
-        searcher: The searcher; empty if none might get it.
-        sent_ms: When it was sent, from the request's beginning.
-        ended_ms: When it ended; None if it had not.
-        end: Its outcome in words.
-    """
-
-    service: str
-    searcher: str
-    sent_ms: int = 0
-    ended_ms: int | None = None
-    end: str = ""
-
 
 @dataclasses.dataclass(slots=True)
 class Sight:
@@ -106,45 +61,17 @@
         gaps: Where lines are missing.
     """
 
-    request: Line
-    calls: list[Call]
-    beliefs: list[Line]
-    states: list[Line]
+    request: log_lines.Line
+    calls: list[log_lines.Call]
+    beliefs: list[log_lines.Line]
+    states: list[log_lines.Line]
     sights: dict[str, Sight]
-    crashes: list[Line]
+    crashes: list[log_lines.Line]
     cause: str = ""
     gaps: list[str] = dataclasses.field(default_factory=list)
 
 
-def parse(text: Iterable[str]) -> list[Line]:
-    """Reads log lines; what stands before a line's object is passed over.
-
-    Args:
-        text: The lines; those that are no log line are left out.
-    """
-    lines: list[Line] = []
-    for row in text:
-        begin = row.find('{"at"')
-        if begin < 0:
-            continue
-        try:
-            fields = msgspec.json.decode(row[begin:])
-            at = datetime.datetime.fromisoformat(fields["at"])
-            line = Line(
-                at.timestamp(),
-                fields["vm"],
-                fields["channel"],
-                fields["message"],
-                fields,
-            )
-        except (msgspec.DecodeError, KeyError, ValueError, TypeError):
-            continue
-        lines.append(line)
-    lines.sort(key=lambda each: each.at_s)
-    return lines
-
-
-def explain(lines: list[Line], request: str) -> Explanation | None:
+def explain(lines: list[log_lines.Line], request: str) -> Explanation | None:
     """Explains a request.
 
     Args:
@@ -157,7 +84,7 @@
     own = _find_request(lines, request)
     if own is None:
         return None
-    calls = parse_calls(own)
+    calls = log_lines.parse_calls(own)
     searchers = {call.searcher for call in calls if call.searcher}
     explanation = Explanation(
         own,
@@ -172,22 +99,6 @@
     return explanation
 
 
-def parse_calls(line: Line) -> list[Call]:
-    """Reads the calls of a request's line."""
-    calls: list[Call] = []
-    for text in line.fields.get("calls", ()):
-        if none := _NO_CALL.fullmatch(text):
-            calls.append(Call(none[1], "", end=none[2]))
-        elif found := _CALL.fullmatch(text):
-            ended = int(found[4]) if found[4] else None
-            end = found[5]
-            # A status alone stands where a time would.
-            if end == "not run" and ended is not None:
-                end, ended = f"{ended} not run", None
-            calls.append(Call(found[1], found[2], int(found[3]), ended, end))
-    return calls
-
-
 def conclude(explanation: Explanation) -> str:
     """Says in a sentence why a request ended as it did."""
     outcome = str(explanation.request.fields.get("outcome", ""))
@@ -230,7 +141,7 @@
 
 def _conclude_shards(explanation: Explanation) -> list[str]:
     """Says of each shard that is missing why it is."""
-    by_service: dict[str, list[Call]] = {}
+    by_service: dict[str, list[log_lines.Call]] = {}
     for call in explanation.calls:
         by_service.setdefault(call.service, []).append(call)
     told: list[str] = []
@@ -265,7 +176,9 @@
     )
 
 
-def _find_request(lines: list[Line], request: str) -> Line | None:
+def _find_request(
+    lines: list[log_lines.Line], request: str
+) -> log_lines.Line | None:
     """Returns a request's line."""
     for line in lines:
         if line.fields.get("request") == request:
@@ -273,9 +186,11 @@
     return None
 
 
-def _find_beliefs(lines: list[Line], own: Line) -> list[Line]:
+def _find_beliefs(
+    lines: list[log_lines.Line], own: log_lines.Line
+) -> list[log_lines.Line]:
     """Returns the VM's last line of each channel before a request."""
-    last: dict[str, Line] = {}
+    last: dict[str, log_lines.Line] = {}
     for line in lines:
         if line.at_s > own.at_s:
             break
@@ -285,10 +200,10 @@
 
 
 def _find_states(
-    lines: list[Line], own: Line, searchers: set[str]
-) -> list[Line]:
+    lines: list[log_lines.Line], own: log_lines.Line, searchers: set[str]
+) -> list[log_lines.Line]:
     """Returns the VM's last line on each searcher before a request."""
-    last: dict[str, Line] = {}
+    last: dict[str, log_lines.Line] = {}
     for line in lines:
         if line.at_s > own.at_s:
             break
@@ -300,14 +215,14 @@
 
 
 def _collect_sights(
-    lines: list[Line], own: Line, searchers: set[str]
+    lines: list[log_lines.Line], own: log_lines.Line, searchers: set[str]
 ) -> dict[str, Sight]:
     """Collects what other requests saw of searchers around a request."""
     sights: dict[str, Sight] = {}
     for line in lines:
         if abs(line.at_s - own.at_s) > AROUND_S or line is own:
             continue
-        for call in parse_calls(line):
+        for call in log_lines.parse_calls(line):
             if call.searcher in searchers and call.end != "200":
                 sight = sights.setdefault(call.searcher, Sight())
                 sight.ends[call.end] += 1
@@ -316,8 +231,8 @@
 
 
 def _find_crashes(
-    lines: list[Line], own: Line, searchers: set[str]
-) -> list[Line]:
+    lines: list[log_lines.Line], own: log_lines.Line, searchers: set[str]
+) -> list[log_lines.Line]:
     """Returns the lines on crashes of searchers around a request."""
     return [
         line
@@ -328,7 +243,7 @@
     ]
 
 
-def _find_gaps(lines: list[Line], own: Line) -> list[str]:
+def _find_gaps(lines: list[log_lines.Line], own: log_lines.Line) -> list[str]:
     """Says where lines that would tell more are missing."""
     gaps: list[str] = []
     calls = own.fields.get("calls", ())
--- a/src/azureramp_standins/soak/program.py
+++ b/src/azureramp_standins/soak/program.py
@@ -15,6 +15,7 @@
     callers,
     checks,
     history,
+    lookup,
     mutants,
     plan,
     world,
@@ -93,7 +94,7 @@
 
 
 def write_report(
-    path: pathlib.Path, seen: history.History, broken: list[checks.Broken]
+    path: pathlib.Path, seen: history.History, broken: list[lookup.Broken]
 ) -> None:
     """Writes the timeline of a run's faults and of what was broken."""
     begin_s = min((each.sent_s for each in seen.tries), default=0.0)
@@ -118,7 +119,7 @@
     seconds: float,
     vms: int,
     seen: history.History,
-    broken: list[checks.Broken],
+    broken: list[lookup.Broken],
 ) -> dict[str, object]:
     """Returns a run's line of the ledger."""
     good = sum(each.status == 200 for each in seen.tries)
--- a/src/azureramp_standins/soak/world.py
+++ b/src/azureramp_standins/soak/world.py
@@ -4,43 +4,20 @@
 
 import asyncio
 import dataclasses
-import hashlib
 import pathlib
-import random
 import signal
 from typing import Any
 
 from azureramp_standins import processes
-from azureramp_standins.fleet import deployment, searcher, store
-from azureramp_standins.soak import daemons, history, plan, proxy
-
-SHARDS = ("shard-a", "shard-b", "shard-c", "shard-d")
-LEAST_SHARE = 0.75
-MOST_RECORDS = 8
-PLAIN = "plain"
-MOVES = 6
-"""Versions of the configuration, each of which moves a route to a service of
-its own, so that an answer shows which version it was given under."""
-
-SEARCHERS_EACH = 2
-ATTEMPTS = 2
-TIMEOUT_MS = 1500
-TARGET_MS = 150
-
-RATIO = 0.02
-SLACK = 16
-WINDOW_S = 10.0
-COLD_PER_S = 4.0
-COLD_OVERAGE = 1.5
-COLD_SLACK = 5.0
-COLD_S = 3.0
-GRACE_S = 5.0
-"""What the operators bound; see the daemon's settings."""
-
-DRAINED_S = 3.0
-EVACUATED_S = 5.0
-"""In this time a draining searcher, or a zone taken out, must get nothing
-more, in seconds; a fault lasts for as long again as it was drawn to."""
+from azureramp_standins.fleet import searcher, store
+from azureramp_standins.soak import (
+    acts,
+    daemons,
+    declared,
+    history,
+    plan,
+    proxy,
+)
 
 DOWN_FACTOR = 2.0
 """A killed daemon stays down for this many times its fault's length: up to ten
@@ -50,12 +27,6 @@
 """How long a crashed searcher stays away, in seconds."""
 
 
-def make_records(service: str, name: str) -> bytes:
-    """Returns a shard's records for a request, the same from each replica."""
-    seed = hashlib.blake2b(f"{service}/{name}".encode(), digest_size=48)
-    return seed.digest()
-
-
 class World:
     """The deployment.
 
@@ -68,10 +39,8 @@
         self, seed: int, vms: int, folder: pathlib.Path, mutant: str
     ) -> None:
         """Makes a deployment that does not run; see `start`."""
-        self._rng = random.Random(f"world/{seed}")
         self.history = history.History()
-        services = [*SHARDS, PLAIN, *(f"move-{n}" for n in range(MOVES))]
-        count = len(services) * SEARCHERS_EACH
+        count = len(declared.SERVICES) * declared.SEARCHERS_EACH
         ports = iter(processes.find_ports(1 + 5 * vms + 2 * count))
         self._addresses = (f"127.0.0.1:{port}" for port in ports)
         store_address = next(self._addresses)
@@ -80,8 +49,8 @@
         self._acts: dict[str, searcher.Act] = {}
         self._entries: dict[str, dict[str, Any]] = {}
         self._links: dict[tuple[str, int], proxy.Proxy] = {}
-        for service in services:
-            for index in range(SEARCHERS_EACH):
+        for service in declared.SERVICES:
+            for index in range(declared.SEARCHERS_EACH):
                 self._add_searcher(service, index)
         self._version = 0
         self._draining: set[str] = set()
@@ -118,11 +87,13 @@
 
     def configure(self) -> None:
         """Writes a new version, which moves a route on."""
-        if self._version >= MOVES:
+        if self._version >= declared.MOVES:
             return
         service = f"move-{self._version}"
         self._version += 1
-        self._store.put("op/config", make_configuration(self._version, service))
+        self._store.put(
+            "op/config", declared.make_configuration(self._version, service)
+        )
         now_s = asyncio.get_running_loop().time()
         self.history.versions.append((service, now_s))
 
@@ -155,7 +126,7 @@
                 self.configure()
             case plan.Operated(how=how):
                 kind, name = "operator", "zone-0"
-                await self._evacuate(EVACUATED_S + planned.for_s)
+                await self._evacuate(declared.EVACUATED_S + planned.for_s)
         span = history.Span(kind, name, how, began_s, loop.time())
         self.history.spans.append(span)
 
@@ -179,7 +150,7 @@
                 await asyncio.sleep(daemon.hold_s)
             case "stop":
                 daemon.send(signal.SIGTERM)
-                await asyncio.sleep(GRACE_S)
+                await asyncio.sleep(declared.GRACE_S)
             case "reload":
                 daemon.send(signal.SIGHUP)
             case _:
@@ -217,11 +188,11 @@
             case "drain":
                 self._draining.add(harmed.id)
                 self._announce(harmed)
-                await asyncio.sleep(for_s + DRAINED_S)
+                await asyncio.sleep(for_s + declared.DRAINED_S)
                 self._draining.discard(harmed.id)
                 self._announce(harmed)
             case _:
-                self._acts[harmed.id] = ACTS[how]
+                self._acts[harmed.id] = acts.ACTS[how]
                 await asyncio.sleep(for_s)
                 self._acts.pop(harmed.id, None)
 
@@ -231,12 +202,14 @@
             return
         self._entries[harmed.id]["born"] += 1
         await harmed.start()
-        self._announce(harmed, ColdRemainingMs=int(COLD_S * 1000))
+        self._announce(harmed, ColdRemainingMs=int(declared.COLD_S * 1000))
         now_s = asyncio.get_running_loop().time()
         self.history.spans.append(
-            history.Span("searcher", harmed.id, "cold", now_s, now_s + COLD_S)
+            history.Span(
+                "searcher", harmed.id, "cold", now_s, now_s + declared.COLD_S
+            )
         )
-        await asyncio.sleep(COLD_S)
+        await asyncio.sleep(declared.COLD_S)
         self._announce(harmed)
 
     def _announce(self, announced: searcher.Searcher, **changes: Any) -> None:
@@ -262,8 +235,8 @@
     ) -> searcher.Act:
         """Decides what a searcher does with a request, and keeps it."""
         act = self._acts.get(made.id, searcher.Act(after_s=0.01))
-        if made.service in SHARDS:
-            body = make_records(made.service, seen.id)
+        if made.service in declared.SHARDS:
+            body = declared.make_records(made.service, seen.id)
         else:
             body = f"{made.service} {seen.method} {seen.target}".encode()
         act = dataclasses.replace(act, body=body if act.status < 300 else b"")
@@ -302,89 +275,15 @@
                 zone=f"zone-{number % 2}",
                 seeds=seeds,
                 store=link.address,
-                ratio=RATIO,
-                slack=SLACK,
-                window_s=WINDOW_S,
-                cold_overage=COLD_OVERAGE,
-                cold_slack=COLD_SLACK,
-                grace_s=GRACE_S,
+                ratio=declared.RATIO,
+                slack=declared.SLACK,
+                window_s=declared.WINDOW_S,
+                cold_overage=declared.COLD_OVERAGE,
+                cold_slack=declared.COLD_SLACK,
+                grace_s=declared.GRACE_S,
                 **own,
             )
             made.append(
                 daemons.Daemon(f"vm-{number}", own, text, folder, mutant)
             )
         return made
-
-
-STRAY = (
-    b"HTTP/1.1 200 OK\r\nAzureramp-Request-Id: other\r\n"
-    b"Azureramp-Server-Stamp: x.other.1\r\nContent-Length: 2\r\n\r\nno"
-)
-"""An answer that nobody waits for."""
-
-ACTS = {
-    "hang": searcher.Act(then="hang"),
-    "shed": searcher.Act(after_s=0.0, status=503, signed=False, not_run=True),
-    "reset": searcher.Act(after_s=0.02, then="reset"),
-    "cut": searcher.Act(
-        after_s=0.01,
-        raw=b"HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\nhalf",
-        then="reset",
-    ),
-    "extra": searcher.Act(after_s=0.01, extra=STRAY),
-    "late": searcher.Act(after_s=0.01, extra=STRAY, extra_after_s=0.004),
-    "slow": searcher.Act(after_s=0.3),
-}
-"""What a harmed searcher does with each request."""
-
-
-def make_configuration(version: int, service: str) -> dict[str, Any]:
-    """Makes a version of the configuration.
-
-    Args:
-        version: Its number.
-        service: Where the moving route goes.
-    """
-    services = [*SHARDS, PLAIN, *(f"move-{n}" for n in range(MOVES))]
-    routes: list[dict[str, Any]] = [
-        {
-            "Prefix": "/all/",
-            "FanoutServices": list(SHARDS),
-            "TopK": MOST_RECORDS,
-            "MinShardShare": LEAST_SHARE,
-        },
-        {"Prefix": "/one/", "Backend": PLAIN},
-        {"Prefix": "/once/", "Backend": PLAIN, "RouteType": "non_idempotent"},
-        {"Prefix": "/move/", "Backend": service},
-    ]
-    common = {
-        "Hostname": deployment.HOST,
-        "RouteType": "idempotent",
-        "TimeoutMs": TIMEOUT_MS,
-        "TargetLatencyMs": TARGET_MS,
-        "Priority": 1,
-        "Attempts": ATTEMPTS,
-    }
-    return {
-        "Version": version,
-        "Routes": [
-            common | {"Name": f"route{route['Prefix']}"} | route
-            for route in routes
-        ],
-        "Services": [
-            {
-                "Name": name,
-                "HealthPath": "/health",
-                "MaxConnections": 64,
-                "ColdStartS": COLD_S,
-                "ColdPerS": COLD_PER_S,
-            }
-            for name in services
-        ],
-        "Limits": {
-            "MaxHeaderBytes": 16384,
-            "MaxBodyBytes": 262144,
-            "HeaderTimeoutMs": 3000,
-            "IdleTimeoutMs": 15000,
-        },
-    }
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from azureramp import explanations
+from azureramp import explanations, log_lines
 from azureramp.cli import main
 
 
@@ -38,7 +38,7 @@
 
 
 def explain(*rows: str) -> explanations.Explanation:
-    explanation = explanations.explain(explanations.parse(rows), "mine")
+    explanation = explanations.explain(log_lines.parse(rows), "mine")
     assert explanation is not None
     return explanation
 
@@ -58,7 +58,7 @@
         write_request(10, "vm-0", "mine", "shed", "s i-7 0: 2 503 not run"),
         write_request(10.2, "vm-2", "b", "answered", "s i-7 0: 3 503 not run"),
     )
-    assert found.calls == [explanations.Call("s", "i-7", 0, 2, "503 not run")]
+    assert found.calls == [log_lines.Call("s", "i-7", 0, 2, "503 not run")]
     assert "i-7 mostly '503 not run' (2 of 2" in found.cause
     assert "seen by 2 VMs" in found.cause
     assert [line.message for line in found.beliefs] == [
@@ -111,7 +111,7 @@
 
 
 def test_lines_of_other_programs_and_prefixes_are_passed_over() -> None:
-    lines = explanations.parse(
+    lines = log_lines.parse(
         [
             "no log line",
             '{"at":"soon","vm":"x"}',
