--- a/src/azureramp_standins/soak/mutants.py
+++ b/src/azureramp_standins/soak/mutants.py
@@ -12,6 +12,7 @@
     applying,
     leaving,
     members,
+    part,
     searchers,
 )
 from azureramp.platform import decoding, headers, program
@@ -67,6 +68,17 @@
     PATCHED(allowances.Allowance, "spend", lambda self, now_s, part: True)
 
 
+def retry_without_bound() -> None:
+    """Calls one searcher after another as long as calls fail."""
+    PATCHED(part.Part, "_may_send", lambda self: len(self._attempts) < 20)
+    PATCHED(part.Part, "_tried", property(lambda self: set(), _ignore))
+    spend_without_bound()
+
+
+def _ignore(owner: object, value: object) -> None:
+    """Takes a value and forgets it."""
+
+
 def load_cold_searchers() -> None:
     """Sends cold searchers as much as others."""
     PATCHED(
@@ -131,6 +143,7 @@
     "keep_first_version": (keep_first_version, "configured"),
     "stop_at_once": (stop_at_once, "stop"),
     "spend_without_bound": (spend_without_bound, "budget"),
+    "retry_without_bound": (retry_without_bound, "attempts"),
     "load_cold_searchers": (load_cold_searchers, "cold"),
     "hand_out_more_time": (hand_out_more_time, "deadline"),
     "lose_records": (lose_records, "whole"),
