Wait for the store to stay also where it flickers on its return

Played again with logs: of the zone's VMs two wrote 'is gone' 2.3 s after they had the store again, two others sent to it until 6.7 s after and never wrote it.

Cause: an entry that goes while the store is not settled is used until the store has stayed for 2.2 s. The wait for that moment, where the store was lost and back within it, cleared its own sign of the return and waited for the next outage. Ruled out: the feed (all four had read the listing) and the relays.

Test: a store that flickers 0, 1 and 3 times; hung with 1 before, passes after.

--- a/src/azureramp/controllers/forwarding/contact.py
+++ b/src/azureramp/controllers/forwarding/contact.py
@@ -59,13 +59,17 @@
         return contact.reachable and now_s - contact.regained_s >= after_s
 
     async def wait_settled(self, after_s: float) -> None:
-        """Waits until the store has come back and stayed for some time."""
+        """Waits until the store has come back and stayed for some time.
+
+        A store that is lost and back again within that time must not end the
+        wait for good: what lapsed before would be used until the next outage.
+        """
         contact = self._board.contact
+        await self._changed.wait()
         while True:
             self._changed.clear()
-            await self._changed.wait()
             await asyncio.sleep(after_s)
-            if contact.reachable and self.is_settled(after_s - 0.01):
+            if self.is_settled(after_s - 0.01):
                 return
-            if contact.reachable:
-                self._changed.set()
+            if not contact.reachable:
+                await self._changed.wait()
