Spare searchers that come back before their entries say so

Besides, by a test that failed with 12 calls where 11 are borne: VMs that find a crashed searcher back send it their share until they read its entry, and calls before that counted for nothing.

A searcher that refused its only connection, or to which none outlasted a pause of this process, is taken for cold for 2 s; all calls of the last second count, also those to the process it replaced under its id.

--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import math
 
@@ -66,7 +67,8 @@
         misdirected: True once another searcher answered at its address.
         lapsed: True if its entry went while the store was away; it is used
             until the store has been back for a while.
-        cold_sent_s: When the last calls were sent to it while cold.
+        sent_s: When the calls of the last second were sent to it or to the
+            process that it replaced under its id.
     """
 
     searcher: catalog.Searcher
@@ -75,7 +77,9 @@
     cold_until_s: float = -math.inf
     misdirected: bool = False
     lapsed: bool = False
-    cold_sent_s: list[float] = dataclasses.field(default_factory=list)
+    sent_s: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -93,6 +97,19 @@
     confirmed_s: float = -math.inf
 
 
+@dataclasses.dataclass(slots=True)
+class Pause:
+    """The last time that this process stood still.
+
+    Attributes:
+        began_s: When at the earliest it began.
+        ended_s: When it ended.
+    """
+
+    began_s: float = -math.inf
+    ended_s: float = -math.inf
+
+
 class Board:
     """The state of one process.
 
@@ -114,6 +131,7 @@
         follows_store: True while this VM hears of changes from the store
             itself, not from another VM. By the feed.
         leaving: True once the process is told to stop.
+        pause: When the process last stood still. By the searchers controller.
         running: Requests of callers that run now.
     """
 
@@ -128,6 +146,7 @@
         "leaving",
         "members",
         "metrics",
+        "pause",
         "running",
         "started_s",
         "table",
@@ -159,6 +178,7 @@
         self.contact = StoreContact()
         self.follows_store = False
         self.leaving = False
+        self.pause = Pause()
         self.running = 0
 
     def is_ready(self) -> bool:
--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -228,7 +228,7 @@
         record = target.record
         record.in_flight += 1
         record.trial = record.failures > 0
-        self._searchers.note_cold_call(target, now_s)
+        self._searchers.note_call(target, now_s)
         call = api.Call(self._work.message, target.searcher.id, left_s)
         attempt.ticket = target.pool.submit(
             call, lambda outcome: self._receive(attempt, outcome)
--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -22,6 +22,14 @@
 """The span in which the requests to a cold searcher are bounded, in seconds;
 the operators' bound is a number a second."""
 
+ENTRY_LAG_S = 2.0
+"""How long after a searcher's return its entry may still be that of before, in
+seconds: a heartbeat, and the way through the store."""
+
+PAUSE_S = 1.0
+"""How late a timer must fire to show that the process stood still, in seconds.
+A searcher that was away for less has hardly started anew."""
+
 SHARES_S = 0.5
 """Time between two looks at this VM's part of the common bounds, in seconds; a
 contact that is lost for long enough to matter lasts several times that."""
@@ -77,7 +85,9 @@
             known.lapsed = False
         else:
             self.remove(searcher.id)
-            known = self._make_target(searcher)
+            replaced, known = known, self._make_target(searcher)
+            if replaced is not None:
+                known.sent_s = replaced.sent_s
             self._board.targets[searcher.id] = known
             by_id = self._board.by_service.setdefault(searcher.service, {})
             by_id[searcher.id] = known
@@ -124,10 +134,18 @@
         """Takes this VM's part of the common bounds again, forever.
 
         A part counts by the least that it was in the last window, so a moment
-        in which it was small must be seen also while no call asks for it.
+        in which it was small must be seen also while no call asks for it. A
+        look that comes late shows that the process stood still.
         """
+        loop = asyncio.get_running_loop()
+        looked_s = loop.time()
         while True:
-            self._update_shares(asyncio.get_running_loop().time())
+            now_s = loop.time()
+            if now_s - looked_s > SHARES_S + PAUSE_S:
+                self._board.pause = board_module.Pause(looked_s, now_s)
+                _logger.info("stood still for {:.1f} s", now_s - looked_s)
+            looked_s = now_s
+            self._update_shares(now_s)
             await asyncio.sleep(SHARES_S)
 
     def update_limits(self) -> None:
@@ -195,10 +213,11 @@
         self._update_shares(now_s)
         return self._extra_share.part
 
-    def note_cold_call(self, target: board_module.Target, now_s: float) -> None:
-        """Counts a call to a searcher that is cold."""
-        if now_s < target.cold_until_s:
-            target.cold_sent_s.append(now_s)
+    def note_call(self, target: board_module.Target, now_s: float) -> None:
+        """Counts a call, since the searcher may turn out to be cold."""
+        target.sent_s.append(now_s)
+        while target.sent_s[0] <= now_s - COLD_WINDOW_S:
+            target.sent_s.popleft()
 
     def _is_usable(self, target: board_module.Target) -> bool:
         """Tells whether a searcher may get new work at all."""
@@ -218,7 +237,7 @@
         together stay within the operators' bound for any one second, so each
         keeps to its part of it.
         """
-        if now_s >= target.cold_until_s:
+        if not is_cold(target, now_s, self._board.pause):
             return True
         service = self._get_service(target.searcher.service)
         if service is None or service.cold_per_s <= 0:
@@ -227,9 +246,8 @@
         bound = service.cold_per_s * bounds.cold_overage + bounds.cold_slack
         self._update_shares(now_s)
         oldest_s = now_s - COLD_WINDOW_S
-        recent = [at_s for at_s in target.cold_sent_s if at_s > oldest_s]
-        target.cold_sent_s = recent
-        return len(recent) + 1 <= bound * self._cold_share.part
+        recent = sum(at_s > oldest_s for at_s in target.sent_s)
+        return recent + 1 <= bound * self._cold_share.part
 
     def _update_shares(self, now_s: float) -> None:
         """Takes this VM's part of what is bounded for all together."""
@@ -277,6 +295,31 @@
         )
 
 
+def is_cold(
+    target: board_module.Target, now_s: float, pause: board_module.Pause
+) -> bool:
+    """Tells whether a searcher is cold, or must be taken to be.
+
+    One that was away has most likely started anew and holds nothing. Its entry
+    says so only up to a heartbeat later; until then the usual calls of all VMs
+    would crash it again. The same holds after a pause of this process for a
+    searcher to which no connection has outlasted the pause.
+
+    Args:
+        target: The searcher.
+        now_s: The time.
+        pause: When this process last stood still.
+    """
+    if now_s < target.cold_until_s or target.pool.away:
+        return True
+    if now_s < target.pool.returned_s + ENTRY_LAG_S:
+        return True
+    return (
+        now_s < pause.ended_s + ENTRY_LAG_S
+        and target.pool.linked_s > pause.began_s
+    )
+
+
 def _is_same_process(old: catalog.Searcher, new: catalog.Searcher) -> bool:
     """Tells whether two announcements come from one process.
 
--- a/src/azureramp/ports/forwarding/pool.py
+++ b/src/azureramp/ports/forwarding/pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import math
 from collections.abc import Callable
 
 from azureramp.ports.forwarding import api
@@ -59,6 +60,12 @@
         address: The searcher's `IP:port`.
         limit: Most connections to hold.
         opened: How many connections were opened since the start.
+        away: True from when the searcher refused the only connection there
+            was, or ended it unused, until it answers a call again.
+        returned_s: When it last answered after it had been away, on the
+            loop's clock.
+        linked_s: Since when there has always been a connection; infinite
+            while there is none.
     """
 
     __slots__ = (
@@ -71,8 +78,11 @@
         "_probes",
         "_waiting",
         "address",
+        "away",
         "limit",
+        "linked_s",
         "opened",
+        "returned_s",
     )
 
     def __init__(self, codec: api.Codec, address: str, limit: int) -> None:
@@ -88,6 +98,9 @@
         self.address = address
         self.limit = limit
         self.opened = 0
+        self.away = False
+        self.returned_s = -math.inf
+        self.linked_s = math.inf
 
     def submit(self, call: api.Call, receiver: api.Receiver) -> Ticket:
         """Makes a call as soon as there is a connection for it.
@@ -233,6 +246,8 @@
         self.opened += 1
         if link.closed:
             return
+        if not self._links:
+            self.linked_s = loop.time()
         self._links.add(link)
         self._idle.append(link)
 
@@ -245,6 +260,8 @@
         self._opening.discard(task)
         failure = None if task.cancelled() else task.exception()
         failed = task.cancelled() or failure is not None
+        if isinstance(failure, ConnectionError) and not self._links:
+            self.away = True
         probes, self._probes = self._probes, []
         for receiver in probes:
             receiver(isinstance(failure, ConnectionError))
@@ -260,6 +277,9 @@
     def _take_idle(self, link: link_module.Link) -> None:
         """Takes a connection back whose call has ended."""
         self._crowded_s = self._crowded_until_s = 0.0
+        if self.away:
+            self.away = False
+            self.returned_s = asyncio.get_running_loop().time()
         if self.limit == 0 or len(self._links) > self.limit:
             link.abort()
             return
@@ -274,6 +294,9 @@
             now_s = asyncio.get_running_loop().time()
             self._crowded_until_s = now_s + self._crowded_s
         self._links.discard(link)
+        if not self._links:
+            self.linked_s = math.inf
+            self.away = self.away or refused
         if link in self._idle:
             self._idle.remove(link)
         if self._waiting:
--- a/tests/forwarding/test_searchers.py
+++ b/tests/forwarding/test_searchers.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
+from azureramp.controllers.forwarding import board
 from azureramp_standins.fleet import deployment
 from tests.forwarding import scenes
 
@@ -154,3 +157,75 @@
         assert board.targets["statements-0"].record.slowness == 1.0
 
     scenes.run(scenario)
+
+
+def test_a_searcher_that_comes_back_is_spared_before_its_entry_says_so() -> (
+    None
+):
+    """A searcher crashes and starts again under its id, and crashes at once.
+
+    It comes back cold and bears a few requests a second. Its entry that says
+    so is read up to a heartbeat later. Until then VMs that found it back sent
+    it their usual share, and calls made while it was away counted for nothing.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        for each in scene.configuration["Services"]:
+            each["ColdPerS"] = 4.0
+        scene.declare()
+        await deployment.settle(15.0)
+        crashed = scene.searchers["statements-0"]
+        crashed.crash()
+        for _ in range(10):
+            await scene.ask("vm-0", "/one/x")
+            await scene.ask("vm-1", "/one/x")
+        await crashed.start()
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + 1.8
+        while loop.time() < until_s:
+            for vm in ("vm-0", "vm-1"):
+                answer = await scene.ask(vm, "/one/x")
+                assert answer.status == 200
+            await asyncio.sleep(0.01)
+        times = [seen.at_s for seen in crashed.seen]
+        bound = 4.0 * 1.5 + 5
+        assert times, "it is tried"
+        for number, at_s in enumerate(times):
+            recent = sum(at_s - 1.0 < each for each in times[: number + 1])
+            assert recent <= bound
+
+    scenes.run(scenario, vms=2)
+
+
+def test_searchers_that_came_back_during_a_pause_are_spared() -> None:
+    """A VM stands still for some seconds and crashes a searcher on waking.
+
+    The searcher crashed and came back meanwhile, cold. The VM has missed both,
+    has its callers' requests of all that time before it and sends them, since
+    to its knowledge the searcher is warm.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        for each in scene.configuration["Services"]:
+            each["ColdPerS"] = 4.0
+        scene.declare()
+        await deployment.settle(15.0)
+        await ask_often(scene, 40)
+        loop = asyncio.get_running_loop()
+        target = scene.programs["vm-0"].board.targets["statements-0"]
+        scene.searchers["statements-0"].crash()
+        await scene.searchers["statements-0"].start()
+        scene.programs["vm-0"].board.pause = board.Pause(
+            loop.time() - 3.0, loop.time()
+        )
+        began_s = loop.time()
+        while loop.time() < began_s + 1.0:
+            await scene.ask("vm-0", "/one/x")
+            await asyncio.sleep(0.01)
+        assert target.pool.linked_s > began_s - 3.0
+        seen = scene.searchers["statements-0"].seen
+        times = [each.at_s for each in seen if each.at_s >= began_s]
+        assert times, "it is tried"
+        assert len(times) <= 0.9 * (4.0 * 1.5 + 5), "a VM's part of the bound"
+
+    scenes.run(scenario)
