--- a/src/azureramp/controllers/forwarding/pacing.py
+++ b/src/azureramp/controllers/forwarding/pacing.py
@@ -58,6 +58,10 @@
         self._mean_s += MEAN_SMOOTHING * change
         return ratio
 
+    def get_mean_s(self) -> float:
+        """Returns a usual call's time in seconds; 0 if none was measured."""
+        return self._mean_s
+
     def get_hedge_s(self, target_s: float) -> float:
         """Returns after how long a call is hedged, in seconds.
 
--- a/src/azureramp/policy/selection.py
+++ b/src/azureramp/policy/selection.py
@@ -135,21 +135,46 @@
         return now_s < self.rest_until_s or self.trial
 
 
-def rate(record: Record, now_s: float) -> float:
-    """Rates a searcher for one more call; lower is better."""
-    idle_s = max(0.0, now_s - record.measured_s)
-    kept = math.pow(0.5, idle_s / FORGET_S)
-    slowness = 1.0 + (record.slowness - 1.0) * kept
+def estimate(record: Record, now_s: float) -> float:
+    """Estimates how long one more call lasts, relative to a usual one.
+
+    It waits for a slot where all are taken.
+    """
+    slots = max(1, record.slots)
+    ahead = max(0.0, _get_load(record, now_s) + 1 - slots)
+    return _get_slowness(record, now_s) * (1.0 + ahead / slots)
+
+
+def _get_slowness(record: Record, now_s: float) -> float:
+    """Returns a searcher's mean time as far as it is not forgiven."""
     if record.slowness < 1.0:
-        slowness = record.slowness
+        return record.slowness
+    return 1.0 + (record.slowness - 1.0) * _get_kept(record, now_s)
+
+
+def _get_kept(record: Record, now_s: float) -> float:
+    """Returns how much of what was measured still counts, 0 to 1."""
+    idle_s = max(0.0, now_s - record.measured_s)
+    return math.pow(0.5, idle_s / FORGET_S)
+
+
+def _get_load(record: Record, now_s: float) -> float:
+    """Returns how many calls a searcher has, as far as this VM knows."""
     load = float(record.in_flight)
     if now_s - record.reported_s < REPORT_FADES_S:
         load += record.waiting
+    return load
+
+
+def rate(record: Record, now_s: float) -> float:
+    """Rates a searcher for one more call; lower is better."""
+    load = _get_load(record, now_s)
     # A call beside another in a free slot hardly waits; one beyond the slots
     # waits for a whole call.
-    rating = slowness * (1.0 + (load / max(1, record.slots)) ** 2)
+    rating = _get_slowness(record, now_s)
+    rating *= 1.0 + (load / max(1, record.slots)) ** 2
     rating += OVERDUE * record.overdue
-    rating += FAILURE_COST * record.failed_share * kept
+    rating += FAILURE_COST * record.failed_share * _get_kept(record, now_s)
     if not record.near:
         rating += OTHER_ZONE
     return rating
