--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -65,6 +65,7 @@
         pool: The connections to it.
         cold_until_s: It is cold until then.
         misdirected: True once another searcher answered at its address.
+        proving: True while a new connection shows whether it lives.
         lapsed: True if its entry went while the store was away; it is used
             until the store has been back for a while.
         sent_s: When the calls of the last second were sent to it or to the
@@ -76,6 +77,7 @@
     pool: pool.Pool
     cold_until_s: float = -math.inf
     misdirected: bool = False
+    proving: bool = False
     lapsed: bool = False
     sent_s: collections.deque[float] = dataclasses.field(
         default_factory=collections.deque
--- a/src/azureramp/controllers/forwarding/crashes.py
+++ b/src/azureramp/controllers/forwarding/crashes.py
@@ -10,7 +10,7 @@
 from azureramp import catalog
 from azureramp.controllers.forwarding import board as board_module
 from azureramp.policy import blame
-from azureramp.ports.forwarding import api
+from azureramp.ports.forwarding import api, pool
 from azureramp.ports.store import api as store_api
 
 LEASE_S = 180.0
@@ -70,8 +70,8 @@
         them, and no new one can be opened for some seconds.
         """
 
-        def take(refused: bool) -> None:
-            if refused:
+        def take(found: pool.Found) -> None:
+            if found is pool.Found.REFUSED:
                 self._blame(target, message, repeatable)
 
         target.pool.probe(take)
--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -179,6 +179,9 @@
             The searcher; None if none may get a call now.
         """
         targets = self._board.by_service.get(service, {})
+        for target in targets.values():
+            if target.record.needs_proof(now_s):
+                self._prove(target)
         usable = [
             (name, target.record)
             for name, target in targets.items()
@@ -217,6 +220,21 @@
             for target in targets.values()
         )
 
+    def _prove(self, target: board_module.Target) -> None:
+        """Finds out by a new connection whether a searcher lives again."""
+
+        def take(found: pool.Found) -> None:
+            target.proving = False
+            now_s = asyncio.get_running_loop().time()
+            if found is pool.Found.OPENED:
+                target.record.alive = True
+            else:
+                target.record.add_failure(now_s, sent=False)
+
+        if not target.proving:
+            target.proving = True
+            target.pool.probe(take)
+
     def get_allowance(self, service: str) -> allowances.Allowance:
         """Returns what this VM may spend on extra calls to a service."""
         allowance = self._allowances.get(service)
--- a/src/azureramp/policy/selection.py
+++ b/src/azureramp/policy/selection.py
@@ -128,11 +128,18 @@
     def rests(self, now_s: float) -> bool:
         """Tells whether it is left alone now.
 
-        After its rest one call at a time tries whether it is back.
+        After its rest one call at a time tries whether it is back. One that
+        gave no sign of life gets none before a connection to it could be
+        opened: each call that tried it would make its request late.
         """
         if self.failures < TOLERATED:
             return False
-        return now_s < self.rest_until_s or self.trial
+        return not self.alive or now_s < self.rest_until_s or self.trial
+
+    def needs_proof(self, now_s: float) -> bool:
+        """Tells whether it is time to find out if it lives again."""
+        rested = self.failures >= TOLERATED and now_s >= self.rest_until_s
+        return rested and not self.alive
 
 
 def estimate(record: Record, now_s: float) -> float:
--- a/src/azureramp/ports/forwarding/pool.py
+++ b/src/azureramp/ports/forwarding/pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import enum
 import math
 from collections.abc import Callable
 
@@ -15,6 +16,11 @@
 """Longest time that opening a connection may take, in seconds; a searcher
 that is up takes some milliseconds."""
 
+PROBE_S = 0.5
+"""The same for a connection that only shows whether the searcher lives. A
+packet that opens one is sent again after a second: a shorter time and another
+try find a searcher that is back sooner."""
+
 MAX_WAITING = 64
 """Most calls that wait for a connection; more than a few would be late."""
 
@@ -30,6 +36,14 @@
 searcher's own answer that the time is over still comes on it."""
 
 
+class Found(enum.Enum):
+    """What a new connection shows of a searcher."""
+
+    OPENED = "opened"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 class Ticket:
     """A call that was submitted; see `api.Ticket`."""
 
@@ -75,6 +89,7 @@
         "_idle",
         "_links",
         "_opening",
+        "_probe",
         "_probes",
         "_waiting",
         "address",
@@ -94,7 +109,8 @@
         self._links: set[link_module.Link] = set()
         self._opening: set[asyncio.Task[None]] = set()
         self._waiting: collections.deque[Ticket] = collections.deque()
-        self._probes: list[Callable[[bool], None]] = []
+        self._probes: list[Callable[[Found], None]] = []
+        self._probe: asyncio.Task[None] | None = None
         self.address = address
         self.limit = limit
         self.opened = 0
@@ -150,17 +166,16 @@
         """Cuts a call's connection unless its answer comes soon."""
         link.cut_after(linger_s)
 
-    def probe(self, receiver: Callable[[bool], None]) -> None:
-        """Finds out whether the searcher refuses new connections.
+    def probe(self, receiver: Callable[[Found], None]) -> None:
+        """Finds out by a new connection whether the searcher lives.
 
         Args:
-            receiver: Called once with True if it does; with False if one
-                could be opened, which is then used for calls, or if there is
-                no telling.
+            receiver: Called once with what was found. A connection that could
+                be opened is used for calls.
         """
         self._probes.append(receiver)
-        if not self._opening:
-            self._open()
+        if self._probe is None:
+            self._probe = self._open(PROBE_S)
 
     def retire(self, before_s: float) -> None:
         """Closes idle connections that gave no sign of life for long.
@@ -226,22 +241,30 @@
         if self._waiting and not self.count_open():
             self._fail_waiting(api.Loss.NO_ROOM)
 
-    def _open(self) -> None:
-        """Opens one connection in the background."""
-        task = asyncio.ensure_future(self._connect())
+    def _open(self, most_s: float = CONNECT_S) -> asyncio.Task[None]:
+        """Opens one connection in the background.
+
+        Args:
+            most_s: Longest time that it may take, in seconds.
+        """
+        task = asyncio.ensure_future(self._connect(most_s))
         self._opening.add(task)
         task.add_done_callback(self._opened)
+        return task
 
-    async def _connect(self) -> None:
+    async def _connect(self, most_s: float) -> None:
         """Opens one connection.
 
+        Args:
+            most_s: Longest time that it may take, in seconds.
+
         Raises:
             OSError: It can't be opened.
             TimeoutError: It takes too long.
         """
         host, port = web_connection.split_address(self.address)
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(CONNECT_S):
+        async with asyncio.timeout(most_s):
             _, link = await loop.create_connection(self._make_link, host, port)
         self.opened += 1
         if link.closed:
@@ -262,14 +285,25 @@
         failed = task.cancelled() or failure is not None
         if isinstance(failure, ConnectionError) and not self._links:
             self.away = True
-        probes, self._probes = self._probes, []
-        for receiver in probes:
-            receiver(isinstance(failure, ConnectionError))
+        if task is self._probe:
+            self._probe = None
+            self._tell_probes(failure, failed)
         if failed and not self._links and not self._opening:
             self._fail_waiting(api.Loss.NO_CONNECTION)
         elif not failed:
             self._serve_waiting()
 
+    def _tell_probes(self, failure: BaseException | None, failed: bool) -> None:
+        """Tells those that wait for a probe what it found."""
+        found = Found.OPENED
+        if isinstance(failure, ConnectionError):
+            found = Found.REFUSED
+        elif failed:
+            found = Found.SILENT
+        probes, self._probes = self._probes, []
+        for receiver in probes:
+            receiver(found)
+
     def _is_crowded(self) -> bool:
         """Tells whether the searcher ended new connections just now."""
         return asyncio.get_running_loop().time() < self._crowded_until_s
