--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -157,13 +157,33 @@
         """
         now_s = asyncio.get_running_loop().time()
         self.mark_overdue()
-        if self.done or not self._work.route.repeatable:
+        if self.done or self._move(now_s):
+            return False
+        if not self._work.route.repeatable:
             return False
         hedged = self._may_send() and self._send(now_s, hedge=True)
         if hedged:
             self._searchers.metrics.count("call.hedged")
         return hedged
 
+    def _move(self, now_s: float) -> bool:
+        """Sends a call elsewhere that still waits for a connection.
+
+        A searcher that lost power answers nothing, so opening a connection
+        lasts until it is given up, and the request would be late. Nothing of
+        the call was sent: it may go elsewhere whatever its route.
+
+        Returns:
+            True if it was sent elsewhere.
+        """
+        waiting = [each for each in self._attempts if not each.ended]
+        if self.runs or self.rejections or len(waiting) != 1:
+            return False
+        if not self._send(now_s, instead_of=waiting[0]):
+            return False
+        self._searchers.metrics.count("call.moved")
+        return True
+
     def mark_overdue(self) -> None:
         """Counts the calls that wait now as overdue at their searchers."""
         for attempt in self._attempts:
@@ -174,13 +194,12 @@
     def abandon(self) -> None:
         """Ends it; answers that still come only save connections."""
         self.done = True
+        now_s = asyncio.get_running_loop().time()
         for attempt in self._attempts:
             if attempt.ended or attempt.ticket is None:
                 continue
-            if attempt.ticket.abandon(LINGER_S):
-                self._end(attempt)
-                attempt.ended_s = asyncio.get_running_loop().time()
-                attempt.outcome = "dropped, not sent"
+            if not self._drop_unsent(attempt, now_s):
+                attempt.ticket.abandon(LINGER_S)
 
     def count_extra(self) -> int:
         """Returns how many calls it made beyond the first."""
@@ -221,7 +240,12 @@
             and len(self._attempts) < attempts + MORE_SENDS
         )
 
-    def _send(self, now_s: float, hedge: bool = False) -> bool:
+    def _send(
+        self,
+        now_s: float,
+        hedge: bool = False,
+        instead_of: Attempt | None = None,
+    ) -> bool:
         """Makes one call; False if none may be made.
 
         A hedge to a searcher that holds overdue calls itself is left out: where
@@ -237,6 +261,8 @@
         )
         if target is None or (hedge and target.record.overdue):
             return False
+        if instead_of is not None and not self._drop_unsent(instead_of, now_s):
+            return False
         if self._count_arrivals() and not self._searchers.get_allowance(
             self.service
         ).spend(now_s, self._searchers.get_part(now_s)):
@@ -256,6 +282,16 @@
         )
         return True
 
+    def _drop_unsent(self, attempt: Attempt, now_s: float) -> bool:
+        """Drops a call; False if it was sent already."""
+        if attempt.ticket is None or attempt.ticket.is_sent():
+            return False
+        attempt.ticket.abandon(0.0)
+        self._end(attempt)
+        attempt.ended_s = now_s
+        attempt.outcome = "dropped, not sent"
+        return True
+
     def _count_arrivals(self) -> int:
         """Returns how many calls reached a searcher, or still may."""
         waiting = sum(not attempt.ended for attempt in self._attempts)
--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -189,7 +189,14 @@
             and self._is_usable(target)
             and self._is_warm_enough(target, now_s)
         ]
-        chosen = selection.choose(usable, now_s, self._rng)
+        prompt = [
+            (name, record)
+            for name, record in usable
+            if not targets[name].pool.is_stalled()
+        ]
+        chosen = selection.choose(prompt, now_s, self._rng)
+        if chosen is None:
+            chosen = selection.choose(usable, now_s, self._rng)
         if chosen is None and faulty:
             chosen = selection.choose_faulty(usable, now_s)
         return None if chosen is None else targets[chosen]
--- a/src/azureramp/ports/forwarding/api.py
+++ b/src/azureramp/ports/forwarding/api.py
@@ -154,7 +154,11 @@
 class Ticket(Protocol):
     """A call that was submitted."""
 
-    def abandon(self, linger_s: float) -> bool:
+    def is_sent(self) -> bool:
+        """Tells whether the call was written to a connection."""
+        ...
+
+    def abandon(self, linger_s: float) -> None:
         """Ends a call whose answer nobody waits for any more.
 
         A call that was not written is dropped, and its receiver not called.
@@ -163,8 +167,5 @@
 
         Args:
             linger_s: How long the answer may still come, in seconds.
-
-        Returns:
-            True if it was dropped unwritten.
         """
         ...
--- a/src/azureramp/ports/forwarding/pool.py
+++ b/src/azureramp/ports/forwarding/pool.py
@@ -21,6 +21,10 @@
 packet that opens one is sent again after a second: a shorter time and another
 try find a searcher that is back sooner."""
 
+STALLED_S = 0.03
+"""How long opening the first connection may take before other searchers are
+preferred, in seconds: one that lost power answers nothing at all."""
+
 MAX_WAITING = 64
 """Most calls that wait for a connection; more than a few would be late."""
 
@@ -58,13 +62,16 @@
         self.receiver: api.Receiver | None = receiver
         self.link: link_module.Link | None = None
 
-    def abandon(self, linger_s: float) -> bool:
+    def is_sent(self) -> bool:
+        """Tells whether the call was written to a connection."""
+        return self.link is not None
+
+    def abandon(self, linger_s: float) -> None:
         """Ends a call that nobody waits for; see `api.Ticket`."""
         if self.link is None:
             self.receiver = None
-            return True
-        self._pool.abandon(self.link, linger_s)
-        return False
+        else:
+            self._pool.abandon(self.link, linger_s)
 
 
 class Pool:
@@ -89,6 +96,7 @@
         "_idle",
         "_links",
         "_opening",
+        "_opening_s",
         "_probe",
         "_probes",
         "_waiting",
@@ -108,6 +116,7 @@
         self._idle: list[link_module.Link] = []
         self._links: set[link_module.Link] = set()
         self._opening: set[asyncio.Task[None]] = set()
+        self._opening_s = 0.0
         self._waiting: collections.deque[Ticket] = collections.deque()
         self._probes: list[Callable[[Found], None]] = []
         self._probe: asyncio.Task[None] | None = None
@@ -139,6 +148,13 @@
             self._open_more()
         return ticket
 
+    def is_stalled(self) -> bool:
+        """Tells whether calls wait for a first connection that lasts long."""
+        if self._links or not self._opening:
+            return False
+        now_s = asyncio.get_running_loop().time()
+        return now_s - self._opening_s > STALLED_S
+
     def count_open(self) -> int:
         """Returns how many connections are open or being opened."""
         return len(self._links) + len(self._opening)
@@ -247,6 +263,8 @@
         Args:
             most_s: Longest time that it may take, in seconds.
         """
+        if not self._opening:
+            self._opening_s = asyncio.get_running_loop().time()
         task = asyncio.ensure_future(self._connect(most_s))
         self._opening.add(task)
         task.add_done_callback(self._opened)
