--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -205,11 +205,14 @@
         """Estimates how long a call to a service lasts, at best.
 
         Returns:
-            The time relative to a usual call; None if no searcher may get one.
+            The time relative to a usual call, 0 if a searcher has a free slot;
+            None if no searcher may get a call.
         """
         return min(
             (
-                selection.estimate(target.record, now_s)
+                0.0
+                if selection.has_room(target.record, now_s)
+                else selection.estimate(target.record, now_s)
                 for target in self._board.by_service.get(service, {}).values()
                 if self._is_usable(target)
                 and self._is_warm_enough(target, now_s)
--- a/src/azureramp/policy/selection.py
+++ b/src/azureramp/policy/selection.py
@@ -16,7 +16,7 @@
 """Weight of the newest time in a searcher's mean: about the last five calls
 count, so that a searcher that turns slow is left within a few calls."""
 
-OTHER_ZONE = 0.3
+OTHER_ZONE = 0.9
 """What a searcher in another availability zone costs in the choice, as a part
 of a usual call. A round trip between zones takes some 2 to 3 ms of 10 to 20,
 and its bytes are paid for; it is more than a quarter, so that a near searcher
@@ -152,6 +152,11 @@
     return _get_slowness(record, now_s) * (1.0 + ahead / slots)
 
 
+def has_room(record: Record, now_s: float) -> bool:
+    """Tells whether one more call finds a free slot."""
+    return _get_load(record, now_s) < record.slots
+
+
 def _get_slowness(record: Record, now_s: float) -> float:
     """Returns a searcher's mean time as far as it is not forgiven."""
     if record.slowness < 1.0:
