Hedge only where the second answer would come in time

Cause: shards whose searchers are all slow got each request twice; of 88 calls to one such shard 52 had no answer yet when their request ended.

--- a/src/azureramp/controllers/forwarding/gather.py
+++ b/src/azureramp/controllers/forwarding/gather.py
@@ -43,6 +43,7 @@
     __slots__ = (
         "_crashes",
         "_cut",
+        "_cut_s",
         "_destination",
         "_done",
         "_least",
@@ -76,6 +77,7 @@
         self._timers: list[asyncio.TimerHandle] = []
         self._waiting = 0
         self._cut = False
+        self._cut_s = 0.0
         self._least = count_least(destination)
         self._done: asyncio.Future[None] | None = None
 
@@ -107,10 +109,10 @@
         """Makes the first call of each shard, and sets the timers."""
         target_s = self._work.route.target_s
         hedge_s = now_s + self._pace.get_hedge_s(target_s)
-        cut_s = self._request.began_s + compute_cut_s(
+        self._cut_s = self._request.began_s + compute_cut_s(
             target_s, self._estimate_way_s(target_s)
         )
-        asked = self._choose_asked(now_s, cut_s - now_s)
+        asked = self._choose_asked(now_s, self._cut_s - now_s)
         for service, is_asked in zip(
             self._destination.services, asked, strict=True
         ):
@@ -131,7 +133,7 @@
                 each.done = True
         self._timers = [
             loop.call_at(hedge_s, self._hedge),
-            loop.call_at(cut_s, self._cut_off),
+            loop.call_at(self._cut_s, self._cut_off),
             loop.call_at(self._work.until_s, self._finish),
         ]
 
@@ -165,9 +167,10 @@
 
     def _hedge(self) -> None:
         """Makes second calls for the shards that are late."""
+        now_s = asyncio.get_running_loop().time()
         for each in self.parts:
             if not each.done:
-                each.hedge()
+                each.hedge(self._cut_s - now_s)
 
     def _cut_off(self) -> None:
         """Lets the answer go out short from now on."""
--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Callable
 
 from azureramp import catalog
 from azureramp.controllers.forwarding import board as board_module
 from azureramp.controllers.forwarding import crashes, pacing, searchers
+from azureramp.policy import selection
 from azureramp.ports.forwarding import api
 
 SILENT_S = 0.2
@@ -149,9 +151,12 @@
         self.done = not self._send(asyncio.get_running_loop().time())
         return not self.done
 
-    def hedge(self) -> bool:
+    def hedge(self, within_s: float = math.inf) -> bool:
         """Makes a second call beside one that is overdue.
 
+        Args:
+            within_s: The time within which its answer is of use, in seconds.
+
         Returns:
             True if one was made.
         """
@@ -161,7 +166,7 @@
             return False
         if not self._work.route.repeatable:
             return False
-        hedged = self._may_send() and self._send(now_s, hedge=True)
+        hedged = self._may_send() and self._send(now_s, within_s)
         if hedged:
             self._searchers.metrics.count("call.hedged")
         return hedged
@@ -243,14 +248,21 @@
     def _send(
         self,
         now_s: float,
-        hedge: bool = False,
+        hedged_s: float | None = None,
         instead_of: Attempt | None = None,
     ) -> bool:
         """Makes one call; False if none may be made.
 
-        A hedge to a searcher that holds overdue calls itself is left out: where
-        all searchers of a shard are slow or stand still, it would only add to
-        their load and spend what other requests could use.
+        A hedge to a searcher that holds overdue calls itself, or that hardly
+        answers in time, is left out: where all searchers of a shard are slow
+        or stand still, it would only add to their load and spend what other
+        requests could use.
+
+        Args:
+            now_s: The time.
+            hedged_s: The time within which a hedge's answer is of use, in
+                seconds; None for other calls.
+            instead_of: A call to drop for it, if it was not sent.
         """
         left_s = self._work.until_s - now_s
         if left_s <= 0:
@@ -259,7 +271,11 @@
         target = self._searchers.choose(
             self.service, self._tried, now_s, self._work.route.repeatable
         )
-        if target is None or (hedge and target.record.overdue):
+        if target is None:
+            return False
+        if hedged_s is not None and not self._is_worth_hedging(
+            target.record, now_s, hedged_s
+        ):
             return False
         if instead_of is not None and not self._drop_unsent(instead_of, now_s):
             return False
@@ -282,6 +298,13 @@
         )
         return True
 
+    def _is_worth_hedging(
+        self, record: selection.Record, now_s: float, within_s: float
+    ) -> bool:
+        """Tells whether a hedge to a searcher most likely helps."""
+        expected_s = self._pace.get_mean_s() * selection.estimate(record, now_s)
+        return not record.overdue and expected_s <= within_s
+
     def _drop_unsent(self, attempt: Attempt, now_s: float) -> bool:
         """Drops a call; False if it was sent already."""
         if attempt.ticket is None or attempt.ticket.is_sent():
