--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -204,7 +204,8 @@
             if attempt.ended or attempt.ticket is None:
                 continue
             if not self._drop_unsent(attempt, now_s):
-                attempt.ticket.abandon(LINGER_S)
+                room = selection.has_room(attempt.target.record, now_s)
+                attempt.ticket.abandon(LINGER_S if room else 0.0)
 
     def count_extra(self) -> int:
         """Returns how many calls it made beyond the first."""
--- a/src/azureramp/policy/selection.py
+++ b/src/azureramp/policy/selection.py
@@ -16,12 +16,17 @@
 """Weight of the newest time in a searcher's mean: about the last five calls
 count, so that a searcher that turns slow is left within a few calls."""
 
-OTHER_ZONE = 0.9
+OTHER_ZONE = 0.8
 """What a searcher in another availability zone costs in the choice, as a part
 of a usual call. A round trip between zones takes some 2 to 3 ms of 10 to 20,
 and its bytes are paid for; it is more than a quarter, so that a near searcher
 with one call in two slots still goes first."""
 
+NEAR_SLOWER = 1.5
+"""How much longer a call to a searcher in this VM's zone may last before one
+elsewhere is taken, in usual calls: the bytes to another zone are paid for, and
+a request to many shards waits for the slowest of them anyway."""
+
 OVERDUE = 4.0
 """What a call that is overdue costs its searcher in the choice, in usual
 calls: a searcher that pauses holds everything it has."""
@@ -183,8 +188,10 @@
     load = _get_load(record, now_s)
     # A call beside another in a free slot hardly waits; one beyond the slots
     # waits for a whole call.
-    rating = _get_slowness(record, now_s)
-    rating *= 1.0 + (load / max(1, record.slots)) ** 2
+    slowness = _get_slowness(record, now_s)
+    if record.near:
+        slowness = max(min(slowness, 1.0), slowness - NEAR_SLOWER)
+    rating = slowness * (1.0 + (load / max(1, record.slots)) ** 2)
     rating += OVERDUE * record.overdue
     rating += FAILURE_COST * record.failed_share * _get_kept(record, now_s)
     if not record.near:
