--- a/src/azureramp/controllers/forwarding/pacing.py
+++ b/src/azureramp/controllers/forwarding/pacing.py
@@ -5,7 +5,7 @@
 from azureramp import catalog
 from azureramp.policy import elapsed, hedging
 
-HEDGE_QUANTILE = 0.9
+HEDGE_QUANTILE = 0.95
 """A call later than this quantile of its route is hedged: one in ten, half of
 what the operators usually allow for extra calls."""
 
