--- a/src/azureramp/cli/explain.py
+++ b/src/azureramp/cli/explain.py
@@ -24,7 +24,7 @@
 
     REQUEST is its id; FILES are the VMs' logs, in any order.
     """
-    lines = log_lines.parse(_read(files))
+    lines = log_lines.read(files)
     explanation = explanations.explain(lines, request)
     if explanation is None:
         click.echo(
@@ -77,10 +77,3 @@
         yield title
     for line in lines:
         yield f"  {line.at_s - own.at_s:+9.3f} s {line.vm}: {line.message}"
-
-
-def _read(files: tuple[pathlib.Path, ...]) -> Iterator[str]:
-    """Reads the lines of all files."""
-    for path in files:
-        with path.open(encoding="utf-8", errors="replace") as opened:
-            yield from opened
--- a/src/azureramp/cli/main.py
+++ b/src/azureramp/cli/main.py
@@ -14,6 +14,7 @@
     exits,
     explain,
     get,
+    losses,
     options,
     restore_zone,
     status,
@@ -40,6 +41,7 @@
     status,
     timeline,
     explain,
+    losses,
 ):
     options.name_variables(_module.command)
     group.add_command(_module.command)
--- a/src/azureramp/controllers/forwarding/request_log.py
+++ b/src/azureramp/controllers/forwarding/request_log.py
@@ -14,9 +14,8 @@
 from azureramp.policy import sampling
 
 GOOD_LINES_PER_S = 5.0
-"""Lines a second for requests that went well; each costs some 0.1 ms of
-processor time. Requests that failed, or were answered short, always get
-theirs."""
+"""Lines a second for requests that went well. Requests that failed, or were
+answered late or short, always get theirs."""
 
 GOOD_LINES_BURST = 20.0
 
@@ -56,7 +55,8 @@
         outcome = describe_answer(answer)
         took_ms = (now_s - request.began_s) * 1000
         self._count(answer, took_ms)
-        good = outcome in GOOD
+        late = route is not None and took_ms > route.target_s * 1000
+        good = outcome in GOOD and not late
         if good and not self._sampler.take(now_s):
             return
         line: dict[str, Any] = {
@@ -67,6 +67,8 @@
             "took_ms": round(took_ms, 1),
             "round_trip_ms": round(request.round_trip_s * 1000, 1),
         }
+        if route is not None:
+            line["target_ms"] = round(route.target_s * 1000)
         if request.deadline_s is not None:
             line["deadline_ms"] = round(request.deadline_s * 1000)
         match answer:
--- a/src/azureramp/log_lines.py
+++ b/src/azureramp/log_lines.py
@@ -4,8 +4,9 @@
 
 import dataclasses
 import datetime
+import pathlib
 import re
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
 import msgspec
@@ -52,6 +53,11 @@
     end: str = ""
 
 
+def read(paths: Iterable[pathlib.Path]) -> list[Line]:
+    """Reads the log lines of several files, in the order of their times."""
+    return parse(_read_text(paths))
+
+
 def parse(text: Iterable[str]) -> list[Line]:
     """Reads log lines; what stands before a line's object is passed over.
 
@@ -94,3 +100,10 @@
                 end, ended = f"{ended} not run", None
             calls.append(Call(found[1], found[2], int(found[3]), ended, end))
     return calls
+
+
+def _read_text(paths: Iterable[pathlib.Path]) -> Iterator[str]:
+    """Reads the rows of several files."""
+    for path in paths:
+        with path.open(encoding="utf-8", errors="replace") as opened:
+            yield from opened
