Cut abandoned calls only where other calls wait

Seen on the grown site: the abandoned call itself counted as load, so nearly every hedged call cost a connection, and 6 ms of a slot with it.

--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -204,8 +204,9 @@
             if attempt.ended or attempt.ticket is None:
                 continue
             if not self._drop_unsent(attempt, now_s):
-                room = selection.has_room(attempt.target.record, now_s)
-                attempt.ticket.abandon(LINGER_S if room else 0.0)
+                record = attempt.target.record
+                queues = selection.has_queue(record, now_s)
+                attempt.ticket.abandon(0.0 if queues else LINGER_S)
 
     def count_extra(self) -> int:
         """Returns how many calls it made beyond the first."""
--- a/src/azureramp/policy/selection.py
+++ b/src/azureramp/policy/selection.py
@@ -162,6 +162,11 @@
     return _get_load(record, now_s) < record.slots
 
 
+def has_queue(record: Record, now_s: float) -> bool:
+    """Tells whether calls wait for a slot."""
+    return _get_load(record, now_s) > record.slots
+
+
 def _get_slowness(record: Record, now_s: float) -> float:
     """Returns a searcher's mean time as far as it is not forgiven."""
     if record.slowness < 1.0:
