--- a/src/azureramp/policy/advertising.py
+++ b/src/azureramp/policy/advertising.py
@@ -32,6 +32,11 @@
 and one for the next call. With fewer, calls wait for each other, and VMs whose
 views differ go past what a searcher accepts; it resets what comes beyond."""
 
+STRONG_SHARE = 0.5
+"""A VM with less of this part of the largest processor is told only to make up
+the fewest VMs, or in the place of a busy one: a request to all shards that
+reaches a small one is late."""
+
 NEAR_SHARE = 0.5
 """An availability zone is near the searchers if its share of them is this part
 of the largest share."""
@@ -61,6 +66,7 @@
     """
     staying = [member for member in members if not member.leaving]
     usual, most = _count_wanted(connections)
+    usual = min(usual, max(LEAST_TOLD, _count_strong(staying)))
     taken: list[catalog.Member] = []
     passed: list[catalog.Member] = []
     groups = _group_zones(_rank_zones(staying, nearness), nearness)
@@ -105,6 +111,12 @@
     return min(MOST_TOLD, usual), min(MOST_TOLD, most)
 
 
+def _count_strong(members: list[catalog.Member]) -> int:
+    """Returns how many VMs come near the one with most processor."""
+    most = max((member.cores for member in members), default=0.0)
+    return sum(member.cores >= STRONG_SHARE * most for member in members)
+
+
 def _rank_zones(
     members: Iterable[catalog.Member], nearness: Mapping[str, float]
 ) -> list[str]:
--- a/tests/policy/test_advertising.py
+++ b/tests/policy/test_advertising.py
@@ -36,6 +36,25 @@
     assert len({member.zone for member in told}) == 4
 
 
+def test_a_small_vm_makes_up_no_number_beside_large_ones() -> None:
+    """A tenth of all requests to 90 shards is short, all those of one VM.
+
+    Six VMs have two cores, the other 68 half a core and a narrow link. The
+    searchers' connections would do for seven, so one small VM was told, and
+    what it answers to 90 shards comes late.
+    """
+    zones = {"a": 22, "b": 27, "c": 25}
+    members = [
+        dataclasses.replace(
+            member, cores=2.15 if member.vm[-2:] in ("-0", "-1") else 0.52
+        )
+        for member in make_members(zones)
+    ]
+    told = advertising.choose(members, dict.fromkeys(zones, 0.33), 59)
+    assert len(told) == 6
+    assert all(member.cores > 2.0 for member in told)
+
+
 def test_the_loss_of_a_zone_leaves_vms_that_are_told() -> None:
     zones = {"a": 3, "b": 2, "c": 2, "d": 1}
     nearness = {"a": 1.0}
