--- a/src/azureramp/controllers/forwarding/gather.py
+++ b/src/azureramp/controllers/forwarding/gather.py
@@ -13,7 +13,7 @@
     requests,
     searchers,
 )
-from azureramp.policy import leaving_out, merging
+from azureramp.policy import merging
 
 CUT_SHARE = 0.85
 """Share of the route's target after which an answer goes out short, if enough
@@ -112,10 +112,7 @@
         self._cut_s = self._request.began_s + compute_cut_s(
             target_s, self._estimate_way_s(target_s)
         )
-        asked = self._choose_asked(now_s, self._cut_s - now_s)
-        for service, is_asked in zip(
-            self._destination.services, asked, strict=True
-        ):
+        for service in self._destination.services:
             each = part.Part(
                 self._searchers,
                 self._crashes,
@@ -125,9 +122,7 @@
                 self._take,
             )
             self.parts.append(each)
-            if not is_asked:
-                each.leave_out()
-            elif each.start():
+            if each.start():
                 self._waiting += 1
             else:
                 each.done = True
@@ -137,18 +132,6 @@
             loop.call_at(self._work.until_s, self._finish),
         ]
 
-    def _choose_asked(self, now_s: float, budget_s: float) -> list[bool]:
-        """Chooses the shards to ask, in the order of the destination's."""
-        mean_s = self._pace.get_mean_s()
-        expected_s = [
-            None if each is None else each * mean_s
-            for each in (
-                self._searchers.estimate(service, now_s)
-                for service in self._destination.services
-            )
-        ]
-        return leaving_out.choose_asked(expected_s, self._least, budget_s)
-
     def _estimate_way_s(self, target_s: float) -> float:
         """Estimates the time that the caller spends outside of this VM.
 
@@ -180,18 +163,8 @@
     def _take(self, each: part.Part) -> None:
         """Takes a part that has ended."""
         self._waiting -= 1
-        if each.reply is None:
-            self._replace()
         self._check()
 
-    def _replace(self) -> None:
-        """Asks a shard that was left out, if the others no more suffice."""
-        for each in self.parts:
-            if self._count_in() + self._waiting >= self._least:
-                return
-            if each.left_out and each.take_in():
-                self._waiting += 1
-
     def _check(self) -> None:
         """Ends the wait once nothing more is worth waiting for."""
         if self._waiting == 0 or (
--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -73,7 +73,6 @@
             returned as it is; None if there is none.
         failed: The last searcher's own failure that was not final.
         done: True once it has ended.
-        left_out: True if it is not asked, since others suffice.
         runs: Calls that ran or may have run.
         rejections: Calls that searchers rejected without running them.
     """
@@ -88,7 +87,6 @@
         "_work",
         "done",
         "failed",
-        "left_out",
         "rejections",
         "reply",
         "runs",
@@ -125,7 +123,6 @@
         self.reply: api.Reply | None = None
         self.failed: api.Reply | None = None
         self.done = False
-        self.left_out = False
         self.runs = 0
         self.rejections = 0
 
@@ -135,22 +132,6 @@
         self._searchers.get_allowance(self.service).add_request(now_s)
         return self._send(now_s)
 
-    def leave_out(self) -> None:
-        """Ends it without a call; the service counts as asked."""
-        now_s = asyncio.get_running_loop().time()
-        self._searchers.get_allowance(self.service).add_request(now_s)
-        self.left_out = self.done = True
-
-    def take_in(self) -> bool:
-        """Makes the first call of one that was left out.
-
-        Returns:
-            False if no searcher may get it.
-        """
-        self.left_out = False
-        self.done = not self._send(asyncio.get_running_loop().time())
-        return not self.done
-
     def hedge(self, within_s: float = math.inf) -> bool:
         """Makes a second call beside one that is overdue.
 
@@ -218,8 +199,6 @@
         Args:
             began_s: When the request began.
         """
-        if self.left_out:
-            return [f"{self.service} none: slow, and others suffice"]
         if not self._attempts:
             return [f"{self.service} none: no searcher may get it"]
         if len(self._attempts) == 1 and self._attempts[0].outcome == "200":
--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -201,26 +201,6 @@
             chosen = selection.choose_faulty(usable, now_s)
         return None if chosen is None else targets[chosen]
 
-    def estimate(self, service: str, now_s: float) -> float | None:
-        """Estimates how long a call to a service lasts, at best.
-
-        Returns:
-            The time relative to a usual call, 0 if a searcher has a free slot;
-            None if no searcher may get a call.
-        """
-        return min(
-            (
-                0.0
-                if selection.has_room(target.record, now_s)
-                else selection.estimate(target.record, now_s)
-                for target in self._board.by_service.get(service, {}).values()
-                if self._is_usable(target)
-                and self._is_warm_enough(target, now_s)
-                and (target.record.alive or not target.record.rests(now_s))
-            ),
-            default=None,
-        )
-
     def count_usable(self, service: str, now_s: float) -> int:
         """Returns how many searchers of a service may get a call now."""
         targets = self._board.by_service.get(service, {})
--- a/src/azureramp/policy/selection.py
+++ b/src/azureramp/policy/selection.py
@@ -157,11 +157,6 @@
     return _get_slowness(record, now_s) * (1.0 + ahead / slots)
 
 
-def has_room(record: Record, now_s: float) -> bool:
-    """Tells whether one more call finds a free slot."""
-    return _get_load(record, now_s) < record.slots
-
-
 def has_queue(record: Record, now_s: float) -> bool:
     """Tells whether calls wait for a slot."""
     return _get_load(record, now_s) > record.slots
