Let a connection that can't be opened count against its searcher

Found by a test of a dark searcher: calls moved or dropped before the connection was given up counted for nothing, so after each pause a request waited there again, and the searcher was never found to be dark.

Where all searchers of a service wait for a sign of life, one that has rested is tried with a request as before; without that, the first request after a crash of all of them and a quiet time was refused (test_crashes).

--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -368,7 +368,8 @@
     ) -> None:
         """Learns of a searcher from a call without an answer."""
         self._searchers.metrics.count("call.lost")
-        if lost.loss is api.Loss.NO_ROOM:
+        # The pool tells by itself of a connection that could not be opened.
+        if not lost.sent:
             return
         if self.done and took_s < SILENT_S:
             return
--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -197,6 +197,8 @@
         chosen = selection.choose(prompt, now_s, self._rng)
         if chosen is None:
             chosen = selection.choose(usable, now_s, self._rng)
+        if chosen is None:
+            chosen = selection.choose_unproven(usable, now_s)
         if chosen is None and faulty:
             chosen = selection.choose_faulty(usable, now_s)
         return None if chosen is None else targets[chosen]
@@ -206,7 +208,11 @@
         targets = self._board.by_service.get(service, {})
         return sum(
             self._is_usable(target)
-            and (target.record.alive or not target.record.rests(now_s))
+            and (
+                target.record.alive
+                or not target.record.rests(now_s)
+                or target.record.needs_proof(now_s)
+            )
             for target in targets.values()
         )
 
@@ -215,11 +221,8 @@
 
         def take(found: pool.Found) -> None:
             target.proving = False
-            now_s = asyncio.get_running_loop().time()
             if found is pool.Found.OPENED:
                 target.record.alive = True
-            else:
-                target.record.add_failure(now_s, sent=False)
 
         if not target.proving:
             target.proving = True
@@ -295,9 +298,20 @@
         if searcher.cold_s > 0:
             record.slowness = COLD_SLOWNESS
             record.measured_s = asyncio.get_running_loop().time()
-        share = self._get_share(searcher.service)
+
+        def take_unreachable() -> None:
+            now_s = asyncio.get_running_loop().time()
+            record.add_failure(now_s, sent=False)
+
         return board_module.Target(
-            searcher, record, pool.Pool(self._codec, searcher.address, share)
+            searcher,
+            record,
+            pool.Pool(
+                self._codec,
+                searcher.address,
+                self._get_share(searcher.service),
+                take_unreachable,
+            ),
         )
 
     def _get_service(self, name: str) -> catalog.Service | None:
--- a/src/azureramp/policy/selection.py
+++ b/src/azureramp/policy/selection.py
@@ -223,6 +223,30 @@
     return best
 
 
+def choose_unproven(
+    records: Iterable[tuple[str, Record]], now_s: float
+) -> str | None:
+    """Chooses among searchers that may be back, where there are no others.
+
+    After a crash of all searchers of a service and a time without requests the
+    first request would else be refused, though they have long been back.
+
+    Args:
+        records: The ids of those that may be chosen, with their records.
+        now_s: The time.
+
+    Returns:
+        The id of the best one that has rested and has no trial yet; None if
+        there is none.
+    """
+    rested = [
+        (rate(each, now_s), name)
+        for name, each in records
+        if each.needs_proof(now_s) and not each.trial
+    ]
+    return min(rested)[1] if rested else None
+
+
 def choose_faulty(
     records: Iterable[tuple[str, Record]], now_s: float
 ) -> str | None:
--- a/src/azureramp/ports/forwarding/pool.py
+++ b/src/azureramp/ports/forwarding/pool.py
@@ -95,6 +95,7 @@
         "_crowded_until_s",
         "_idle",
         "_links",
+        "_on_unreachable",
         "_opening",
         "_opening_s",
         "_probe",
@@ -108,9 +109,23 @@
         "returned_s",
     )
 
-    def __init__(self, codec: api.Codec, address: str, limit: int) -> None:
-        """Makes a pool without connections."""
+    def __init__(
+        self,
+        codec: api.Codec,
+        address: str,
+        limit: int,
+        on_unreachable: Callable[[], None],
+    ) -> None:
+        """Makes a pool without connections.
+
+        Args:
+            codec: Reads and names the headers of calls.
+            address: The searcher's `IP:port`.
+            limit: Most connections to hold.
+            on_unreachable: Called where none is open and none could be opened.
+        """
         self._codec = codec
+        self._on_unreachable = on_unreachable
         self._crowded_s = 0.0
         self._crowded_until_s = 0.0
         self._idle: list[link_module.Link] = []
@@ -306,6 +321,8 @@
         if task is self._probe:
             self._probe = None
             self._tell_probes(failure, failed)
+        if failure is not None and not self._links:
+            self._on_unreachable()
         if failed and not self._links and not self._opening:
             self._fail_waiting(api.Loss.NO_CONNECTION)
         elif not failed:
