--- a/tests/forwarding/test_gather.py
+++ b/tests/forwarding/test_gather.py
@@ -204,3 +204,48 @@
         assert sum(len(each.seen) for each in slow) <= 10
 
     scenes.run(scenario)
+
+
+def test_a_hedge_that_would_come_too_late_is_left_out() -> None:
+    """All searchers of a shard are slow, and each lookup asks two of them.
+
+    What they answer comes too late in any case, and the second call takes the
+    place of another lookup's first. A lookup that is due is not hedged to a
+    searcher that takes longer than there is time.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        slow = [scene.searchers[f"shard-a-{index}"] for index in range(2)]
+        for _ in range(20):
+            await scene.ask("vm-0", "/all/x")
+        for each in slow:
+            each.script = searcher.Act(after_s=0.12).do
+        for _ in range(12):
+            await scene.ask("vm-0", "/all/x")
+            await asyncio.sleep(0.15)
+        before = sum(len(each.seen) for each in slow)
+        for _ in range(10):
+            answer = await scene.ask("vm-0", "/all/x")
+            assert answer.status == 200
+            await asyncio.sleep(0.15)
+        assert sum(len(each.seen) for each in slow) - before <= 11
+
+    scenes.run(scenario)
+
+
+def test_a_full_searcher_is_freed_of_calls_that_nobody_waits_for() -> None:
+    """A shard turns slow, and its searchers work for lookups long answered.
+
+    An answer went out short; its call held a slot for a quarter of a second
+    more, while calls of the next lookups waited for it.
+    """
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        slow = [scene.searchers[f"shard-a-{index}"] for index in range(2)]
+        for each in slow:
+            each.script = searcher.Act(after_s=0.24).do
+        await asyncio.gather(*(scene.ask("vm-0", "/all/x") for _ in range(8)))
+        await asyncio.sleep(0.05)
+        assert sum(each.cancelled.total() for each in slow) >= 4
+
+    scenes.run(scenario)
--- a/tests/policy/test_selection.py
+++ b/tests/policy/test_selection.py
@@ -45,6 +45,67 @@
     assert choose(records) == "far"
 
 
+def test_a_near_searcher_that_looks_slower_for_a_moment_is_kept() -> None:
+    """A fifth of all calls cross zones though the near searcher is idle.
+
+    Searchers differ in speed by a half, and a pause or a long request makes
+    one look twice as slow for some calls. A request to many shards waits for
+    the slowest of them anyway; only one that is slow for good is left.
+    """
+    near = selection.Record(2, near=True, slowness=2.2, measured_s=10.0)
+    records = {"near": near, "far": selection.Record(2, near=False)}
+    assert choose(records) == "near"
+    near.slowness = 6.0
+    assert choose(records) == "far"
+
+
+def test_a_call_beyond_the_slots_is_expected_to_wait() -> None:
+    record = selection.Record(2, near=True, slowness=7.0, measured_s=10.0)
+    idle = selection.estimate(record, 10.0)
+    record.in_flight = 1
+    assert selection.estimate(record, 10.0) == idle
+    record.in_flight = 3
+    assert selection.estimate(record, 10.0) == 2 * idle
+
+
+def test_calls_wait_where_there_are_more_than_slots() -> None:
+    record = selection.Record(2, near=True, in_flight=2)
+    assert not selection.has_queue(record, 10.0)
+    record.waiting, record.reported_s = 1.0, 10.0
+    assert selection.has_queue(record, 10.0)
+
+
+def test_a_silent_searcher_gets_no_call_before_it_shows_life() -> None:
+    """Each second a lookup is late while a searcher is without power.
+
+    After its rest a call tried whether it is back. Now a new connection tries
+    it; a failing one that answers, if only by errors, is tried by a call.
+    """
+    silent = selection.Record(2, near=True)
+    failing = selection.Record(2, near=True)
+    for _ in range(2):
+        silent.add_failure(10.0, sent=True, silent=True)
+        failing.add_failure(10.0)
+    assert not silent.needs_proof(10.1)
+    assert silent.needs_proof(12.0)
+    assert silent.rests(12.0)
+    assert not failing.needs_proof(12.0)
+    assert not failing.rests(12.0)
+    silent.alive = True
+    assert not silent.rests(12.0)
+
+
+def test_one_that_may_be_back_is_tried_where_there_are_no_others() -> None:
+    records = {name: selection.Record(2, near=True) for name in ("a", "b")}
+    for record in records.values():
+        for _ in range(2):
+            record.add_failure(10.0, sent=False)
+    assert selection.choose_unproven(records.items(), 10.1) is None
+    assert selection.choose_unproven(records.items(), 12.0) == "a"
+    records["a"].trial = True
+    assert selection.choose_unproven(records.items(), 12.0) == "b"
+
+
 def test_failures_in_a_row_make_a_searcher_rest_and_a_trial_ends_it() -> None:
     """All calls to a crashed searcher fail, one after another.
 
