--- a/src/azureramp/controllers/forwarding/gather.py
+++ b/src/azureramp/controllers/forwarding/gather.py
@@ -21,12 +21,11 @@
 
 MERGE_SHARE = 0.06
 """Share of the route's target kept for merging and sending an answer, where
-the way to the caller is known: 3 ms of 50."""
+the way to the caller is known."""
 
 OPENING_TRIPS = 2.0
 """Round trips that a caller on a new connection has spent at least: one to open
-it, and one to ask where to connect or for this side to accept. Measured on two
-deployments: 2 to 4."""
+it, and one to ask where to connect or for this side to accept."""
 
 MOST_SPENT_SHARE = 0.6
 """Share of the route's target up to which a caller is believed to have waited
--- a/src/azureramp/controllers/forwarding/pacing.py
+++ b/src/azureramp/controllers/forwarding/pacing.py
@@ -6,8 +6,8 @@
 from azureramp.policy import elapsed, hedging
 
 HEDGE_QUANTILE = 0.95
-"""A call later than this quantile of its route is hedged: one in ten, half of
-what the operators usually allow for extra calls."""
+"""A call later than this quantile of its route is hedged: one in twenty, a
+quarter of what the operators usually allow for extra calls."""
 
 LEAST_SHARE = 0.1
 MOST_SHARE = 0.5
--- a/src/azureramp/policy/selection.py
+++ b/src/azureramp/policy/selection.py
@@ -17,10 +17,9 @@
 count, so that a searcher that turns slow is left within a few calls."""
 
 OTHER_ZONE = 0.8
-"""What a searcher in another availability zone costs in the choice, as a part
-of a usual call. A round trip between zones takes some 2 to 3 ms of 10 to 20,
-and its bytes are paid for; it is more than a quarter, so that a near searcher
-with one call in two slots still goes first."""
+"""What a searcher in another availability zone costs in the choice, in usual
+calls: its bytes are paid for. Less than one, so that a near searcher whose
+slots are all taken gives way to a free one elsewhere."""
 
 NEAR_SLOWER = 1.5
 """How much longer a call to a searcher in this VM's zone may last before one
--- a/src/azureramp/ports/forwarding/link.py
+++ b/src/azureramp/ports/forwarding/link.py
@@ -184,9 +184,7 @@
 
         Calls of one message differ in a few headers only. h11 checks the
         common ones once for each message, and what differs is put in before
-        the empty line that ends the head. With one timer a connection and one
-        walk over an answer's headers this takes a request to 90 shards from 45
-        to 37 ms of a core (one VM and stub searchers in one process).
+        the empty line that ends the head.
         """
         message = call.message
         if message.head is None:
