--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -8,15 +8,17 @@
 from collections.abc import Callable
 
 from azureramp import catalog
+from azureramp.controllers.forwarding import attempt as attempt_module
 from azureramp.controllers.forwarding import board as board_module
-from azureramp.controllers.forwarding import crashes, pacing, searchers
+from azureramp.controllers.forwarding import (
+    crashes,
+    learning,
+    pacing,
+    searchers,
+)
 from azureramp.policy import selection
 from azureramp.ports.forwarding import api
 
-SILENT_S = 0.2
-"""A call cut by this side after this time without an answer counts against the
-searcher, in seconds: twice the pauses that searchers make."""
-
 LINGER_S = 0.25
 """How long an answer that nobody waits for may still come before its
 connection is cut, in seconds. Most come, which saves a new connection; half a
@@ -26,29 +28,6 @@
 """Calls beyond the allowed runs, for those that searchers reject unrun."""
 
 
-@dataclasses.dataclass(slots=True)
-class Attempt:
-    """One call of a part.
-
-    Attributes:
-        target: The searcher.
-        sent_s: When it was submitted.
-        ticket: The submitted call.
-        overdue: True once it is counted as overdue.
-        ended: True once its outcome is known.
-        ended_s: When that was.
-        outcome: Its outcome in a word; empty while it is not known.
-    """
-
-    target: board_module.Target
-    sent_s: float
-    ticket: api.Ticket | None = None
-    overdue: bool = False
-    ended: bool = False
-    ended_s: float = 0.0
-    outcome: str = ""
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class Work:
     """What all parts of a request have in common.
@@ -117,7 +96,7 @@
         self._pace = pace
         self._work = work
         self._on_done = on_done
-        self._attempts: list[Attempt] = []
+        self._attempts: list[attempt_module.Attempt] = []
         self._tried: set[str] = set()
         self.service = service
         self.reply: api.Reply | None = None
@@ -199,19 +178,7 @@
         Args:
             began_s: When the request began.
         """
-        if not self._attempts:
-            return [f"{self.service} none: no searcher may get it"]
-        if len(self._attempts) == 1 and self._attempts[0].outcome == "200":
-            return []
-        told: list[str] = []
-        for attempt in self._attempts:
-            sent_ms = round((attempt.sent_s - began_s) * 1000)
-            end = attempt.outcome or "no answer yet"
-            if attempt.ended:
-                end = f"{round((attempt.ended_s - began_s) * 1000)} {end}"
-            name = attempt.target.searcher.id
-            told.append(f"{self.service} {name} {sent_ms}: {end}")
-        return told
+        return attempt_module.describe(self.service, self._attempts, began_s)
 
     def is_waiting(self) -> bool:
         """Tells whether a call is without an answer."""
@@ -230,7 +197,7 @@
         self,
         now_s: float,
         hedged_s: float | None = None,
-        instead_of: Attempt | None = None,
+        instead_of: attempt_module.Attempt | None = None,
     ) -> bool:
         """Makes one call; False if none may be made.
 
@@ -266,7 +233,7 @@
             self._searchers.metrics.count("call.withheld")
             return False
         self._searchers.metrics.count("call.sent")
-        attempt = Attempt(target, now_s)
+        attempt = attempt_module.Attempt(target, now_s)
         self._attempts.append(attempt)
         self._tried.add(target.searcher.id)
         record = target.record
@@ -286,7 +253,9 @@
         expected_s = self._pace.get_mean_s() * selection.estimate(record, now_s)
         return not record.overdue and expected_s <= within_s
 
-    def _drop_unsent(self, attempt: Attempt, now_s: float) -> bool:
+    def _drop_unsent(
+        self, attempt: attempt_module.Attempt, now_s: float
+    ) -> bool:
         """Drops a call; False if it was sent already."""
         if attempt.ticket is None or attempt.ticket.is_sent():
             return False
@@ -301,7 +270,7 @@
         waiting = sum(not attempt.ended for attempt in self._attempts)
         return self.runs + self.rejections + waiting
 
-    def _end(self, attempt: Attempt) -> None:
+    def _end(self, attempt: attempt_module.Attempt) -> None:
         """Takes a call out of its searcher's record."""
         attempt.ended = True
         record = attempt.target.record
@@ -310,18 +279,26 @@
         if attempt.overdue:
             record.overdue -= 1
 
-    def _receive(self, attempt: Attempt, outcome: api.Outcome) -> None:
+    def _receive(
+        self, attempt: attempt_module.Attempt, outcome: api.Outcome
+    ) -> None:
         """Takes a call's outcome."""
         if attempt.ended:
             return
         self._end(attempt)
         now_s = asyncio.get_running_loop().time()
         attempt.ended_s = now_s
-        attempt.outcome = describe_outcome(outcome)
+        attempt.outcome = attempt_module.describe_outcome(outcome)
         took_s = now_s - attempt.sent_s
         match outcome:
             case api.Reply():
-                self._note_reply(attempt.target, outcome, took_s, now_s)
+                if outcome.is_success():
+                    self._searchers.metrics.record_ms(
+                        "call.took_ms", took_s * 1000
+                    )
+                learning.learn_from_reply(
+                    attempt.target, outcome, self._pace, took_s, now_s
+                )
                 if not self.done:
                     self._take_reply(outcome, now_s)
             case api.Lost():
@@ -329,36 +306,6 @@
                 if not self.done:
                     self._take_loss(outcome, now_s)
 
-    def _note_reply(
-        self,
-        target: board_module.Target,
-        reply: api.Reply,
-        took_s: float,
-        now_s: float,
-    ) -> None:
-        """Learns of a searcher from its answer."""
-        record = target.record
-        if reply.misdirected:
-            target.misdirected = True
-            return
-        if reply.load is not None:
-            beyond = reply.load.running + reply.load.waiting
-            record.waiting = max(0, beyond - record.in_flight - 1)
-            record.reported_s = now_s
-        if reply.cold_s:
-            target.cold_until_s = max(target.cold_until_s, now_s + reply.cold_s)
-        if reply.is_success():
-            self._searchers.metrics.record_ms("call.took_ms", took_s * 1000)
-            record.add_success()
-            record.add_time(self._pace.add(took_s), now_s)
-        elif reply.ran is api.Ran.NO:
-            # Full, not broken: it is passed over for a moment.
-            record.waiting = max(record.waiting, record.slots)
-            record.reported_s = now_s
-            record.add_time(2.0, now_s)
-        elif reply.status >= 500:
-            record.add_failure(now_s)
-
     def _note_loss(
         self,
         target: board_module.Target,
@@ -369,17 +316,13 @@
         """Learns of a searcher from a call without an answer."""
         self._searchers.metrics.count("call.lost")
         # The pool tells by itself of a connection that could not be opened.
-        if not lost.sent:
-            return
-        if self.done and took_s < SILENT_S:
+        if not lost.sent or (self.done and took_s < learning.SILENT_S):
             return
-        if lost.sent and not self.done:
+        if not self.done:
             self._crashes.watch(
                 target, self._work.message, self._work.route.repeatable
             )
-        if lost.sent and took_s >= SILENT_S:
-            target.pool.retire(now_s - took_s)
-        target.record.add_failure(now_s, lost.sent, took_s >= SILENT_S)
+        learning.learn_from_loss(target, took_s, now_s)
 
     def _take_reply(self, reply: api.Reply, now_s: float) -> None:
         """Goes on after an answer."""
@@ -421,18 +364,3 @@
         self.reply = reply
         self.abandon()
         self._on_done(self)
-
-
-def describe_outcome(outcome: api.Outcome) -> str:
-    """Returns a call's outcome in a word or two."""
-    match outcome:
-        case api.Reply(misdirected=True):
-            return "another searcher answered"
-        case api.Reply(status=status, ran=api.Ran.NO):
-            return f"{status} not run"
-        case api.Reply(status=status, signature=b""):
-            return f"{status} unsigned"
-        case api.Reply(status=status):
-            return str(status)
-        case api.Lost(loss=loss, sent=sent):
-            return f"{loss.value}{'' if sent else ', not sent'}"
