--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -11,6 +11,7 @@
 from azureramp.controllers.forwarding import attempt as attempt_module
 from azureramp.controllers.forwarding import board as board_module
 from azureramp.controllers.forwarding import (
+    coldness,
     crashes,
     learning,
     pacing,
@@ -239,7 +240,7 @@
         record = target.record
         record.in_flight += 1
         record.trial = record.failures > 0
-        self._searchers.note_call(target, now_s)
+        coldness.note_call(target, now_s)
         call = api.Call(self._work.message, target.searcher.id, left_s)
         attempt.ticket = target.pool.submit(
             call, lambda outcome: self._receive(attempt, outcome)
--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -10,7 +10,7 @@
 
 from azureramp import catalog
 from azureramp.controllers.forwarding import board as board_module
-from azureramp.controllers.forwarding import telling
+from azureramp.controllers.forwarding import coldness, telling
 from azureramp.policy import advertising, allowances, selection, shares
 from azureramp.ports.forwarding import api, pool
 
@@ -18,14 +18,6 @@
 """What a cold searcher's calls are taken to last, in usual times, until its
 own calls show it."""
 
-COLD_WINDOW_S = 1.0
-"""The span in which the requests to a cold searcher are bounded, in seconds;
-the operators' bound is a number a second."""
-
-ENTRY_LAG_S = 2.0
-"""How long after a searcher's return its entry may still be that of before, in
-seconds: a heartbeat, and the way through the store."""
-
 PAUSE_S = 1.0
 """How late a timer must fire to show that the process stood still, in seconds.
 A searcher that was away for less has hardly started anew."""
@@ -74,7 +66,9 @@
         self._extra_share = shares.Share(
             board.bounds.extra.window_s, board.started_s, first
         )
-        self._cold_share = shares.Share(COLD_WINDOW_S, board.started_s, first)
+        self._cold_share = shares.Share(
+            coldness.WINDOW_S, board.started_s, first
+        )
 
     def put(self, searcher: catalog.Searcher) -> None:
         """Takes what a searcher says of itself."""
@@ -241,12 +235,6 @@
         self._update_shares(now_s)
         return self._extra_share.part
 
-    def note_call(self, target: board_module.Target, now_s: float) -> None:
-        """Counts a call, since the searcher may turn out to be cold."""
-        target.sent_s.append(now_s)
-        while target.sent_s[0] <= now_s - COLD_WINDOW_S:
-            target.sent_s.popleft()
-
     def _is_usable(self, target: board_module.Target) -> bool:
         """Tells whether a searcher may get new work at all."""
         searcher = target.searcher
@@ -265,7 +253,7 @@
         together stay within the operators' bound for any one second, so each
         keeps to its part of it.
         """
-        if not is_cold(target, now_s, self._board.pause):
+        if not coldness.is_cold(target, now_s, self._board.pause):
             return True
         service = self._get_service(target.searcher.service)
         if service is None or service.cold_per_s <= 0:
@@ -273,8 +261,7 @@
         bounds = self._board.bounds
         bound = service.cold_per_s * bounds.cold_overage + bounds.cold_slack
         self._update_shares(now_s)
-        oldest_s = now_s - COLD_WINDOW_S
-        recent = sum(at_s > oldest_s for at_s in target.sent_s)
+        recent = coldness.count_recent_calls(target, now_s)
         return recent + 1 <= bound * self._cold_share.part
 
     def _update_shares(self, now_s: float) -> None:
@@ -334,31 +321,6 @@
         )
 
 
-def is_cold(
-    target: board_module.Target, now_s: float, pause: board_module.Pause
-) -> bool:
-    """Tells whether a searcher is cold, or must be taken to be.
-
-    One that was away has most likely started anew and holds nothing. Its entry
-    says so only up to a heartbeat later; until then the usual calls of all VMs
-    would crash it again. The same holds after a pause of this process for a
-    searcher to which no connection has outlasted the pause.
-
-    Args:
-        target: The searcher.
-        now_s: The time.
-        pause: When this process last stood still.
-    """
-    if now_s < target.cold_until_s or target.pool.away:
-        return True
-    if now_s < target.pool.returned_s + ENTRY_LAG_S:
-        return True
-    return (
-        now_s < pause.ended_s + ENTRY_LAG_S
-        and target.pool.linked_s > pause.began_s
-    )
-
-
 def _is_same_process(old: catalog.Searcher, new: catalog.Searcher) -> bool:
     """Tells whether two announcements come from one process.
 
--- a/src/azureramp/ports/forwarding/pool.py
+++ b/src/azureramp/ports/forwarding/pool.py
@@ -10,6 +10,7 @@
 
 from azureramp.ports.forwarding import api
 from azureramp.ports.forwarding import link as link_module
+from azureramp.ports.forwarding import ticket as ticket_module
 from azureramp.ports.web import connection as web_connection
 
 CONNECT_S = 1.0
@@ -48,32 +49,6 @@
     SILENT = "silent"
 
 
-class Ticket:
-    """A call that was submitted; see `api.Ticket`."""
-
-    __slots__ = ("_pool", "call", "link", "receiver")
-
-    def __init__(
-        self, pool: Pool, call: api.Call, receiver: api.Receiver
-    ) -> None:
-        """Makes the ticket of a call that waits."""
-        self._pool = pool
-        self.call = call
-        self.receiver: api.Receiver | None = receiver
-        self.link: link_module.Link | None = None
-
-    def is_sent(self) -> bool:
-        """Tells whether the call was written to a connection."""
-        return self.link is not None
-
-    def abandon(self, linger_s: float) -> None:
-        """Ends a call that nobody waits for; see `api.Ticket`."""
-        if self.link is None:
-            self.receiver = None
-        else:
-            self._pool.abandon(self.link, linger_s)
-
-
 class Pool:
     """Opens connections to one searcher as they are needed.
 
@@ -132,7 +107,9 @@
         self._links: set[link_module.Link] = set()
         self._opening: set[asyncio.Task[None]] = set()
         self._opening_s = 0.0
-        self._waiting: collections.deque[Ticket] = collections.deque()
+        self._waiting: collections.deque[ticket_module.Ticket] = (
+            collections.deque()
+        )
         self._probes: list[Callable[[Found], None]] = []
         self._probe: asyncio.Task[None] | None = None
         self.address = address
@@ -142,22 +119,23 @@
         self.returned_s = -math.inf
         self.linked_s = math.inf
 
-    def submit(self, call: api.Call, receiver: api.Receiver) -> Ticket:
+    def submit(
+        self, call: api.Call, receiver: api.Receiver
+    ) -> ticket_module.Ticket:
         """Makes a call as soon as there is a connection for it.
 
         Args:
             call: The call.
             receiver: Called once with the outcome, never before this returns.
         """
-        ticket = Ticket(self, call, receiver)
+        ticket = ticket_module.Ticket(call, receiver)
         link = self._take()
         if link is not None:
             self._send(link, ticket)
         elif len(self._waiting) >= MAX_WAITING:
             loop = asyncio.get_running_loop()
-            loop.call_soon(
-                _deliver, ticket, api.Lost(api.Loss.NO_ROOM, sent=False)
-            )
+            lost = api.Lost(api.Loss.NO_ROOM, sent=False)
+            loop.call_soon(ticket.deliver, lost)
         else:
             self._waiting.append(ticket)
             self._open_more()
@@ -193,10 +171,6 @@
                 break
             link.abort()
 
-    def abandon(self, link: link_module.Link, linger_s: float) -> None:
-        """Cuts a call's connection unless its answer comes soon."""
-        link.cut_after(linger_s)
-
     def probe(self, receiver: Callable[[Found], None]) -> None:
         """Finds out by a new connection whether the searcher lives.
 
@@ -240,7 +214,9 @@
             link.abort()
         return None
 
-    def _send(self, link: link_module.Link, ticket: Ticket) -> None:
+    def _send(
+        self, link: link_module.Link, ticket: ticket_module.Ticket
+    ) -> None:
         """Writes a call, and sees to the connection's end if it is silent."""
         receiver = ticket.receiver
         if receiver is None:
@@ -377,11 +353,4 @@
         self._waiting.clear()
         loop = asyncio.get_running_loop()
         for ticket in waiting:
-            loop.call_soon(_deliver, ticket, api.Lost(loss, sent=False))
-
-
-def _deliver(ticket: Ticket, outcome: api.Outcome) -> None:
-    """Hands an outcome to whoever still waits for it."""
-    receiver, ticket.receiver = ticket.receiver, None
-    if receiver is not None:
-        receiver(outcome)
+            loop.call_soon(ticket.deliver, api.Lost(loss, sent=False))
