Watch the store if no VM has told of changes for a second

Cause: a VM that lost the one it asked looks for another one as long as the store's last word is young. A configuration would have been late in the same way.

Ruled out: the copy's revisions and the packed answers (the entry was never heard), lapses (the store held it).

Now the time since changes were last heard decides.

The stand-in store gave each key of a batch a revision of its own; on the platform all have the same one, as its API here says.

--- a/src/azureramp/controllers/forwarding/feed.py
+++ b/src/azureramp/controllers/forwarding/feed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
@@ -33,7 +34,7 @@
 that fails would tell it that the store is silent."""
 
 FRESH_S = 1.0
-"""Age of the store's last word up to which a VM that lost the one that it asked
+"""How long after it last heard of changes a VM that lost the one that it asked
 looks for another one before it watches the store, in seconds."""
 
 BATCH_S = 0.4
@@ -87,6 +88,7 @@
         "_avoided_until_s",
         "_board",
         "_contact",
+        "_heard_s",
         "_is_seed",
         "_relay",
         "_relays",
@@ -133,6 +135,7 @@
         self._rng = rng
         self._avoided_until_s: dict[str, float] = {}
         self._source = ""
+        self._heard_s = -math.inf
 
     async def run(self) -> None:
         """Follows the store, forever."""
@@ -192,7 +195,8 @@
         if chosen is not None:
             if await self._follow_relay(chosen):
                 return True
-            if self._contact.get_age_s() < FRESH_S:
+            now_s = asyncio.get_running_loop().time()
+            if now_s - self._heard_s < FRESH_S:
                 await asyncio.sleep(RELAY_PAUSE_S)
                 return True
         self._note_source(STORE)
@@ -314,6 +318,7 @@
 
     def _take(self, entries: Sequence[store_api.Entry], revision: int) -> None:
         """Takes entries, those that are new to be applied."""
+        self._heard_s = asyncio.get_running_loop().time()
         copy = self._relay.copy
         new = [entry for entry in entries if copy.put(entry)]
         copy.revision = max(copy.revision, revision)
--- a/src/azureramp/ports/store/state.py
+++ b/src/azureramp/ports/store/state.py
@@ -116,8 +116,11 @@
             each.lease and each.lease not in self._leases for each in changes
         ):
             return None
+        before = self.revision
         for change in changes:
             if change.value is not None or present[change.key] is not None:
+                # All keys of a batch have the same revision.
+                self.revision = before
                 self.write(
                     change.key, change.value, change.expected, change.lease
                 )
