--- a/tests/forwarding/test_roster.py
+++ b/tests/forwarding/test_roster.py
@@ -188,7 +188,7 @@
 
 @pytest.mark.parametrize(
     ("fault", "seed"),
-    [("busy", 0), ("silent", 0), ("busy", 7), ("busy", 8), ("busy", 11)],
+    [("busy", 0), ("silent", 0), ("busy", 1), ("busy", 7), ("busy", 11)],
 )
 def test_standbys_stay_known_through_an_outage(fault: str, seed: int) -> None:
     """Guards against a VM that only renews its lease and hears no changes."""
