Judge new versions of searchers, bound and pace their roll-outs

Three policies without network or clock: a sequential test by route and searcher beside the old version's answers of the same time; grants of calls as running totals; the steps of a roll-out.

Two ways to pace were weighed in the design (docs/design/rollouts.md): shares that rise in steps, and a small share until late with all traffic moved before the end. The second is built: the bound on exposure leaves 24 + 50 requests of 240, and a version that is bad under load shows only under all traffic.

--- /dev/null
+++ b/tests/policy/test_rollouts.py
@@ -0,0 +1,218 @@
+"""How far a roll-out goes, and which versions serve meanwhile."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+import pytest
+
+from azureramp import catalog
+from azureramp.policy import exposure, rollouts, version_evidence
+
+PHASE = catalog.RolloutPhase
+VERDICT = version_evidence.Verdict
+ORDER = catalog.RolloutOrder("s", "v2", 12.0, 10)
+RECORD = catalog.RolloutRecord(
+    order=ORDER,
+    phase=PHASE.TRIAL,
+    old=("v1",),
+    barred=(),
+    driver="vm-0#1",
+    driver_address="vm-0:1",
+    age_s=0.0,
+    written_ms=0,
+    requests=0,
+    reserved=0,
+    usual={},
+    reason="",
+)
+ON_TRIAL = rollouts.Situation(
+    order=ORDER,
+    phase=PHASE.TRIAL,
+    age_s=5.0,
+    phase_s=5.0,
+    withdrawn=False,
+    verdict=VERDICT.OPEN,
+    answers=10,
+    requests=100,
+    used=10,
+    allowed=60,
+    rate=20.0,
+    new_usable=3,
+    old_usable=3,
+    all_moved=False,
+)
+MOVED = dataclasses.replace(
+    ON_TRIAL, phase=PHASE.MOVING, age_s=10.7, answers=20, all_moved=True
+)
+
+
+def decide(before: rollouts.Situation, **changes: object) -> PHASE | None:
+    step = rollouts.decide(dataclasses.replace(before, **changes))  # type: ignore[arg-type]
+    return None if step is None else step.phase
+
+
+def test_the_trial_goes_on_until_late() -> None:
+    assert decide(ON_TRIAL) is None
+    assert decide(ON_TRIAL, age_s=10.0) is PHASE.MOVING
+
+
+def test_all_traffic_moves_only_where_the_new_searchers_can_bear_it() -> None:
+    assert decide(ON_TRIAL, age_s=10.0, new_usable=1) is None
+    assert decide(ON_TRIAL, age_s=10.0, new_usable=0, old_usable=0) is None
+    assert decide(ON_TRIAL, age_s=11.6, new_usable=0) is PHASE.ROLLED_BACK
+
+
+def test_a_new_driver_hears_the_vms_before_it_moves_traffic() -> None:
+    assert decide(ON_TRIAL, age_s=10.0, phase_s=0.1) is None
+
+
+def test_a_version_that_used_up_its_requests_is_not_moved_to() -> None:
+    """Guards against a restart of all VMs that lets the exposure grow on."""
+    assert decide(ON_TRIAL, age_s=10.0, used=58) is None
+    assert decide(ON_TRIAL, age_s=11.6, used=58) is PHASE.ROLLED_BACK
+
+
+@pytest.mark.parametrize("before", [ON_TRIAL, MOVED])
+def test_a_worse_version_is_rolled_back_at_once(
+    before: rollouts.Situation,
+) -> None:
+    assert decide(before, verdict=VERDICT.WORSE) is PHASE.ROLLED_BACK
+
+
+@pytest.mark.parametrize("before", [ON_TRIAL, MOVED])
+def test_an_order_that_is_taken_back_ends_its_roll_out(
+    before: rollouts.Situation,
+) -> None:
+    assert decide(before, withdrawn=True) is PHASE.ROLLED_BACK
+
+
+def test_it_is_completed_late_and_once_every_vm_has_moved() -> None:
+    assert decide(MOVED, age_s=9.8) is None
+    assert decide(MOVED, all_moved=False) is None
+    assert decide(MOVED) is PHASE.COMPLETED
+
+
+def test_it_is_not_completed_without_answers_under_all_traffic() -> None:
+    """Guards against a version that is bad under load only."""
+    assert decide(MOVED, answers=1) is None
+    assert decide(MOVED, answers=1, age_s=11.6) is PHASE.ROLLED_BACK
+    assert decide(MOVED, verdict=VERDICT.SUSPECT) is None
+    suspect = decide(MOVED, verdict=VERDICT.SUSPECT, age_s=11.6)
+    assert suspect is PHASE.ROLLED_BACK
+
+
+def test_few_answers_prove_a_service_with_few_requests() -> None:
+    few = dataclasses.replace(MOVED, requests=20, answers=2, rate=2.0)
+    assert decide(few) is PHASE.COMPLETED
+
+
+def test_traffic_goes_back_when_the_exposure_is_used_up_unproved() -> None:
+    early = dataclasses.replace(MOVED, age_s=9.5, used=60)
+    assert decide(early, answers=3) is PHASE.TRIAL
+    assert decide(early) is PHASE.COMPLETED
+
+
+def test_nothing_follows_an_end() -> None:
+    assert decide(MOVED, phase=PHASE.COMPLETED) is None
+
+
+@pytest.mark.parametrize("duration_s", [1.0, 4.0, 12.0, 600.0])
+@pytest.mark.parametrize("rate", [0.0, 1.0, 20.0, 2000.0])
+def test_all_steps_fit_into_the_time(duration_s: float, rate: float) -> None:
+    allowed = exposure.count_allowed(exposure.Terms(0.1, 50), rate * duration_s)
+    complete_s = rollouts.get_complete_s(duration_s, rate, allowed)
+    assert 0.5 * duration_s < complete_s < duration_s
+    now = dataclasses.replace(
+        ON_TRIAL,
+        order=dataclasses.replace(ORDER, duration_s=duration_s),
+        rate=rate,
+        allowed=allowed,
+        used=0,
+        requests=round(rate * duration_s),
+    )
+    assert 0.0 < rollouts.get_move_s(now) < complete_s
+
+
+def test_the_trial_s_calls_are_spread_over_its_time() -> None:
+    terms = exposure.Terms(0.1, 50)
+    counts = [
+        rollouts.count_trial_calls(terms, 20 * second, second, 9.0)
+        for second in range(10)
+    ]
+    assert counts == sorted(counts)
+    assert counts[1] >= 1
+    assert counts[-1] <= 0.1 * 180 + 50
+
+
+def test_a_vm_that_knows_only_an_order_leaves_the_new_version_alone() -> None:
+    versions = rollouts.find_versions(ORDER, None, {"v1"})
+    assert versions is not None
+    assert versions.target == "v2"
+    assert versions.allows_old("v1")
+    assert not versions.allows_old("v2")
+
+
+def test_without_order_and_record_every_version_serves() -> None:
+    assert rollouts.find_versions(None, None, {"v1", "v2"}) is None
+
+
+def test_a_service_that_runs_the_version_already_goes_on() -> None:
+    assert rollouts.find_versions(ORDER, None, {"v2"}) is None
+    assert rollouts.is_present(ORDER, None, {"v2"})
+    assert not rollouts.is_present(ORDER, None, {"v1", "v2"})
+
+
+def test_a_service_without_searchers_waits_for_its_trial() -> None:
+    versions = rollouts.find_versions(ORDER, None, set())
+    assert versions is not None
+    assert versions.target == "v2"
+
+
+def test_after_the_end_the_other_version_gets_nothing() -> None:
+    done = dataclasses.replace(RECORD, phase=PHASE.COMPLETED)
+    versions = rollouts.find_versions(ORDER, done, {"v1"})
+    assert versions is not None
+    assert versions.allows_old("v2")
+    assert not versions.allows_old("v1")
+    back = dataclasses.replace(RECORD, phase=PHASE.ROLLED_BACK)
+    versions = rollouts.find_versions(ORDER, back, {"v1"})
+    assert versions is not None
+    assert versions.allows_old("v1")
+    assert not versions.allows_old("v2")
+
+
+def test_a_second_order_bars_the_version_that_the_first_one_tried() -> None:
+    second = catalog.RolloutOrder("s", "v3", 12.0, 20)
+    versions = rollouts.find_versions(second, RECORD, {"v1", "v2"})
+    assert versions is not None
+    assert versions.target == "v3"
+    assert not versions.allows_old("v2")
+    assert rollouts.start(second, RECORD, {"v1", "v2"}) == (("v1",), ("v2",))
+
+
+def test_a_version_that_was_rolled_back_may_be_ordered_again() -> None:
+    back = dataclasses.replace(RECORD, phase=PHASE.ROLLED_BACK)
+    again = dataclasses.replace(ORDER, revision=20)
+    assert rollouts.start(again, back, {"v1"}) == (("v1",), ())
+
+
+def test_the_roll_out_back_to_the_old_version_frees_it() -> None:
+    done = dataclasses.replace(RECORD, phase=PHASE.COMPLETED)
+    back = catalog.RolloutOrder("s", "v1", 12.0, 20)
+    assert rollouts.start(back, done, {"v2"}) == (("v2",), ())
+
+
+def test_strong_vms_drive_first_and_those_that_leave_never() -> None:
+    def make(vm: str, cores: float, leaving: bool = False) -> catalog.Member:
+        return catalog.Member(vm, "z", f"{vm}:80", f"{vm}:81", cores, leaving)
+
+    members = [make("a", 1), make("b", 2), make("c", 2, True), make("d", 2)]
+    assert rollouts.rank_drivers(members, "") == ("b", "d", "a")
+    assert rollouts.rank_drivers(members, "b") == ("d", "a")
+
+
+def test_a_version_is_not_moved_to_where_nothing_is_left() -> None:
+    now = dataclasses.replace(ON_TRIAL, used=60)
+    assert rollouts.get_move_s(now) == math.inf
--- /dev/null
+++ b/tests/policy/test_version_evidence.py
@@ -0,0 +1,107 @@
+"""Versions whose answers fail or are slow: from the start, later, in part."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from azureramp.policy import version_evidence
+
+WORSE = version_evidence.Verdict.WORSE
+OPEN = version_evidence.Verdict.OPEN
+SEARCHERS = ("a", "b", "c")
+
+
+def play(
+    share: float,
+    usual: float,
+    answers: int,
+    seed: int,
+    searchers: tuple[str, ...] = SEARCHERS,
+    good_before: int = 0,
+) -> int | None:
+    """Returns after how many answers the version is found to be worse."""
+    rng = random.Random(seed)
+    evidence = version_evidence.Evidence(0.0)
+    for number in range(answers):
+        now_s = number * 0.1
+        evidence.add_old(
+            "/one/", 5, sum(rng.random() < usual for _ in "12345"), now_s
+        )
+        bad_share = usual if number < good_before else share
+        evidence.add_new(
+            "/one/", rng.choice(searchers), 1, rng.random() < bad_share
+        )
+        if evidence.get_verdict() is WORSE:
+            return number + 1
+    return None
+
+
+@pytest.mark.parametrize("good_before", [0, 200])
+def test_a_bad_version_is_found_within_forty_answers(good_before: int) -> None:
+    """Guards against good answers of the start that hide a late fault."""
+    for seed in range(200):
+        found = play(0.4, 0.02, 400, seed, good_before=good_before)
+        assert found is not None
+        assert found - good_before <= 40
+
+
+def test_a_version_as_good_as_the_old_one_is_hardly_ever_rejected() -> None:
+    rejected = [play(0.02, 0.02, 300, seed) for seed in range(300)]
+    assert sum(each is not None for each in rejected) <= 3
+
+
+def test_troubles_of_both_versions_are_not_blamed_on_the_new_one() -> None:
+    """Guards against a roll-back while slow searchers hit old and new."""
+    rejected = [play(0.3, 0.3, 200, seed) for seed in range(200)]
+    assert sum(each is not None for each in rejected) <= 2
+
+
+def test_one_broken_searcher_does_not_speak_for_its_version() -> None:
+    evidence = version_evidence.Evidence(0.0)
+    for number in range(60):
+        evidence.add_old("/one/", 20, 0, number * 0.1)
+        evidence.add_new("/one/", "a", 1, 1)
+        evidence.add_new("/one/", "b", 2, 0)
+        evidence.add_new("/one/", "c", 2, 0)
+    assert evidence.get_verdict() is not WORSE
+
+
+def test_a_single_searcher_speaks_for_its_version() -> None:
+    assert play(0.5, 0.02, 60, 1, searchers=("a",)) is not None
+
+
+def test_a_fault_of_one_route_is_found_among_many_good_answers() -> None:
+    evidence = version_evidence.Evidence(0.0)
+    for number in range(12):
+        now_s = number * 0.5
+        evidence.add_old("/one/", 50, 0, now_s)
+        evidence.add_old("/two/", 5, 0, now_s)
+        for searcher in SEARCHERS:
+            evidence.add_new("/one/", searcher, 10, 0)
+        evidence.add_new("/two/", SEARCHERS[number % 3], 1, 1)
+    assert evidence.get_verdict() is WORSE
+
+
+def test_a_small_difference_shows_among_many_answers() -> None:
+    """Guards against thousands of bad answers of a slightly worse version."""
+    evidence = version_evidence.Evidence(0.0)
+    for _ in range(20):
+        evidence.add_old("/one/", 1000, 2, 0.0)
+        for searcher in SEARCHERS:
+            evidence.add_new("/one/", searcher, 33, 2)
+    assert evidence.get_verdict() is WORSE
+
+
+def test_without_answers_nothing_is_decided() -> None:
+    evidence = version_evidence.Evidence(0.0)
+    assert evidence.get_verdict() is OPEN
+    assert evidence.describe() == "no answers of the new version"
+
+
+def test_a_description_names_both_versions_by_route() -> None:
+    evidence = version_evidence.Evidence(0.0)
+    evidence.add_old("/one/", 10, 1, 0.0)
+    evidence.add_new("/one/", "a", 3, 2)
+    assert evidence.describe() == "/one/: new 2/3 old 1/10"
