Serve roll-outs: one VM drives, the others ask it for calls

Operators order that a service moves to searchers of a new version. Nothing served that: an order was ignored, and the new searchers got their part of the traffic at once.

One VM drives a roll-out. It writes the record and the operators' status in one change under the condition that the record is as it knows it. Grants are recorded ahead, so that neither a driver's death nor a restart of all VMs raises the exposure. All traffic moves late; the status is completed once no VM has a call at an old searcher. No call to the store is made without an order.

Left aside: counts over the store (each report would be a write), and shares instead of grants (many VMs that each round up).

--- a/src/azureramp/controllers/forwarding/applying.py
+++ b/src/azureramp/controllers/forwarding/applying.py
@@ -16,6 +16,7 @@
     contact,
     crashes,
     members,
+    rollouts,
     searchers,
 )
 from azureramp.policy import routing
@@ -45,6 +46,7 @@
         "_log",
         "_members",
         "_revision",
+        "_rollouts",
         "_searchers",
         "on_configuration",
     )
@@ -58,8 +60,10 @@
         others: members.Members,
         contacts: contact.Contacts,
         log: change_log.ChangeLog,
+        known_rollouts: rollouts.Rollouts,
     ) -> None:
         """Makes a controller that has taken nothing."""
+        self._rollouts = known_rollouts
         self._log = log
         self._revision = 0
         self._board = board
@@ -114,6 +118,12 @@
                 self._members.remove(vm, self._contact.is_settled(SETTLE_S))
             case catalog.RequestBlamed() as blamed:
                 self._crashes.adopt(blamed)
+            case catalog.RolloutOrdered(order=order):
+                self._rollouts.take_order(order)
+            case catalog.RolloutWithdrawn(service=service):
+                self._rollouts.withdraw(service)
+            case catalog.RolloutRecorded(record=record, revision=revision):
+                self._rollouts.take_record(record, revision)
             case catalog.Unreadable(reason=reason):
                 self._skip(reason)
             case _:
--- a/src/azureramp/controllers/forwarding/attempt.py
+++ b/src/azureramp/controllers/forwarding/attempt.py
@@ -21,6 +21,7 @@
         ended: True once its outcome is known.
         ended_s: When that was.
         outcome: Its outcome in a word; empty while it is not known.
+        judged: True once it counts for or against its searcher's version.
     """
 
     target: board_module.Target
@@ -30,6 +31,7 @@
     ended: bool = False
     ended_s: float = 0.0
     outcome: str = ""
+    judged: bool = False
 
 
 def describe(
--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -11,7 +11,7 @@
 import math
 
 from azureramp import catalog, metrics
-from azureramp.policy import allowances, routing, selection
+from azureramp.policy import allowances, exposure, routing, selection
 from azureramp.ports.forwarding import pool
 
 
@@ -25,6 +25,7 @@
         cold_slack: Requests a second added to that.
         grace_s: Time from SIGTERM to SIGKILL, in seconds.
         address_lifetime_s: Most that callers keep an address answer for.
+        exposure: Requests to a version that isn't proved.
     """
 
     extra: allowances.Terms
@@ -32,6 +33,7 @@
     cold_slack: float
     grace_s: float
     address_lifetime_s: float
+    exposure: exposure.Terms
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -11,10 +11,10 @@
 from azureramp.controllers.forwarding import attempt as attempt_module
 from azureramp.controllers.forwarding import board as board_module
 from azureramp.controllers.forwarding import (
-    coldness,
     crashes,
     learning,
     pacing,
+    rollout_view,
     searchers,
 )
 from azureramp.policy import selection
@@ -165,6 +165,7 @@
             if attempt.ended or attempt.ticket is None:
                 continue
             if not self._drop_unsent(attempt, now_s):
+                self._judge(attempt, rollout_view.End.UNANSWERED, now_s)
                 record = attempt.target.record
                 queues = selection.has_queue(record, now_s)
                 attempt.ticket.abandon(0.0 if queues else LINGER_S)
@@ -229,7 +230,11 @@
             return False
         # What may run once only is better refused than lost.
         target = self._searchers.choose(
-            self.service, self._tried, now_s, self._work.route.repeatable
+            self.service,
+            self._tried,
+            now_s,
+            self._work.route.repeatable,
+            is_first=not self._attempts,
         )
         if target is None:
             return False
@@ -251,7 +256,7 @@
         record = target.record
         record.in_flight += 1
         record.trial = record.failures > 0
-        coldness.note_call(target, now_s)
+        self._searchers.note_call(target, now_s)
         call = api.Call(self._work.message, target.searcher.id, left_s)
         attempt.ticket = target.pool.submit(
             call, lambda outcome: self._receive(attempt, outcome)
@@ -304,6 +309,15 @@
         took_s = now_s - attempt.sent_s
         match outcome:
             case api.Reply():
+                if outcome.ran is not api.Ran.NO:
+                    answered = outcome.is_success()
+                    self._judge(
+                        attempt,
+                        rollout_view.End.ANSWERED
+                        if answered
+                        else rollout_view.End.FAILED,
+                        now_s,
+                    )
                 if outcome.is_success():
                     self._searchers.metrics.record_ms(
                         "call.took_ms", took_s * 1000
@@ -314,10 +328,30 @@
                 if not self.done:
                     self._take_reply(outcome, now_s)
             case api.Lost():
+                if outcome.sent and not self.done:
+                    self._judge(attempt, rollout_view.End.FAILED, now_s)
                 self._note_loss(attempt.target, outcome, took_s, now_s)
                 if not self.done:
                     self._take_loss(outcome, now_s)
 
+    def _judge(
+        self,
+        attempt: attempt_module.Attempt,
+        end: rollout_view.End,
+        now_s: float,
+    ) -> None:
+        """Takes how a call ended for the judgement of a new version, once."""
+        if attempt.judged:
+            return
+        took_s = now_s - attempt.sent_s
+        attempt.judged = self._searchers.rollouts.note_end(
+            attempt.target.searcher,
+            self._work.route.name,
+            end,
+            took_s,
+            self._pace.get_mean_s(),
+        )
+
     def _note_loss(
         self,
         target: board_module.Target,
--- /dev/null
+++ b/src/azureramp/controllers/forwarding/rollout_writer.py
@@ -0,0 +1,94 @@
+"""Writing how far roll-outs are, for VMs and for operators."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import logbook
+
+from azureramp import catalog
+from azureramp.controllers.forwarding import contact
+from azureramp.policy import relaying
+from azureramp.ports.store import api as store_api
+
+Keys = Callable[[str], tuple[str, str]]
+"""Returns the keys of the record and of the status of a service's roll-out."""
+
+Encode = Callable[[catalog.RolloutRecord], tuple[bytes, bytes]]
+"""Returns the values of a record and of its status."""
+
+_logger = logbook.Logger("azureramp.rollout_writer")
+
+
+class Writer:
+    """Writes records and statuses together."""
+
+    __slots__ = ("_contact", "_copy", "_encode", "_make_keys", "_store")
+
+    def __init__(
+        self,
+        store: store_api.BatchStore,
+        copy: relaying.Copy,
+        make_keys: Keys,
+        encode: Encode,
+        contacts: contact.Contacts,
+    ) -> None:
+        """Makes a writer.
+
+        Args:
+            store: The store.
+            copy: What this VM knows of the store.
+            make_keys: Returns the keys of a roll-out.
+            encode: Returns the values of a roll-out.
+            contacts: Told of calls that worked or failed.
+        """
+        self._store = store
+        self._copy = copy
+        self._make_keys = make_keys
+        self._encode = encode
+        self._contact = contacts
+
+    def get_revision(self, service: str) -> int:
+        """Returns the revision of a service's record, as far as known."""
+        key, _ = self._make_keys(service)
+        return self._copy.get_revision(key)
+
+    async def write(
+        self, wanted: catalog.RolloutRecord, expected: int
+    ) -> int | None:
+        """Writes a record and its status if the record is as expected.
+
+        Returns:
+            The new revision; None if nothing is known to be written.
+        """
+        key, status_key = self._make_keys(wanted.order.service)
+        value, status = self._encode(wanted)
+        status_expected = self._copy.get_revision(status_key)
+        for _ in range(2):
+            result = await self._store.write_batch(
+                (
+                    store_api.Change(key, value, expected),
+                    store_api.Change(status_key, status, status_expected),
+                )
+            )
+            if result.is_error():
+                self._contact.note_failure(result.error)
+                _logger.warning(
+                    "could not write the roll-out of {}: {}",
+                    wanted.order.service,
+                    result.error.kind.value,
+                )
+                return None
+            self._contact.note_success()
+            match result.ok:
+                case store_api.Written(revision=revision):
+                    return revision
+                case store_api.BatchConflicted(present=present):
+                    if present[key] != expected:
+                        _logger.info(
+                            "the roll-out of {} was written by another VM",
+                            wanted.order.service,
+                        )
+                        return None
+                    status_expected = present[status_key]
+        return None
--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -4,12 +4,18 @@
 
 import asyncio
 import random
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 import logbook
 
 from azureramp import catalog
-from azureramp.controllers.forwarding import advertised, change_log, coldness
+from azureramp.controllers.forwarding import (
+    advertised,
+    change_log,
+    coldness,
+    rollout_view,
+    rollouts,
+)
 from azureramp.controllers.forwarding import board as board_module
 from azureramp.policy import advertising, allowances, selection, shares
 from azureramp.ports.forwarding import api, pool
@@ -41,6 +47,7 @@
 
     Attributes:
         metrics: Counts the calls.
+        rollouts: Tells which versions may be used.
     """
 
     __slots__ = (
@@ -52,6 +59,7 @@
         "_log",
         "_rng",
         "metrics",
+        "rollouts",
     )
 
     def __init__(
@@ -60,8 +68,10 @@
         codec: api.Codec,
         rng: random.Random,
         log: change_log.ChangeLog,
+        known_rollouts: rollouts.Rollouts,
     ) -> None:
         """Makes a controller that knows no searcher."""
+        self.rollouts = known_rollouts
         self._log = log
         self._board = board
         self.metrics = board.metrics
@@ -174,7 +184,9 @@
             used = advertised.find_used_services(self._board.configuration)
         for target in self._board.targets.values():
             target.pool.set_limit(self._get_share(target.searcher.service))
-            if target.searcher.service in used and self._is_usable(target):
+            if target.searcher.service in used and self._is_usable(
+                target, rollout_view.ALL_SIDES
+            ):
                 target.pool.prepare(1)
 
     def choose(
@@ -183,6 +195,7 @@
         without: Collection[str],
         now_s: float,
         faulty: bool = False,
+        is_first: bool = False,
     ) -> board_module.Target | None:
         """Chooses a searcher of a service for one call.
 
@@ -191,6 +204,7 @@
             without: The ids of those that may not be chosen.
             now_s: The time.
             faulty: True if one that fails often is better than none.
+            is_first: True for the first call of a request.
 
         Returns:
             The searcher; None if none may get a call now.
@@ -199,11 +213,27 @@
         for target in targets.values():
             if target.record.needs_proof(now_s):
                 self._prove(target)
+        for side in self.rollouts.list_sides(service, is_first, now_s):
+            chosen = self._choose_from(side, targets, without, now_s, faulty)
+            if chosen is not None:
+                return chosen
+        return None
+
+    def _choose_from(
+        self,
+        side: rollout_view.Side,
+        targets: Mapping[str, board_module.Target],
+        without: Collection[str],
+        now_s: float,
+        faulty: bool,
+    ) -> board_module.Target | None:
+        """Chooses among a service's searchers on one side of a roll-out."""
+        sides = (side,)
         usable = [
             (name, target.record)
             for name, target in targets.items()
             if name not in without
-            and self._is_usable(target)
+            and self._is_usable(target, sides)
             and self._is_warm_enough(target, now_s)
         ]
         prompt = [
@@ -223,8 +253,9 @@
     def count_usable(self, service: str, now_s: float) -> int:
         """Returns how many searchers of a service may get a call now."""
         targets = self._board.by_service.get(service, {})
+        sides = self.rollouts.list_sides(service, True, now_s)
         return sum(
-            self._is_usable(target)
+            self._is_usable(target, sides)
             and (
                 target.record.alive
                 or not target.record.rests(now_s)
@@ -258,13 +289,21 @@
         self._update_shares(now_s)
         return self._extra_share.part
 
-    def _is_usable(self, target: board_module.Target) -> bool:
+    def note_call(self, target: board_module.Target, now_s: float) -> None:
+        """Counts a call to a searcher."""
+        coldness.note_call(target, now_s)
+        self.rollouts.note_call(target.searcher, now_s)
+
+    def _is_usable(
+        self, target: board_module.Target, sides: tuple[rollout_view.Side, ...]
+    ) -> bool:
         """Tells whether a searcher may get new work at all."""
         searcher = target.searcher
         return (
             searcher.state is catalog.SearcherState.READY
             and not target.misdirected
             and searcher.zone not in self._board.zones_out
+            and self.rollouts.allows(searcher, sides)
         )
 
     def _is_warm_enough(
--- a/src/azureramp/platform/bodies.py
+++ b/src/azureramp/platform/bodies.py
@@ -90,11 +90,33 @@
     address: str
     zone: str
     state: str
+    version: str = ""
     slots: int = 1
     cold_remaining_ms: float = 0.0
     born: int = msgspec.field(default=0, name="born")
 
 
+class RolloutOrderBody(msgspec.Struct, rename="pascal"):
+    """An operator's order of a roll-out.
+
+    Attributes:
+        backend: The name of the service, not of a backend server.
+        target_version: The version of the searchers' software.
+        duration_s: The time for all of it, in seconds.
+    """
+
+    target_version: str
+    backend: str = ""
+    duration_s: float = msgspec.field(default=0.0, name="DurationS")
+
+
+class RolloutStatusBody(msgspec.Struct, rename="pascal"):
+    """How far a roll-out is, for the operators."""
+
+    state: str
+    target_version: str
+
+
 class ItemBody(msgspec.Struct, rename="pascal"):
     """One item of the store, or that it was removed.
 
--- a/src/azureramp/platform/decoding.py
+++ b/src/azureramp/platform/decoding.py
@@ -15,6 +15,9 @@
 SEARCHER_PREFIX = "servers/"
 MEMBER_PREFIX = "azureramp/members/"
 BLAME_PREFIX = "azureramp/blame/"
+ROLLOUT_ORDER_PREFIX = "op/rollout/"
+ROLLOUT_STATUS_PREFIX = "status/rollout/"
+ROLLOUT_RECORD_PREFIX = "azureramp/rollouts/"
 
 REPEATABLE = "idempotent"
 """The kind of route whose requests may run more than once; every other kind,
@@ -25,6 +28,14 @@
     "draining": catalog.SearcherState.DRAINING,
 }
 
+PHASES = {
+    catalog.RolloutPhase.TRIAL: "running",
+    catalog.RolloutPhase.MOVING: "running",
+    catalog.RolloutPhase.COMPLETED: "completed",
+    catalog.RolloutPhase.ROLLED_BACK: "rolled_back",
+}
+"""What operators are told of the phase of a roll-out."""
+
 _SENDABLE = re.compile(r"[!-~]+")
 """Names that can stand in a header as they are. A line's end in one would let
 whoever writes such an entry put headers into every call."""
@@ -33,6 +44,8 @@
 _searcher_decoder = msgspec.json.Decoder(bodies.SearcherBody)
 _member_decoder = msgspec.json.Decoder(catalog.Member)
 _blame_decoder = msgspec.json.Decoder(catalog.RequestBlamed)
+_order_decoder = msgspec.json.Decoder(bodies.RolloutOrderBody)
+_record_decoder = msgspec.json.Decoder(catalog.RolloutRecord)
 
 
 def decode(entry: store_api.Entry) -> catalog.Update | None:
@@ -57,6 +70,12 @@
             return catalog.MemberSeen(_member_decoder.decode(value))
         if key.startswith(BLAME_PREFIX) and value is not None:
             return _blame_decoder.decode(value)
+        if key.startswith(ROLLOUT_ORDER_PREFIX):
+            return _decode_order(entry)
+        if key.startswith(ROLLOUT_RECORD_PREFIX) and value is not None:
+            return catalog.RolloutRecorded(
+                _record_decoder.decode(value), entry.revision
+            )
     except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
         return catalog.Unreadable(f"{key}: {error}")
     return None
@@ -73,6 +92,32 @@
     return BLAME_PREFIX + name, msgspec.json.encode(blamed)
 
 
+def make_rollout_keys(service: str) -> tuple[str, str]:
+    """Returns the keys of a roll-out's record and of its status."""
+    return ROLLOUT_RECORD_PREFIX + service, ROLLOUT_STATUS_PREFIX + service
+
+
+def encode_rollout(record: catalog.RolloutRecord) -> tuple[bytes, bytes]:
+    """Returns the values of a roll-out's record and of its status."""
+    status = bodies.RolloutStatusBody(PHASES[record.phase], record.order.target)
+    return msgspec.json.encode(record), msgspec.json.encode(status)
+
+
+def _decode_order(entry: store_api.Entry) -> catalog.Update:
+    """Reads an operator's order of a roll-out, or that it was taken back."""
+    service = entry.key.removeprefix(ROLLOUT_ORDER_PREFIX)
+    if entry.value is None:
+        return catalog.RolloutWithdrawn(service)
+    body = _order_decoder.decode(entry.value)
+    if not body.target_version:
+        return catalog.Unreadable(f"{entry.key}: it names no version")
+    return catalog.RolloutOrdered(
+        catalog.RolloutOrder(
+            service, body.target_version, body.duration_s, entry.revision
+        )
+    )
+
+
 def _decode_searcher(name: str, value: bytes | None) -> catalog.Update:
     """Reads a searcher's entry.
 
@@ -98,6 +143,7 @@
             state=state,
             cold_s=max(0.0, body.cold_remaining_ms / 1000),
             started_ms=body.born,
+            version=body.version,
         )
     )
 
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -22,6 +22,12 @@
     leaving,
     members,
     relay,
+    rollout_driver,
+    rollout_grants,
+    rollout_reports,
+    rollout_situations,
+    rollout_writer,
+    rollouts,
     roster,
     searchers,
 )
@@ -31,6 +37,8 @@
 from azureramp.platform import answers, decoding, headers, settings, store
 from azureramp.policy import relaying
 from azureramp.ports.relays import http as relays_http
+from azureramp.ports.rollouts import api as rollouts_api
+from azureramp.ports.rollouts import http as rollouts_http
 from azureramp.ports.store import counting
 from azureramp.ports.web import api as web_api
 from azureramp.ports.web import request_reader
@@ -61,18 +69,23 @@
 
     Attributes:
         board: The state of the process.
+        rollouts: The roll-outs that it knows.
     """
 
     __slots__ = (
         "_answers",
         "_applying",
         "_crashes",
+        "_driver",
+        "_drivers",
         "_feed",
         "_front",
+        "_grants",
         "_limits",
         "_members",
         "_relay",
         "_relays",
+        "_reports",
         "_roster",
         "_searchers",
         "_servers",
@@ -80,6 +93,7 @@
         "_store",
         "_tasks",
         "board",
+        "rollouts",
     )
 
     def __init__(
@@ -87,6 +101,7 @@
         given: settings.Settings,
         lines: logs.LineWriter | None = None,
         seed: int | None = None,
+        clock: rollout_situations.Clock = time.time,
     ) -> None:
         """Joins the parts of a process; see `run`.
 
@@ -94,18 +109,26 @@
             given: The settings.
             lines: Writes the logs; None if they go elsewhere.
             seed: Makes its draws repeat; None for another at each start.
+            clock: Returns the time of day.
         """
         loop = asyncio.get_running_loop()
-        rng = random.Random(
-            f"{given.identity.vm}/{time.time_ns() if seed is None else seed}"
-        )
+        start = time.time_ns() if seed is None else seed
+        rng = random.Random(f"{given.identity.vm}/{start}")
         counters = sending.make_metrics(given.own.statsd_address)
         board = board_module.Board(
             given.identity, given.bounds, counters, loop.time()
         )
         contacts = contact.Contacts(board)
         log = change_log.ChangeLog()
-        known = searchers.Searchers(board, headers.Codec(), rng, log)
+        self._drivers = rollouts_http.HttpDrivers()
+        process = rollout_driver.make_process_name(given.identity.vm, start)
+        self.rollouts = rollouts.Rollouts(board)
+        self._reports = rollout_reports.Reports(
+            board, self.rollouts, self._drivers, process
+        )
+        known = searchers.Searchers(
+            board, headers.Codec(), rng, log, self.rollouts
+        )
         self._settings = given
         self.board = board
         self._store = counting.CountingBatchStore(
@@ -144,9 +167,26 @@
             self._members,
             contacts,
             log,
+            self.rollouts,
         )
         self._applying.on_configuration = self._follow_configuration
         self._relay = relay.Relay(board, copy, self._roster, contacts)
+        situations = rollout_situations.Situations(board, self.rollouts, clock)
+        self._grants = rollout_grants.Grants(board, situations)
+        self._driver = rollout_driver.Driver(
+            board,
+            self.rollouts,
+            self._reports,
+            self._grants,
+            situations,
+            rollout_writer.Writer(
+                self._store,
+                copy,
+                decoding.make_rollout_keys,
+                decoding.encode_rollout,
+                contacts,
+            ),
+        )
         self._relays = relays_http.HttpRelays()
         self._feed = feed.Feed(
             board,
@@ -188,7 +228,7 @@
         for address, handler in (
             (given.ready_address, self._answers.handle_readiness),
             (given.directory_address, self._answers.handle_resolve),
-            (given.identity.peer_address, self._relay.handle),
+            (given.identity.peer_address, self._handle_peer),
             (
                 f"{host}:{metrics_port}" if metrics_port else "",
                 self._answers.handle_metrics,
@@ -198,6 +238,12 @@
                 servers.append(web_server.Server(address, handler))
         return tuple(servers)
 
+    async def _handle_peer(self, request: web_api.Request) -> web_api.Response:
+        """Answers another VM."""
+        if request.path == rollouts_api.REPORTS_PATH:
+            return await self._grants.handle(request)
+        return await self._relay.handle(request)
+
     async def run(self) -> int:
         """Serves until SIGTERM; returns the exit code."""
         stopping = asyncio.Event()
@@ -231,6 +277,7 @@
                 "roster": self._roster.run,
                 "crashes": self._crashes.run,
                 "shares": self._searchers.run,
+                "rollouts": self._driver.run,
             }
         for name, run in loops.items():
             self._tasks.append(asyncio.create_task(_keep_running(name, run)))
@@ -249,6 +296,10 @@
         _logger.info("stopped; {} requests cut", cut)
         return cut
 
+    def list_servers(self) -> tuple[web_server.Server, ...]:
+        """Lists the servers of what the process serves."""
+        return self._servers
+
     async def kill(self) -> None:
         """Ends at once."""
         for task in self._tasks:
@@ -257,7 +308,10 @@
             await asyncio.wait(self._tasks)
         for server in self._servers:
             await server.stop(0.0)
+        self._driver.close()
+        self._reports.close()
         self._searchers.close()
+        await self._drivers.close()
         await self._relays.close()
         await self._store.close()
 
--- a/src/azureramp/platform/settings.py
+++ b/src/azureramp/platform/settings.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from azureramp.controllers.forwarding import board
-from azureramp.policy import allowances
+from azureramp.policy import allowances, exposure
 
 
 class ListenBody(msgspec.Struct, rename="pascal"):
@@ -43,6 +43,10 @@
         retry_budget_slack: Extra calls allowed whatever the requests.
         grace_s: Time from SIGTERM to SIGKILL.
         ttl_max_s: Longest that callers keep an address answer.
+        exposure_share: Most requests to a new version of a service that isn't
+            proved, as a share of all.
+        exposure_slack: Requests added to that.
+        rollback_ms: Time from the 50th bad answer to the last request.
     """
 
     retry_budget_ratio: float = 0.1
@@ -52,6 +56,9 @@
     cold_slack: float = 0.0
     grace_s: float = msgspec.field(default=6.0, name="GraceS")
     ttl_max_s: float = msgspec.field(default=5.0, name="ttl_max_s")
+    exposure_share: float = 0.05
+    exposure_slack: float = 0.0
+    rollback_ms: float = 5_000.0
 
 
 class ProcessLimitsBody(msgspec.Struct, rename="pascal"):
@@ -248,6 +255,8 @@
         "Bounds.RetryBudgetSlack": bounds.retry_budget_slack,
         "Bounds.ColdOverage": bounds.cold_overage,
         "Bounds.ColdSlack": bounds.cold_slack,
+        "Bounds.ExposureShare": bounds.exposure_share,
+        "Bounds.ExposureSlack": bounds.exposure_slack,
     }
     for field, number in numbers.items():
         if number < 0:
@@ -256,6 +265,7 @@
         "Bounds.BudgetWindowS": bounds.budget_window_s,
         "Bounds.GraceS": bounds.grace_s,
         "Bounds.ttl_max_s": bounds.ttl_max_s,
+        "Bounds.RollbackMs": bounds.rollback_ms,
     }
     for field, number in spans.items():
         if number <= 0:
@@ -290,6 +300,11 @@
             cold_slack=bounds.cold_slack,
             grace_s=bounds.grace_s,
             address_lifetime_s=bounds.ttl_max_s,
+            exposure=exposure.Terms(
+                share=bounds.exposure_share,
+                fixed=bounds.exposure_slack,
+                stop_s=bounds.rollback_ms / 1000,
+            ),
         ),
         front_address=listen.front if serves_callers else "",
         ready_address=listen.ready if serves_callers else "",
--- /dev/null
+++ b/src/azureramp/ports/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Reports to the VM that drives a roll-out."""
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -111,3 +111,59 @@
     assert decode("op/evacuate/z", None) == catalog.ZoneEvacuated("z", False)
     assert decode("azureramp/members/v", None) == catalog.MemberGone("v")
     assert decode("status/else", {}) is None
+
+
+def test_a_searcher_s_version() -> None:
+    update = decode("servers/i-1", SEARCHER | {"Version": "v2"})
+    assert isinstance(update, catalog.SearcherSeen)
+    assert update.searcher.version == "v2"
+
+
+def test_an_order_of_a_roll_out_and_its_withdrawal() -> None:
+    body = {"Backend": "s", "TargetVersion": "v2", "DurationS": 12}
+    assert decode("op/rollout/s", body) == catalog.RolloutOrdered(
+        catalog.RolloutOrder("s", "v2", 12.0, 1)
+    )
+    assert decode("op/rollout/s", None) == catalog.RolloutWithdrawn("s")
+
+
+@pytest.mark.parametrize("body", [{}, {"TargetVersion": ""}, [1], "x"])
+def test_an_order_that_cannot_be_read_is_said_so(body: Any) -> None:
+    assert isinstance(decode("op/rollout/s", body), catalog.Unreadable)
+
+
+@pytest.mark.parametrize(
+    ("phase", "state"),
+    [
+        (catalog.RolloutPhase.TRIAL, "running"),
+        (catalog.RolloutPhase.MOVING, "running"),
+        (catalog.RolloutPhase.COMPLETED, "completed"),
+        (catalog.RolloutPhase.ROLLED_BACK, "rolled_back"),
+    ],
+)
+def test_a_roll_out_s_record_is_read_as_written_and_its_status_is_told(
+    phase: catalog.RolloutPhase, state: str
+) -> None:
+    record = catalog.RolloutRecord(
+        order=catalog.RolloutOrder("s", "v2", 12.0, 9),
+        phase=phase,
+        old=("v1",),
+        barred=("v0",),
+        driver="vm#1",
+        driver_address="10.0.0.1:80",
+        age_s=1.5,
+        written_ms=17,
+        requests=100,
+        reserved=20,
+        usual={"route": 0.02},
+        reason="it begins",
+    )
+    key, status_key = decoding.make_rollout_keys("s")
+    value, status = decoding.encode_rollout(record)
+    found = decoding.decode(api.Entry(key, value, 5))
+    assert found == catalog.RolloutRecorded(record, 5)
+    assert status_key == "status/rollout/s"
+    assert msgspec.json.decode(status) == {
+        "State": state,
+        "TargetVersion": "v2",
+    }
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -26,6 +26,9 @@
 RetryBudgetSlack = 56
 GraceS = 6
 ttl_max_s = 5
+ExposureShare = 0.1
+ExposureSlack = 50
+RollbackMs = 4000
 [platform]
 Address = "10.200.1.7:8102"
 """
@@ -51,6 +54,9 @@
     assert given.identity.cores == 1.0
     assert given.identity.first_start
     assert given.bounds.extra.fixed == 56
+    assert given.bounds.exposure.share == 0.1
+    assert given.bounds.exposure.fixed == 50
+    assert given.bounds.exposure.stop_s == 4.0
     assert given.store_address == "10.200.1.7:8102"
 
 
@@ -58,6 +64,7 @@
     start, end = TEXT.index("[Bounds]"), TEXT.index("[platform]")
     given = read(tmp_path, TEXT[:start] + TEXT[end:])
     assert given.bounds.extra.fixed == 0
+    assert given.bounds.exposure.fixed == 0
 
 
 @pytest.mark.parametrize(
@@ -68,6 +75,8 @@
         ("BudgetWindowS = 10", "BudgetWindowS = 0", "Bounds.BudgetWindowS"),
         ("RetryBudgetRatio = 0.2", "RetryBudgetRatio = -1", "RetryBudget"),
         ('Node = "vm-1"', "", "node"),
+        ("ExposureShare = 0.1", "ExposureShare = -1", "ExposureShare"),
+        ("RollbackMs = 4000", "RollbackMs = 0", "RollbackMs"),
         ("GraceS = 6", 'GraceS = "six"', "Bounds.GraceS"),
         ("[Limits]", "[Limits", "settings.toml"),
     ],
