--- a/src/azureramp_standins/fleet/deployment.py
+++ b/src/azureramp_standins/fleet/deployment.py
@@ -7,11 +7,12 @@
 from typing import Any
 
 import expression
+import msgspec
 
 from azureramp import errors
 from azureramp.controllers.forwarding import board
 from azureramp.platform import program, settings
-from azureramp.policy import allowances
+from azureramp.policy import allowances, exposure
 from azureramp.ports.web import api as web_api
 from azureramp.ports.web import connection as web_connection
 from azureramp_standins.fleet import searcher, store
@@ -55,6 +56,7 @@
             },
         }
         self._ids = itertools.count(1)
+        self._starts = itertools.count(1)
 
     async def start(self) -> None:
         """Starts the store."""
@@ -72,15 +74,41 @@
             }
         )
         for index in range(count):
-            number = len(self.searchers)
-            name = f"{service}-{index}"
-            address = f"127.0.0.1:{20000 + number}"
-            started = searcher.Searcher(
-                name, service, address, f"zone-{index % 2}"
+            await self.add_searcher(
+                f"{service}-{index}", service, f"zone-{index % 2}"
             )
-            await started.start()
-            self.searchers[name] = started
-            self.store.put(f"servers/{name}", started.describe())
+
+    async def add_searcher(
+        self, name: str, service: str, zone: str, version: str = "v1"
+    ) -> searcher.Searcher:
+        """Starts one more searcher of a service."""
+        address = f"127.0.0.1:{20000 + len(self.searchers)}"
+        started = searcher.Searcher(name, service, address, zone, version)
+        await started.start()
+        self.searchers[name] = started
+        self.store.put(f"servers/{name}", started.describe())
+        return started
+
+    def order_rollout(
+        self, service: str, target: str, duration_s: float
+    ) -> int:
+        """Orders a roll-out as an operator would; returns its revision."""
+        return self.store.put(
+            f"op/rollout/{service}",
+            {
+                "Backend": service,
+                "TargetVersion": target,
+                "DurationS": duration_s,
+            },
+        )
+
+    def read_rollout(self, service: str) -> str:
+        """Returns the state of a roll-out as operators see it."""
+        entry = self.store.state.read(f"status/rollout/{service}")
+        if entry is None or entry.value is None:
+            return ""
+        state: str = msgspec.json.decode(entry.value)["State"]
+        return state
 
     def add_route(self, prefix: str, **fields: Any) -> None:
         """Declares a route; see the platform's page for the fields."""
@@ -104,12 +132,26 @@
         self.store.put("op/config", self.configuration)
 
     async def add_vm(
-        self, vm: str, zone: str = "zone-0", base: int = 0
+        self,
+        vm: str,
+        zone: str = "zone-0",
+        base: int = 0,
+        first: bool = True,
     ) -> program.Program:
-        """Starts a daemon, with ports from `base` on if that is given."""
+        """Starts a daemon.
+
+        Args:
+            vm: The VM's name.
+            zone: Its availability zone.
+            base: Its first port; 0 for ports of its own.
+            first: True if the whole tier starts for the first time.
+        """
         base = base or 30000 + 10 * len(self.programs)
-        given = make_settings(vm, zone, base)
-        started = program.Program(given, seed=self._seed)
+        given = make_settings(vm, zone, base, first)
+        # A process that starts again draws otherwise than the one before.
+        seed = self._seed + next(self._starts) if not first else self._seed
+        clock = asyncio.get_running_loop().time
+        started = program.Program(given, seed=seed, clock=clock)
         await started.start()
         self.programs[vm] = started
         return started
@@ -157,7 +199,9 @@
         await asyncio.sleep(CLOSING_S)
 
 
-def make_settings(vm: str, zone: str, base: int) -> settings.Settings:
+def make_settings(
+    vm: str, zone: str, base: int, first: bool = True
+) -> settings.Settings:
     """Makes the settings of a daemon with ports from `base` on."""
     return settings.Settings(
         identity=board.Identity(
@@ -166,7 +210,7 @@
             front_address=f"127.0.0.1:{base}",
             peer_address=f"127.0.0.1:{base + 3}",
             cores=1.0,
-            first_start=True,
+            first_start=first,
         ),
         bounds=board.Bounds(
             extra=allowances.Terms(ratio=0.2, window_s=10.0, fixed=56.0),
@@ -174,6 +218,7 @@
             cold_slack=5.0,
             grace_s=6.0,
             address_lifetime_s=5.0,
+            exposure=exposure.Terms(share=0.1, fixed=50.0, stop_s=5.0),
         ),
         front_address=f"127.0.0.1:{base}",
         ready_address=f"127.0.0.1:{base + 1}",
--- a/src/azureramp_standins/fleet/searcher.py
+++ b/src/azureramp_standins/fleet/searcher.py
@@ -82,17 +82,25 @@
         service: The name of its service.
         address: Its `IP:port`.
         zone: Its availability zone.
+        version: The version of its software.
         script: Decides what to do with each request.
         seen: What reached it.
         connections: How many connections it accepted.
         open: How many are open.
+        running: How many requests it works on.
         most_open: How many it accepts; it resets what comes beyond.
     """
 
     def __init__(
-        self, name: str, service: str, address: str, zone: str
+        self,
+        name: str,
+        service: str,
+        address: str,
+        zone: str,
+        version: str = "v1",
     ) -> None:
         """Makes a searcher that answers at once; see `start`."""
+        self.version = version
         self.id = name
         self.service = service
         self.address = address
@@ -101,6 +109,7 @@
         self.seen: list[Seen] = []
         self.connections = 0
         self.open = 0
+        self.running = 0
         self.most_open = 1_000_000
         self.cancelled: collections.Counter[str] = collections.Counter()
         self._server: asyncio.Server | None = None
@@ -129,7 +138,7 @@
             "Backend": self.service,
             "Address": self.address,
             "Zone": self.zone,
-            "Version": "v1",
+            "Version": self.version,
             "Slots": 2,
             "State": "ready",
             "ColdRemainingMs": 0,
@@ -176,7 +185,9 @@
             act = Act(status=421, signed=False)
         work = asyncio.ensure_future(asyncio.sleep(act.after_s))
         gone = asyncio.ensure_future(reader.read(1))
+        self.running += 1
         await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
+        self.running -= 1
         if not work.done():
             work.cancel()
             self.cancelled[seen.id] += 1
--- /dev/null
+++ b/src/azureramp_standins/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Plays roll-outs of good and bad versions in virtual time."""
--- /dev/null
+++ b/tests/forwarding/test_misdirected.py
@@ -0,0 +1,71 @@
+"""Addresses that another searcher has got."""
+
+from __future__ import annotations
+
+import asyncio
+
+from azureramp_standins.fleet import deployment, searcher
+from tests.forwarding import scenes
+
+
+def reuse(scene: deployment.Deployment, name: str) -> None:
+    """Lets another searcher live at a searcher's address."""
+    scene.searchers[name].id = "another"
+
+
+def test_a_reused_address_costs_no_answer_and_is_left_alone() -> None:
+    """Guards against requests that a searcher of another service runs."""
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        reuse(scene, "statements-0")
+        for number in range(12):
+            answer = await scene.ask("vm-0", "/once/x", "POST", b"%d" % number)
+            assert answer.status == 200
+        refused = scene.searchers["statements-0"].seen
+        assert len(refused) <= 1
+        record = scene.programs["vm-0"].board.targets["statements-0"].record
+        assert record.failures == 0
+
+    scenes.run(scenario)
+
+
+def test_a_refusal_there_is_no_bad_answer_of_the_version_on_trial() -> None:
+    """Guards against a roll-back because of an address used again."""
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        scene.order_rollout("statements", "v2", 60.0)
+        for index in range(2):
+            await scene.add_searcher(
+                f"new-{index}", "statements", "zone-0", "v2"
+            )
+        reuse(scene, "new-0")
+        for _ in range(60):
+            assert (await scene.ask("vm-0", "/one/x")).status == 200
+            await asyncio.sleep(0.05)
+        running = scene.programs["vm-0"].rollouts.running["statements"]
+        tallies = {
+            name: tally for (_, name), tally in running.tallies.items() if name
+        }
+        assert set(tallies) == {"new-1"}
+        assert tallies["new-1"].bad == 0
+
+    scenes.run(scenario)
+
+
+def test_a_refused_request_is_503_and_true_where_nobody_else_is_left() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        for name in ("statements-0", "statements-1"):
+            reuse(scene, name)
+        answer = await scene.ask("vm-0", "/once/x", "POST", b"1")
+        assert answer.status == 503
+        assert scenes.get_headers(answer)["retry-after"]
+        both = [scene.searchers[f"statements-{n}"] for n in range(2)]
+        assert all(_was_refused(each) for each in both)
+
+    scenes.run(scenario)
+
+
+def _was_refused(each: searcher.Searcher) -> bool:
+    """Tells whether all that reached a searcher named another one."""
+    wanted = "azureramp-target-instance"
+    return all(seen.headers[wanted] != each.id for seen in each.seen)
--- /dev/null
+++ b/tests/forwarding/test_rollouts.py
@@ -0,0 +1,229 @@
+"""Roll-outs on whole VMs: bad versions, faults beside them, odd orders."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+
+import pytest
+
+from azureramp_standins.fleet import deployment, searcher
+from azureramp_standins.rollouts import play, versions
+from tests.forwarding import scenes
+
+KIND = versions.Kind
+FAULT = play.Fault
+BAD = [kind for kind in KIND if kind is not KIND.GOOD]
+
+
+def check(plan: play.Plan, state: str) -> play.Outcome:
+    outcome = play.play(plan)
+    assert outcome.broken == ()
+    assert outcome.state == state
+    assert outcome.ended_s <= play.DURATION_S
+    return outcome
+
+
+@pytest.mark.parametrize("vms", [1, 3, 12])
+def test_a_good_version_is_completed_and_no_caller_notices(vms: int) -> None:
+    outcome = check(play.Plan(vms, 1, KIND.GOOD), "completed")
+    assert outcome.served == 1.0
+    assert outcome.cut == 0
+
+
+@pytest.mark.parametrize("kind", BAD)
+def test_a_bad_version_is_rolled_back_within_its_exposure(kind: KIND) -> None:
+    check(play.Plan(3, 2, kind), "rolled_back")
+
+
+@pytest.mark.parametrize(
+    "fault", [each for each in FAULT if each.value != "none"]
+)
+def test_a_failing_version_is_rolled_back_beside_a_fault(fault: FAULT) -> None:
+    """Guards against a fault that lets the new version get more requests."""
+    check(play.Plan(3, 3, KIND.FAILING, fault), "rolled_back")
+
+
+@pytest.mark.parametrize(
+    "fault", [FAULT.DRIVER_KILLED, FAULT.STORE_SLOW, FAULT.OLD_SLOW]
+)
+def test_a_good_version_is_completed_beside_a_fault(fault: FAULT) -> None:
+    check(play.Plan(3, 4, KIND.GOOD, fault), "completed")
+
+
+def test_all_vms_killed_leave_no_bad_version_in_use() -> None:
+    """Guards against evidence that is lost with all VMs.
+
+    Without it a slow version was completed at the end of its time.
+    """
+    check(play.Plan(3, 2012, KIND.SLOW, FAULT.ALL_KILLED), "rolled_back")
+
+
+async def send(
+    scene: deployment.Deployment, target: str, seconds: float
+) -> int:
+    """Sends 20 requests a second; returns how many were not served."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + seconds
+    failed = 0
+    while loop.time() < until_s:
+        answer = await scene.ask("vm-0", target)
+        failed += answer.status != 200
+        await asyncio.sleep(0.045)
+    return failed
+
+
+def count_calls(scene: deployment.Deployment) -> collections.Counter[str]:
+    """Counts the requests that reached searchers, by version."""
+    return collections.Counter(
+        {
+            version: sum(
+                len(each.seen)
+                for each in scene.searchers.values()
+                if each.version == version
+            )
+            for version in {each.version for each in scene.searchers.values()}
+        }
+    )
+
+
+async def add_new(
+    scene: deployment.Deployment, version: str, service: str = scenes.PLAIN
+) -> list[searcher.Searcher]:
+    return [
+        await scene.add_searcher(
+            f"{service}-{version}-{index}", service, f"zone-{index}", version
+        )
+        for index in range(2)
+    ]
+
+
+def test_a_second_order_takes_the_first_one_s_place() -> None:
+    """Guards against a version on trial that goes on getting requests."""
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        scene.order_rollout(scenes.PLAIN, "v2", 30.0)
+        await add_new(scene, "v2")
+        await send(scene, "/one/x", 3.0)
+        scene.order_rollout(scenes.PLAIN, "v3", 8.0)
+        await add_new(scene, "v3")
+        await send(scene, "/one/x", 1.0)
+        tried = count_calls(scene)
+        assert tried["v2"] > 0
+        await send(scene, "/one/x", 7.5)
+        assert scene.read_rollout(scenes.PLAIN) == "completed"
+        assert count_calls(scene)["v2"] == tried["v2"]
+        assert count_calls(scene)["v3"] > 20
+
+    scenes.run(scenario)
+
+
+def test_an_order_that_is_taken_back_is_rolled_back() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        scene.order_rollout(scenes.PLAIN, "v2", 30.0)
+        await add_new(scene, "v2")
+        await send(scene, "/one/x", 2.0)
+        scene.store.remove(f"op/rollout/{scenes.PLAIN}")
+        await send(scene, "/one/x", 1.0)
+        assert scene.read_rollout(scenes.PLAIN) == "rolled_back"
+        tried = count_calls(scene)["v2"]
+        assert await send(scene, "/one/x", 1.0) == 0
+        assert count_calls(scene)["v2"] == tried
+
+    scenes.run(scenario)
+
+
+def test_an_order_of_the_present_version_is_completed_at_once() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        scene.order_rollout(scenes.PLAIN, "v1", 12.0)
+        assert await send(scene, "/one/x", 2.0) == 0
+        assert scene.read_rollout(scenes.PLAIN) == "completed"
+        assert await send(scene, "/one/x", 1.0) == 0
+
+    scenes.run(scenario)
+
+
+def test_new_searchers_that_never_come_are_waited_for_no_longer() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        scene.order_rollout(scenes.PLAIN, "v2", 4.0)
+        assert await send(scene, "/one/x", 4.0) == 0
+        assert scene.read_rollout(scenes.PLAIN) == "rolled_back"
+
+    scenes.run(scenario)
+
+
+def test_shards_are_rolled_out_while_queries_run() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        shards = scenes.SHARDS[:2]
+        for shard in shards:
+            scene.order_rollout(shard, "v2", 8.0)
+            await add_new(scene, "v2", shard)
+        assert await send(scene, "/all/x", 7.5) == 0
+        for shard in shards:
+            assert scene.read_rollout(shard) == "completed"
+        for each in scene.searchers.values():
+            if each.service in shards and each.version == "v1":
+                assert each.running == 0
+                each.crash()
+        assert await send(scene, "/all/x", 1.0) == 0
+
+    scenes.run(scenario, vms=2)
+
+
+def test_a_vm_without_its_driver_sends_nothing_to_the_new_version() -> None:
+    """Guards against a VM out of touch that goes by an old grant."""
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        scene.order_rollout(scenes.PLAIN, "v2", 60.0)
+        await add_new(scene, "v2")
+        await send(scene, "/one/x", 3.0)
+        assert count_calls(scene)["v2"] > 0
+        for program in scene.programs.values():
+            running = program.rollouts.running[scenes.PLAIN]
+            loop = asyncio.get_running_loop()
+            sides = running.list_sides(True, loop.time() + 1.5)
+            assert [side.value for side in sides] == ["old"]
+
+    scenes.run(scenario)
+
+
+def test_a_store_that_is_read_anew_does_not_start_a_roll_out_again() -> None:
+    """Guards against a roll-out whose time begins anew with each reading."""
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        scene.order_rollout(scenes.PLAIN, "v2", 6.0)
+        await add_new(scene, "v2")
+        for _ in range(5):
+            await send(scene, "/one/x", 1.0)
+            scene.store.compact()
+        await send(scene, "/one/x", 1.0)
+        assert scene.read_rollout(scenes.PLAIN) == "completed"
+
+    scenes.run(scenario)
+
+
+def test_vms_that_restart_before_the_first_record_bar_the_old_version() -> None:
+    """Guards against requests to old searchers that end without draining."""
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        await scene.programs.pop("vm-0").kill()
+        scene.order_rollout(scenes.PLAIN, "v2", 8.0)
+        await add_new(scene, "v2")
+        await scene.add_vm("vm-0", "zone-0", 30000, first=False)
+        await deployment.settle()
+        assert await send(scene, "/one/x", 6.8) == 0
+        assert scene.read_rollout(scenes.PLAIN) == "completed"
+        before = count_calls(scene)["v1"]
+        assert await send(scene, "/one/x", 1.0) == 0
+        assert count_calls(scene)["v1"] == before
+
+    scenes.run(scenario)
+
+
+def test_without_orders_roll_outs_cost_no_call() -> None:
+    async def scenario(scene: deployment.Deployment) -> None:
+        before = scene.store.calls["/kv-txn"]
+        await send(scene, "/one/x", 5.0)
+        assert scene.store.calls["/kv-txn"] == before
+
+    scenes.run(scenario)
