--- a/src/azureramp/cli/main.py
+++ b/src/azureramp/cli/main.py
@@ -17,6 +17,7 @@
     losses,
     options,
     restore_zone,
+    rollouts,
     status,
     timeline,
     watch,
@@ -42,6 +43,7 @@
     timeline,
     explain,
     losses,
+    rollouts,
 ):
     options.name_variables(_module.command)
     group.add_command(_module.command)
--- a/src/azureramp/controllers/forwarding/rollout_driver.py
+++ b/src/azureramp/controllers/forwarding/rollout_driver.py
@@ -122,6 +122,7 @@
             _logger.exception("driving the roll-out of {} failed", service)
         finally:
             del self._grants.drives[service]
+            self._count_driven()
 
     async def _claim(self, running: rollout_view.Running) -> None:
         """Takes a roll-out over if it is this VM's turn."""
@@ -151,7 +152,14 @@
                 "driving the roll-out of {} to {}",
                 order.service,
                 order.target,
-                extra={"order": order.revision, "new": is_new},
+                extra={
+                    "service": order.service,
+                    "target": order.target,
+                    "order": order.revision,
+                    "phase": wanted.phase.value,
+                    "reason": wanted.reason,
+                    "age_s": wanted.age_s,
+                },
             )
             self._adopt(wanted, written)
 
@@ -191,10 +199,16 @@
             record, revision, self._board.bounds.exposure, now_s
         )
         self._grants.drives[record.order.service] = drive
+        self._count_driven()
         task = asyncio.create_task(self._follow(record.order.service, drive))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _count_driven(self) -> None:
+        """Sets the gauge of the roll-outs that this process drives."""
+        driven = len(self._grants.drives)
+        self._board.metrics.set_gauge("rollout.driven", driven)
+
     async def _advance(self, service: str, drive: rollout_drive.Drive) -> bool:
         """Takes the next step of a roll-out, if it is time.
 
@@ -266,7 +280,11 @@
             step.phase.value,
             step.reason,
             extra={
+                "service": situation.order.service,
+                "target": situation.order.target,
                 "order": situation.order.revision,
+                "phase": step.phase.value,
+                "reason": step.reason,
                 "age_s": round(situation.age_s, 2),
                 "calls_to_new": situation.used,
                 "calls_allowed": situation.allowed,
--- a/src/azureramp/controllers/forwarding/rollouts.py
+++ b/src/azureramp/controllers/forwarding/rollouts.py
@@ -169,8 +169,11 @@
     def note_call(self, searcher: catalog.Searcher, now_s: float) -> None:
         """Counts a call to a searcher."""
         running = self.running.get(searcher.service)
-        if running is not None:
-            running.note_call(searcher, now_s)
+        if running is None:
+            return
+        running.note_call(searcher, now_s)
+        if running.is_new(searcher):
+            self._board.metrics.count("rollout.calls")
 
     def note_end(
         self,
@@ -246,12 +249,14 @@
         else:
             self._ended.pop(order.service, None)
             self.running[order.service] = running
+        self._board.metrics.set_gauge("rollout.running", len(self.running))
         if self._board.identity.serves_callers and self.on_begin is not None:
             self.on_begin(running)
 
     def _end(self, service: str) -> None:
         """Ends following a roll-out."""
         self.running.pop(service, None)
+        self._board.metrics.set_gauge("rollout.running", len(self.running))
         if self.on_end is not None:
             self.on_end(service)
 
