--- a/src/azureramp/controllers/forwarding/rollout_drive.py
+++ b/src/azureramp/controllers/forwarding/rollout_drive.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from azureramp import catalog
+from azureramp import rollout_types
 from azureramp.policy import exposure, version_evidence
 from azureramp.ports.rollouts import api
 
-TRIAL = catalog.RolloutPhase.TRIAL
-MOVING = catalog.RolloutPhase.MOVING
+TRIAL = rollout_types.Phase.TRIAL
+MOVING = rollout_types.Phase.MOVING
 
 
 class Drive:
@@ -47,7 +47,7 @@
 
     def __init__(
         self,
-        record: catalog.RolloutRecord,
+        record: rollout_types.Record,
         revision: int,
         terms: exposure.Terms,
         now_s: float,
--- a/src/azureramp/controllers/forwarding/rollout_driver.py
+++ b/src/azureramp/controllers/forwarding/rollout_driver.py
@@ -13,14 +13,13 @@
 
 import logbook
 
-from azureramp import catalog
+from azureramp import rollout_types
 from azureramp.controllers.forwarding import board as board_module
 from azureramp.controllers.forwarding import (
     rollout_drive,
     rollout_grants,
     rollout_reports,
     rollout_situations,
-    rollout_view,
     rollout_writer,
     rollouts,
 )
@@ -32,13 +31,6 @@
 RETRY_S = 0.3
 """Pause after a write that failed, in seconds."""
 
-CLAIM_STEP_S = 0.5
-"""How much longer each further VM waits to drive a roll-out that nobody drives,
-in seconds."""
-
-SILENT_S = 1.5
-"""How long a driver must be silent before it is replaced, in seconds."""
-
 ENDED_S = 5.0
 """How long the driver still answers once the roll-out has ended, in seconds."""
 
@@ -50,13 +42,11 @@
 
     __slots__ = (
         "_board",
-        "_claiming",
         "_grants",
         "_process",
         "_rollouts",
         "_situations",
         "_tasks",
-        "_wanted",
         "_writer",
     )
 
@@ -69,7 +59,7 @@
         situations: rollout_situations.Situations,
         writer: rollout_writer.Writer,
     ) -> None:
-        """Makes one that drives nothing; see `run`.
+        """Makes one that drives nothing; see `adopt`.
 
         Args:
             board: The state.
@@ -84,27 +74,24 @@
         self._grants = grants
         self._situations = situations
         self._writer = writer
-        self._claiming: dict[str, rollout_view.Running] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._wanted = asyncio.Event()
         self._process = reports.process
         reports.drive = grants.take
-        reports.on_silent = self.consider
-
-    def consider(self, running: rollout_view.Running) -> None:
-        """Notes a roll-out that nobody seems to drive."""
-        self._claiming[running.order.service] = running
-        self._wanted.set()
 
-    async def run(self) -> None:
-        """Takes over roll-outs that nobody drives, forever."""
-        while True:
-            self._wanted.clear()
-            if not self._claiming:
-                await self._wanted.wait()
-            claiming = list(self._claiming.values())
-            self._claiming.clear()
-            await asyncio.gather(*(self._claim(each) for each in claiming))
+    def adopt(self, record: rollout_types.Record, revision: int) -> None:
+        """Begins to drive a roll-out that names this process."""
+        if record.has_ended() or record.order.service in self._grants.drives:
+            return
+        now_s = asyncio.get_running_loop().time()
+        self._rollouts.take_record(record, revision)
+        drive = rollout_drive.Drive(
+            record, revision, self._board.bounds.exposure, now_s
+        )
+        self._grants.drives[record.order.service] = drive
+        self._count_driven()
+        task = asyncio.create_task(self._follow(record.order.service, drive))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def close(self) -> None:
         """Ends driving."""
@@ -124,86 +111,6 @@
             del self._grants.drives[service]
             self._count_driven()
 
-    async def _claim(self, running: rollout_view.Running) -> None:
-        """Takes a roll-out over if it is this VM's turn."""
-        order = running.order
-        if order.service in self._grants.drives:
-            return
-        now_s = asyncio.get_running_loop().time()
-        record = self._rollouts.get_record(order.service)
-        is_new = record is None or record.order != order
-        if not self._is_turn(running, None if is_new else record, now_s):
-            return
-        if is_new:
-            wanted = self._situations.begin(order, record, now_s)
-        else:
-            assert record is not None
-            wanted = self._situations.stamp(record, now_s, reason=record.reason)
-        wanted = dataclasses.replace(
-            wanted,
-            driver=self._process,
-            driver_address=self._board.identity.peer_address,
-        )
-        written = await self._writer.write(
-            wanted, self._writer.get_revision(order.service)
-        )
-        if written is not None:
-            _logger.info(
-                "driving the roll-out of {} to {}",
-                order.service,
-                order.target,
-                extra={
-                    "service": order.service,
-                    "target": order.target,
-                    "order": order.revision,
-                    "phase": wanted.phase.value,
-                    "reason": wanted.reason,
-                    "age_s": wanted.age_s,
-                },
-            )
-            self._adopt(wanted, written)
-
-    def _is_turn(
-        self,
-        running: rollout_view.Running,
-        record: catalog.RolloutRecord | None,
-        now_s: float,
-    ) -> bool:
-        """Tells whether this VM should take a roll-out over now."""
-        board = self._board
-        if board.leaving or not board.contact.reachable:
-            return False
-        silent = ""
-        wait_s = 0.0
-        if record is not None:
-            silent = get_vm(record.driver)
-            wait_s = SILENT_S
-            if record.driver == self._process:
-                # Its own claim, whose answer was lost.
-                known = self._rollouts.records[running.order.service]
-                self._adopt(known.record, known.revision)
-                return False
-        vm = board.identity.vm
-        ranked = policy.rank_drivers(board.members.values(), silent)
-        rank = ranked.index(vm) if vm in ranked else len(ranked)
-        wait_s += rank * CLAIM_STEP_S
-        return now_s - running.silent_s >= wait_s
-
-    def _adopt(self, record: catalog.RolloutRecord, revision: int) -> None:
-        """Begins to drive a roll-out that names this process."""
-        if record.has_ended() or record.order.service in self._grants.drives:
-            return
-        now_s = asyncio.get_running_loop().time()
-        self._rollouts.take_record(record, revision)
-        drive = rollout_drive.Drive(
-            record, revision, self._board.bounds.exposure, now_s
-        )
-        self._grants.drives[record.order.service] = drive
-        self._count_driven()
-        task = asyncio.create_task(self._follow(record.order.service, drive))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     def _count_driven(self) -> None:
         """Sets the gauge of the roll-outs that this process drives."""
         driven = len(self._grants.drives)
@@ -251,7 +158,7 @@
     ) -> None:
         """Writes a step and goes on from there."""
         takes_away = (
-            catalog.RolloutPhase.ROLLED_BACK,
+            rollout_types.Phase.ROLLED_BACK,
             rollout_drive.TRIAL,
         )
         if step.phase in takes_away and drive.phase is not step.phase:
@@ -267,7 +174,7 @@
             # What is sent from now on isn't granted call by call.
             reserved = max(wanted.reserved, situation.allowed)
             wanted = dataclasses.replace(wanted, reserved=reserved)
-        if step.phase is catalog.RolloutPhase.COMPLETED:
+        if step.phase is rollout_types.Phase.COMPLETED:
             wanted = dataclasses.replace(
                 wanted, old=self._list_left(wanted.order)
             )
@@ -297,13 +204,13 @@
             },
         )
 
-    def _list_left(self, order: catalog.RolloutOrder) -> tuple[str, ...]:
+    def _list_left(self, order: rollout_types.Order) -> tuple[str, ...]:
         """Lists the versions that a service leaves behind."""
         versions = self._rollouts.list_versions(order.service)
         return tuple(sorted(versions - {order.target}))
 
     async def _put(
-        self, drive: rollout_drive.Drive, wanted: catalog.RolloutRecord
+        self, drive: rollout_drive.Drive, wanted: rollout_types.Record
     ) -> bool:
         """Writes a record over the one that this process knows."""
         now_s = asyncio.get_running_loop().time()
@@ -321,7 +228,7 @@
     def _take_written(
         self,
         drive: rollout_drive.Drive,
-        record: catalog.RolloutRecord,
+        record: rollout_types.Record,
         revision: int,
     ) -> None:
         """Takes a record that was written."""
@@ -337,11 +244,6 @@
             drive.ended_s = now_s
 
 
-def get_vm(process: str) -> str:
-    """Returns the VM of a process by its name in reports."""
-    return process.rpartition("#")[0]
-
-
 def make_process_name(vm: str, start: int) -> str:
     """Makes a process's name in reports, another one at each start."""
     return f"{vm}#{start:x}"
--- a/src/azureramp/controllers/forwarding/rollout_reports.py
+++ b/src/azureramp/controllers/forwarding/rollout_reports.py
@@ -8,7 +8,7 @@
 
 import expression
 
-from azureramp import catalog, errors
+from azureramp import errors, rollout_types
 from azureramp.controllers.forwarding import board as board_module
 from azureramp.controllers.forwarding import rollout_view, rollouts
 from azureramp.ports.rollouts import api
@@ -116,7 +116,7 @@
             sends: True if there were calls since the last report.
         """
         now_s = asyncio.get_running_loop().time()
-        moving = running.get_phase(now_s) is catalog.RolloutPhase.MOVING
+        moving = running.get_phase(now_s) is rollout_types.Phase.MOVING
         silent = now_s - running.silent_s > REPORT_S
         if sends or silent or (moving and not running.has_moved):
             return REPORT_S
@@ -125,7 +125,7 @@
         return IDLE_S + IDLE_VM_S * len(self._board.members)
 
     async def _report(
-        self, running: rollout_view.Running, record: catalog.RolloutRecord
+        self, running: rollout_view.Running, record: rollout_types.Record
     ) -> None:
         """Reports once."""
         loop = asyncio.get_running_loop()
@@ -160,7 +160,7 @@
             )
             for (route, searcher), tally in running.tallies.items()
         )
-        moving = running.get_phase(now_s) is catalog.RolloutPhase.MOVING
+        moving = running.get_phase(now_s) is rollout_types.Phase.MOVING
         running.has_moved = moving and not self._has_calls_at_old(running)
         return api.Report(
             self.process,
--- a/src/azureramp/controllers/forwarding/rollout_situations.py
+++ b/src/azureramp/controllers/forwarding/rollout_situations.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import Callable
 
-from azureramp import catalog
+from azureramp import catalog, rollout_types
 from azureramp.controllers.forwarding import board as board_module
 from azureramp.controllers.forwarding import rollout_drive, rollouts
 from azureramp.policy import exposure
@@ -96,19 +96,19 @@
 
     def begin(
         self,
-        order: catalog.RolloutOrder,
-        before: catalog.RolloutRecord | None,
+        order: rollout_types.Order,
+        before: rollout_types.Record | None,
         now_s: float,
-    ) -> catalog.RolloutRecord:
+    ) -> rollout_types.Record:
         """Makes the record of a roll-out that begins."""
         present = self._rollouts.get_present(order.service)
         old, barred = policy.start(order, before, present)
         phase = rollout_drive.TRIAL
         reason = "it begins"
         if policy.is_present(order, before, present):
-            phase = catalog.RolloutPhase.COMPLETED
+            phase = rollout_types.Phase.COMPLETED
             reason = "the service runs this version already"
-        record = catalog.RolloutRecord(
+        record = rollout_types.Record(
             order=order,
             phase=phase,
             old=old,
@@ -125,8 +125,8 @@
         return self.stamp(record, now_s, reason)
 
     def stamp(
-        self, record: catalog.RolloutRecord, now_s: float, reason: str
-    ) -> catalog.RolloutRecord:
+        self, record: rollout_types.Record, now_s: float, reason: str
+    ) -> rollout_types.Record:
         """Returns a record with its age as of now."""
         return dataclasses.replace(
             record,
@@ -137,7 +137,7 @@
 
     def stamp_drive(
         self, drive: rollout_drive.Drive, now_s: float
-    ) -> catalog.RolloutRecord:
+    ) -> rollout_types.Record:
         """Returns the record with what is known now."""
         record = self.stamp(drive.record, now_s, drive.record.reason)
         allowed = exposure.count_allowed(
@@ -177,7 +177,7 @@
             return False
         return self.count_trial(drive, now_s) > drive.record.reserved
 
-    def _get_age_s(self, record: catalog.RolloutRecord, now_s: float) -> float:
+    def _get_age_s(self, record: rollout_types.Record, now_s: float) -> float:
         """Returns how long ago a roll-out was ordered, in seconds.
 
         A VM that saw the order goes by its own clock. One that started since
--- a/src/azureramp/controllers/forwarding/rollout_view.py
+++ b/src/azureramp/controllers/forwarding/rollout_view.py
@@ -12,7 +12,7 @@
 import math
 from collections.abc import Mapping
 
-from azureramp import catalog
+from azureramp import catalog, rollout_types
 from azureramp.policy import rollouts as policy
 from azureramp.ports.rollouts import api
 
@@ -117,7 +117,7 @@
 
     def __init__(
         self,
-        order: catalog.RolloutOrder,
+        order: rollout_types.Order,
         versions: policy.Versions,
         now_s: float,
     ) -> None:
@@ -140,7 +140,7 @@
         self._grant = grant
         self._good_until_s = asked_s + grant.good_ms / 1000
 
-    def get_phase(self, now_s: float) -> catalog.RolloutPhase | None:
+    def get_phase(self, now_s: float) -> rollout_types.Phase | None:
         """Returns the phase by the last grant; None if that has run out."""
         if self._grant is None or now_s >= self._good_until_s:
             return None
@@ -155,13 +155,13 @@
             now_s: The time.
         """
         match self.get_phase(now_s):
-            case catalog.RolloutPhase.TRIAL:
+            case rollout_types.Phase.TRIAL:
                 if is_first and self._has_grant_left():
                     return (Side.NEW, Side.OLD)
                 return (Side.OLD,)
-            case catalog.RolloutPhase.MOVING:
+            case rollout_types.Phase.MOVING:
                 return (Side.NEW, Side.OLD)
-            case catalog.RolloutPhase.COMPLETED:
+            case rollout_types.Phase.COMPLETED:
                 return (Side.NEW,)
             case _:
                 return (Side.OLD,)
@@ -176,7 +176,7 @@
         if not self.is_new(searcher):
             return
         self.spent += 1
-        trial = catalog.RolloutPhase.TRIAL
+        trial = rollout_types.Phase.TRIAL
         if self.get_phase(now_s) is trial and not self._has_grant_left():
             self.wanted.set()
 
--- a/src/azureramp/controllers/forwarding/rollout_writer.py
+++ b/src/azureramp/controllers/forwarding/rollout_writer.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-from azureramp import catalog
+from azureramp import rollout_types
 from azureramp.controllers.forwarding import contact
 from azureramp.policy import relaying
 from azureramp.ports.store import api as store_api
@@ -14,7 +14,7 @@
 Keys = Callable[[str], tuple[str, str]]
 """Returns the keys of the record and of the status of a service's roll-out."""
 
-Encode = Callable[[catalog.RolloutRecord], tuple[bytes, bytes]]
+Encode = Callable[[rollout_types.Record], tuple[bytes, bytes]]
 """Returns the values of a record and of its status."""
 
 _logger = logbook.Logger("azureramp.rollout_writer")
@@ -54,7 +54,7 @@
         return self._copy.get_revision(key)
 
     async def write(
-        self, wanted: catalog.RolloutRecord, expected: int
+        self, wanted: rollout_types.Record, expected: int
     ) -> int | None:
         """Writes a record and its status if the record is as expected.
 
--- a/src/azureramp/controllers/forwarding/rollouts.py
+++ b/src/azureramp/controllers/forwarding/rollouts.py
@@ -13,7 +13,7 @@
 
 import logbook
 
-from azureramp import catalog
+from azureramp import catalog, rollout_types
 from azureramp.controllers.forwarding import board as board_module
 from azureramp.controllers.forwarding import rollout_view
 from azureramp.policy import rollouts as policy
@@ -31,7 +31,7 @@
         seen_s: When this process heard of it.
     """
 
-    record: catalog.RolloutRecord
+    record: rollout_types.Record
     revision: int
     seen_s: float
 
@@ -62,7 +62,7 @@
     def __init__(self, board: board_module.Board) -> None:
         """Makes one that knows of no roll-out."""
         self._board = board
-        self.orders: dict[str, catalog.RolloutOrder] = {}
+        self.orders: dict[str, rollout_types.Order] = {}
         self.records: dict[str, Known] = {}
         self.running: dict[str, rollout_view.Running] = {}
         self.on_begin: Callable[[rollout_view.Running], None] | None = None
@@ -71,7 +71,7 @@
         self._present: dict[str, frozenset[str]] = {}
         self._seen_s: dict[str, float] = {}
 
-    def take_order(self, order: catalog.RolloutOrder) -> None:
+    def take_order(self, order: rollout_types.Order) -> None:
         """Takes an order of the operators, which may have been read before."""
         if self.orders.get(order.service) == order:
             return
@@ -96,7 +96,7 @@
             _logger.info("operators took back the roll-out of {}", service)
         self._update(service)
 
-    def take_record(self, record: catalog.RolloutRecord, revision: int) -> None:
+    def take_record(self, record: rollout_types.Record, revision: int) -> None:
         """Takes how far a roll-out is."""
         service = record.order.service
         known = self.records.get(service)
@@ -119,7 +119,7 @@
             )
         self._update(service)
 
-    def get_record(self, service: str) -> catalog.RolloutRecord | None:
+    def get_record(self, service: str) -> rollout_types.Record | None:
         """Returns the newest record of a service's roll-outs."""
         known = self.records.get(service)
         return None if known is None else known.record
@@ -224,9 +224,9 @@
 
     def _find_pending(
         self,
-        order: catalog.RolloutOrder | None,
-        record: catalog.RolloutRecord | None,
-    ) -> catalog.RolloutOrder | None:
+        order: rollout_types.Order | None,
+        record: rollout_types.Record | None,
+    ) -> rollout_types.Order | None:
         """Returns the order that has not ended, if there is one."""
         if record is not None and (
             order is None or order.revision <= record.order.revision
@@ -236,7 +236,7 @@
 
     def _begin(
         self,
-        order: catalog.RolloutOrder,
+        order: rollout_types.Order,
         versions: policy.Versions | None,
     ) -> None:
         """Begins to follow a roll-out."""
@@ -261,7 +261,7 @@
             self.on_end(service)
 
 
-def _is_news(old: catalog.RolloutRecord, new: catalog.RolloutRecord) -> bool:
+def _is_news(old: rollout_types.Record, new: rollout_types.Record) -> bool:
     """Tells whether a record says more than that some calls were granted."""
     return (old.order, old.phase, old.driver) != (
         new.order,
--- a/src/azureramp/platform/decoding.py
+++ b/src/azureramp/platform/decoding.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from azureramp import catalog
+from azureramp import catalog, rollout_types
 from azureramp.platform import bodies
 from azureramp.ports.store import api as store_api
 
@@ -29,10 +29,10 @@
 }
 
 PHASES = {
-    catalog.RolloutPhase.TRIAL: "running",
-    catalog.RolloutPhase.MOVING: "running",
-    catalog.RolloutPhase.COMPLETED: "completed",
-    catalog.RolloutPhase.ROLLED_BACK: "rolled_back",
+    rollout_types.Phase.TRIAL: "running",
+    rollout_types.Phase.MOVING: "running",
+    rollout_types.Phase.COMPLETED: "completed",
+    rollout_types.Phase.ROLLED_BACK: "rolled_back",
 }
 """What operators are told of the phase of a roll-out."""
 
@@ -45,7 +45,7 @@
 _member_decoder = msgspec.json.Decoder(catalog.Member)
 _blame_decoder = msgspec.json.Decoder(catalog.RequestBlamed)
 _order_decoder = msgspec.json.Decoder(bodies.RolloutOrderBody)
-_record_decoder = msgspec.json.Decoder(catalog.RolloutRecord)
+_record_decoder = msgspec.json.Decoder(rollout_types.Record)
 
 
 def decode(entry: store_api.Entry) -> catalog.Update | None:
@@ -97,7 +97,7 @@
     return ROLLOUT_RECORD_PREFIX + service, ROLLOUT_STATUS_PREFIX + service
 
 
-def encode_rollout(record: catalog.RolloutRecord) -> tuple[bytes, bytes]:
+def encode_rollout(record: rollout_types.Record) -> tuple[bytes, bytes]:
     """Returns the values of a roll-out's record and of its status."""
     status = bodies.RolloutStatusBody(PHASES[record.phase], record.order.target)
     return msgspec.json.encode(record), msgspec.json.encode(status)
@@ -112,7 +112,7 @@
     if not body.target_version:
         return catalog.Unreadable(f"{entry.key}: it names no version")
     return catalog.RolloutOrdered(
-        catalog.RolloutOrder(
+        rollout_types.Order(
             service, body.target_version, body.duration_s, entry.revision
         )
     )
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -22,6 +22,7 @@
     leaving,
     members,
     relay,
+    rollout_claims,
     rollout_driver,
     rollout_grants,
     rollout_reports,
@@ -75,6 +76,7 @@
     __slots__ = (
         "_answers",
         "_applying",
+        "_claims",
         "_crashes",
         "_driver",
         "_drivers",
@@ -173,19 +175,29 @@
         self._relay = relay.Relay(board, copy, self._roster, contacts)
         situations = rollout_situations.Situations(board, self.rollouts, clock)
         self._grants = rollout_grants.Grants(board, situations)
+        writer = rollout_writer.Writer(
+            self._store,
+            copy,
+            decoding.make_rollout_keys,
+            decoding.encode_rollout,
+            contacts,
+        )
         self._driver = rollout_driver.Driver(
             board,
             self.rollouts,
             self._reports,
             self._grants,
             situations,
-            rollout_writer.Writer(
-                self._store,
-                copy,
-                decoding.make_rollout_keys,
-                decoding.encode_rollout,
-                contacts,
-            ),
+            writer,
+        )
+        self._claims = rollout_claims.Claims(
+            board,
+            self.rollouts,
+            self._reports,
+            situations,
+            writer,
+            self._grants.drives,
+            self._driver.adopt,
         )
         self._relays = relays_http.HttpRelays()
         self._feed = feed.Feed(
@@ -277,7 +289,7 @@
                 "roster": self._roster.run,
                 "crashes": self._crashes.run,
                 "shares": self._searchers.run,
-                "rollouts": self._driver.run,
+                "rollouts": self._claims.run,
             }
         for name, run in loops.items():
             self._tasks.append(asyncio.create_task(_keep_running(name, run)))
--- a/src/azureramp/policy/rollouts.py
+++ b/src/azureramp/policy/rollouts.py
@@ -15,7 +15,7 @@
 import math
 from collections.abc import Collection
 
-from azureramp import catalog
+from azureramp import catalog, rollout_types
 from azureramp.policy import exposure, version_evidence
 
 LATEST_SHARE = 0.88
@@ -80,8 +80,8 @@
             an old searcher.
     """
 
-    order: catalog.RolloutOrder
-    phase: catalog.RolloutPhase
+    order: rollout_types.Order
+    phase: rollout_types.Phase
     age_s: float
     phase_s: float
     withdrawn: bool
@@ -105,21 +105,21 @@
         reason: Why.
     """
 
-    phase: catalog.RolloutPhase
+    phase: rollout_types.Phase
     reason: str
 
 
 def decide(now: Situation) -> Step | None:
     """Decides on the next step; None to go on."""
-    rolled_back = catalog.RolloutPhase.ROLLED_BACK
+    rolled_back = rollout_types.Phase.ROLLED_BACK
     if now.verdict is version_evidence.Verdict.WORSE:
         return Step(rolled_back, "the new version answers worse")
     if now.withdrawn:
         return Step(rolled_back, "the order was taken back")
     match now.phase:
-        case catalog.RolloutPhase.TRIAL:
+        case rollout_types.Phase.TRIAL:
             return _decide_in_trial(now)
-        case catalog.RolloutPhase.MOVING:
+        case rollout_types.Phase.MOVING:
             return _decide_while_moving(now)
         case _:
             return None
@@ -206,25 +206,25 @@
     duration_s = now.order.duration_s
     if now.age_s >= duration_s - get_final_s(duration_s) / 2:
         reason = "its time ends, and its traffic could not be moved"
-        return Step(catalog.RolloutPhase.ROLLED_BACK, reason)
+        return Step(rollout_types.Phase.ROLLED_BACK, reason)
     settled = now.phase_s >= min(SETTLE_S, SETTLE_SHARE * duration_s)
     if not settled or now.age_s < get_move_s(now) or not _can_bear_all(now):
         return None
-    return Step(catalog.RolloutPhase.MOVING, "the trial showed nothing worse")
+    return Step(rollout_types.Phase.MOVING, "the trial showed nothing worse")
 
 
 def _decide_while_moving(now: Situation) -> Step | None:
     """Decides while all traffic goes to the new version."""
     duration_s = now.order.duration_s
     complete_s = get_complete_s(duration_s, now.rate, now.allowed)
-    completed = catalog.RolloutPhase.COMPLETED
+    completed = rollout_types.Phase.COMPLETED
     proved = _is_proved(now)
     if now.age_s >= complete_s and now.all_moved and proved:
         return Step(completed, "all traffic has moved and nothing is worse")
     if now.age_s >= duration_s - get_final_s(duration_s) / 2:
         if not proved or not _can_bear_all(now):
             reason = "its time ends, and the new version isn't proved"
-            return Step(catalog.RolloutPhase.ROLLED_BACK, reason)
+            return Step(rollout_types.Phase.ROLLED_BACK, reason)
         return Step(completed, "its time ends, and nothing is worse")
     if now.age_s < complete_s and now.used >= now.allowed:
         # Going back would leave nothing to prove it with later.
@@ -232,10 +232,10 @@
             reason = "all traffic has moved, and more may not be tried"
             return Step(completed, reason) if now.all_moved else None
         reason = "the new version has had the requests that it may get"
-        return Step(catalog.RolloutPhase.TRIAL, reason)
+        return Step(rollout_types.Phase.TRIAL, reason)
     if not now.new_usable:
         reason = "no searcher of the new version is usable"
-        return Step(catalog.RolloutPhase.TRIAL, reason)
+        return Step(rollout_types.Phase.TRIAL, reason)
     return None
 
 
@@ -270,8 +270,8 @@
 
 
 def find_versions(
-    order: catalog.RolloutOrder | None,
-    record: catalog.RolloutRecord | None,
+    order: rollout_types.Order | None,
+    record: rollout_types.Record | None,
     present: Collection[str],
 ) -> Versions | None:
     """Finds which versions a VM may use.
@@ -300,8 +300,8 @@
 
 
 def is_present(
-    order: catalog.RolloutOrder,
-    before: catalog.RolloutRecord | None,
+    order: rollout_types.Order,
+    before: rollout_types.Record | None,
     present: Collection[str],
 ) -> bool:
     """Tells whether a service runs the version of an order already.
@@ -315,7 +315,7 @@
     return serving == {order.target}
 
 
-def get_barred(record: catalog.RolloutRecord | None) -> frozenset[str]:
+def get_barred(record: rollout_types.Record | None) -> frozenset[str]:
     """Returns the versions that get nothing after a roll-out.
 
     Those of one that a later order replaces are among them: its new version
@@ -323,12 +323,12 @@
     """
     if record is None:
         return frozenset()
-    if record.phase is catalog.RolloutPhase.COMPLETED:
+    if record.phase is rollout_types.Phase.COMPLETED:
         return frozenset(record.barred) | frozenset(record.old)
     return frozenset(record.barred) | {record.order.target}
 
 
-def _read_record(record: catalog.RolloutRecord) -> Versions:
+def _read_record(record: rollout_types.Record) -> Versions:
     """Returns which versions may be used by a record."""
     if record.has_ended():
         return Versions("", get_barred(record))
@@ -336,8 +336,8 @@
 
 
 def start(
-    order: catalog.RolloutOrder,
-    before: catalog.RolloutRecord | None,
+    order: rollout_types.Order,
+    before: rollout_types.Record | None,
     present: Collection[str],
 ) -> tuple[tuple[str, ...], tuple[str, ...]]:
     """Returns the old and the barred versions at the start of a roll-out.
--- a/src/azureramp/ports/rollouts/api.py
+++ b/src/azureramp/ports/rollouts/api.py
@@ -7,7 +7,7 @@
 import expression
 import msgspec
 
-from azureramp import catalog, errors
+from azureramp import errors, rollout_types
 
 REPORTS_PATH = "/v1/rollouts/reports"
 """Where the driver takes reports."""
@@ -72,7 +72,7 @@
     """
 
     order: int
-    phase: catalog.RolloutPhase
+    phase: rollout_types.Phase
     limit: int
     good_ms: int
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from azureramp import catalog
+from azureramp import catalog, rollout_types
 from azureramp.platform import decoding
 from azureramp.ports.store import api
 
@@ -122,7 +122,7 @@
 def test_an_order_of_a_roll_out_and_its_withdrawal() -> None:
     body = {"Backend": "s", "TargetVersion": "v2", "DurationS": 12}
     assert decode("op/rollout/s", body) == catalog.RolloutOrdered(
-        catalog.RolloutOrder("s", "v2", 12.0, 1)
+        rollout_types.Order("s", "v2", 12.0, 1)
     )
     assert decode("op/rollout/s", None) == catalog.RolloutWithdrawn("s")
 
@@ -135,17 +135,17 @@
 @pytest.mark.parametrize(
     ("phase", "state"),
     [
-        (catalog.RolloutPhase.TRIAL, "running"),
-        (catalog.RolloutPhase.MOVING, "running"),
-        (catalog.RolloutPhase.COMPLETED, "completed"),
-        (catalog.RolloutPhase.ROLLED_BACK, "rolled_back"),
+        (rollout_types.Phase.TRIAL, "running"),
+        (rollout_types.Phase.MOVING, "running"),
+        (rollout_types.Phase.COMPLETED, "completed"),
+        (rollout_types.Phase.ROLLED_BACK, "rolled_back"),
     ],
 )
 def test_a_roll_out_s_record_is_read_as_written_and_its_status_is_told(
-    phase: catalog.RolloutPhase, state: str
+    phase: rollout_types.Phase, state: str
 ) -> None:
-    record = catalog.RolloutRecord(
-        order=catalog.RolloutOrder("s", "v2", 12.0, 9),
+    record = rollout_types.Record(
+        order=rollout_types.Order("s", "v2", 12.0, 9),
         phase=phase,
         old=("v1",),
         barred=("v0",),
--- a/tests/policy/test_rollouts.py
+++ b/tests/policy/test_rollouts.py
@@ -7,13 +7,13 @@
 
 import pytest
 
-from azureramp import catalog
+from azureramp import catalog, rollout_types
 from azureramp.policy import exposure, rollouts, version_evidence
 
-PHASE = catalog.RolloutPhase
+PHASE = rollout_types.Phase
 VERDICT = version_evidence.Verdict
-ORDER = catalog.RolloutOrder("s", "v2", 12.0, 10)
-RECORD = catalog.RolloutRecord(
+ORDER = rollout_types.Order("s", "v2", 12.0, 10)
+RECORD = rollout_types.Record(
     order=ORDER,
     phase=PHASE.TRIAL,
     old=("v1",),
@@ -184,7 +184,7 @@
 
 
 def test_a_second_order_bars_the_version_that_the_first_one_tried() -> None:
-    second = catalog.RolloutOrder("s", "v3", 12.0, 20)
+    second = rollout_types.Order("s", "v3", 12.0, 20)
     versions = rollouts.find_versions(second, RECORD, {"v1", "v2"})
     assert versions is not None
     assert versions.target == "v3"
@@ -200,7 +200,7 @@
 
 def test_the_roll_out_back_to_the_old_version_frees_it() -> None:
     done = dataclasses.replace(RECORD, phase=PHASE.COMPLETED)
-    back = catalog.RolloutOrder("s", "v1", 12.0, 20)
+    back = rollout_types.Order("s", "v1", 12.0, 20)
     assert rollouts.start(back, done, {"v2"}) == (("v2",), ())
 
 
