--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -210,6 +210,12 @@
         """Tells whether callers may be sent here."""
         return self.configuration is not None and not self.leaving
 
+    def get_service(self, name: str) -> catalog.Service | None:
+        """Returns a declared service."""
+        if self.configuration is None:
+            return None
+        return self.configuration.services.get(name)
+
     def describe(self) -> catalog.Member:
         """Describes this VM as it is announced."""
         return catalog.Member(
--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -15,23 +15,16 @@
     coldness,
     rollout_view,
     rollouts,
+    shared_bounds,
 )
 from azureramp.controllers.forwarding import board as board_module
-from azureramp.policy import advertising, allowances, selection, shares
+from azureramp.policy import advertising, selection
 from azureramp.ports.forwarding import api, pool
 
 COLD_SLOWNESS = 1.6
 """What a cold searcher's calls are taken to last, in usual times, until its
 own calls show it."""
 
-PAUSE_S = 1.0
-"""How late a timer must fire to show that the process stood still, in seconds.
-A searcher that was away for less has hardly started anew."""
-
-SHARES_S = 0.5
-"""Time between two looks at this VM's part of the common bounds, in seconds; a
-contact that is lost for long enough to matter lasts several times that."""
-
 USED_S = 10.0
 """How long after its last call a searcher counts as used, in seconds."""
 
@@ -46,18 +39,17 @@
     """Keeps the searchers on the blackboard and chooses among them.
 
     Attributes:
+        bounds: Keeps to this VM's parts of what binds all VMs.
         metrics: Counts the calls.
         rollouts: Tells which versions may be used.
     """
 
     __slots__ = (
-        "_allowances",
         "_board",
         "_codec",
-        "_cold_share",
-        "_extra_share",
         "_log",
         "_rng",
+        "bounds",
         "metrics",
         "rollouts",
     )
@@ -77,14 +69,7 @@
         self.metrics = board.metrics
         self._codec = codec
         self._rng = rng
-        self._allowances: dict[str, allowances.Allowance] = {}
-        first = board.identity.first_start
-        self._extra_share = shares.Share(
-            board.bounds.extra.window_s, board.started_s, first
-        )
-        self._cold_share = shares.Share(
-            coldness.WINDOW_S, board.started_s, first
-        )
+        self.bounds = shared_bounds.SharedBounds(board)
 
     def put(self, searcher: catalog.Searcher) -> None:
         """Takes what a searcher says of itself."""
@@ -157,28 +142,10 @@
             if target.lapsed:
                 self.remove(name)
 
-    async def run(self) -> None:
-        """Takes this VM's part of the common bounds again, forever.
-
-        A part counts by the least that it was in the last window, so a moment
-        in which it was small must be seen also while no call asks for it. A
-        look that comes late shows that the process stood still.
-        """
-        loop = asyncio.get_running_loop()
-        looked_s = loop.time()
-        while True:
-            now_s = loop.time()
-            if now_s - looked_s > SHARES_S + PAUSE_S:
-                self._board.pause = board_module.Pause(looked_s, now_s)
-                _logger.info("stood still for {:.1f} s", now_s - looked_s)
-            looked_s = now_s
-            self._update_shares(now_s)
-            await asyncio.sleep(SHARES_S)
-
     def update_limits(self) -> None:
         """Puts shares of the connections into force, and warms routes up."""
         advertised.update(self._board)
-        self._update_shares(asyncio.get_running_loop().time())
+        self.bounds.update(asyncio.get_running_loop().time())
         used: set[str] = set()
         if self._is_advertised():
             used = advertised.find_used_services(self._board.configuration)
@@ -234,7 +201,7 @@
             for name, target in targets.items()
             if name not in without
             and self._is_usable(target, sides)
-            and self._is_warm_enough(target, now_s)
+            and self.bounds.is_warm_enough(target, now_s)
         ]
         prompt = [
             (name, record)
@@ -276,19 +243,6 @@
             target.proving = True
             target.pool.probe(take)
 
-    def get_allowance(self, service: str) -> allowances.Allowance:
-        """Returns what this VM may spend on extra calls to a service."""
-        allowance = self._allowances.get(service)
-        if allowance is None:
-            allowance = allowances.Allowance(self._board.bounds.extra)
-            self._allowances[service] = allowance
-        return allowance
-
-    def get_part(self, now_s: float) -> float:
-        """Returns this VM's part of the fixed number of extra calls."""
-        self._update_shares(now_s)
-        return self._extra_share.part
-
     def note_call(self, target: board_module.Target, now_s: float) -> None:
         """Counts a call to a searcher."""
         coldness.note_call(target, now_s)
@@ -306,40 +260,6 @@
             and self.rollouts.allows(searcher, sides)
         )
 
-    def _is_warm_enough(
-        self, target: board_module.Target, now_s: float
-    ) -> bool:
-        """Tells whether a cold searcher bears one more call this second.
-
-        More than it bears crashes it, and with it all that it runs. All VMs
-        together stay within the operators' bound for any one second, so each
-        keeps to its part of it.
-        """
-        if not coldness.is_cold(target, now_s, self._board.pause):
-            return True
-        service = self._get_service(target.searcher.service)
-        if service is None or service.cold_per_s <= 0:
-            return True
-        bounds = self._board.bounds
-        bound = service.cold_per_s * bounds.cold_overage + bounds.cold_slack
-        self._update_shares(now_s)
-        recent = coldness.count_recent_calls(target, now_s)
-        return recent + 1 <= bound * self._cold_share.part
-
-    def _update_shares(self, now_s: float) -> None:
-        """Takes this VM's part of what is bounded for all together."""
-        board = self._board
-        known = board.members.keys() | {board.identity.vm}
-        stale_s = now_s - board.contact.confirmed_s
-        part = shares.compute_part(
-            len(board.advertised),
-            len(known - board.advertised.keys()),
-            self._is_advertised(),
-            stale_s > shares.STALE_S,
-        )
-        self._extra_share.update(part, now_s)
-        self._cold_share.update(part, now_s)
-
     def _make_target(self, searcher: catalog.Searcher) -> board_module.Target:
         """Makes the state of a searcher that has just been seen."""
         near = searcher.zone == self._board.identity.zone
@@ -363,20 +283,13 @@
             ),
         )
 
-    def _get_service(self, name: str) -> catalog.Service | None:
-        """Returns a declared service."""
-        configuration = self._board.configuration
-        return (
-            None if configuration is None else configuration.services.get(name)
-        )
-
     def _is_advertised(self) -> bool:
         """Tells whether this VM is advertised to callers."""
         return self._board.identity.vm in self._board.advertised
 
     def _get_share(self, name: str) -> int:
         """Returns how many connections this VM may hold to a searcher."""
-        service = self._get_service(name)
+        service = self._board.get_service(name)
         connections = service.connections if service else DEFAULT_CONNECTIONS
         return advertising.get_link_share(
             connections, len(self._board.advertised), self._is_advertised()
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -288,7 +288,7 @@
                 "overload": self._members.run_overload,
                 "roster": self._roster.run,
                 "crashes": self._crashes.run,
-                "shares": self._searchers.run,
+                "shares": self._searchers.bounds.run,
                 "rollouts": self._claims.run,
             }
         for name, run in loops.items():
--- a/src/azureramp_standins/soak/mutants.py
+++ b/src/azureramp_standins/soak/mutants.py
@@ -14,6 +14,7 @@
     members,
     part,
     searchers,
+    shared_bounds,
 )
 from azureramp.platform import command, decoding, headers
 from azureramp.policy import allowances, merging, routing
@@ -39,7 +40,7 @@
 
 def use_leaving_searchers() -> None:
     """Sends to searchers in any state and zone."""
-    PATCHED(searchers.Searchers, "_is_usable", lambda self, target: True)
+    PATCHED(searchers.Searchers, "_is_usable", lambda self, target, sides: True)
 
 
 def keep_first_version() -> None:
@@ -82,7 +83,9 @@
 def load_cold_searchers() -> None:
     """Sends cold searchers as much as others."""
     PATCHED(
-        searchers.Searchers, "_is_warm_enough", lambda self, target, now: True
+        shared_bounds.SharedBounds,
+        "is_warm_enough",
+        lambda self, target, now: True,
     )
 
 
