Make second calls while they can still come in time, by what is usual

It goes out at the 0.95 quantile, capped at half of the target, and searchers that pause 200 ms or are slow put the quantile far beyond that: 36 of 73 ms, with 8 ms left, where a usual call takes 12. And what is usual was a running mean of the last twenty answers; a request has 90, the slowest last, so the next request began with a mean of up to three times the median (10 to 113 ms).

Now a second call is made two usual times before its answer is of no use, not before 1.25 usual times, and the median of the last few hundred calls is usual.

Tried as well: whether pauses come at fixed intervals, so that they could be foreseen: they don't show it (mean resultant .57 at 4.5 s, .54 and .56 beside it).

--- a/src/azureramp/controllers/forwarding/gather.py
+++ b/src/azureramp/controllers/forwarding/gather.py
@@ -115,11 +115,11 @@
     def _start(self, loop: asyncio.AbstractEventLoop, now_s: float) -> None:
         """Makes the first call of each shard, and sets the timers."""
         target_s = self._work.route.target_s
-        hedge_s = now_s + self._pace.get_hedge_s(target_s)
         self.way_s = self._estimate_way_s(target_s)
         self._cut_s = self._request.began_s + compute_cut_s(
             target_s, self.way_s
         )
+        hedge_s = now_s + self._pace.get_hedge_s(target_s, self._cut_s - now_s)
         for service in self._destination.services:
             each = part.Part(
                 self._searchers,
--- a/src/azureramp/controllers/forwarding/pacing.py
+++ b/src/azureramp/controllers/forwarding/pacing.py
@@ -2,23 +2,17 @@
 
 from __future__ import annotations
 
+import math
+
 from azureramp import catalog
-from azureramp.policy import caller_delay, hedging
+from azureramp.policy import caller_delay, hedging, second_calls
 
 HEDGE_QUANTILE = 0.95
 """A call later than this quantile of its route is hedged: one in twenty, a
 quarter of what the operators usually allow for extra calls."""
 
-LEAST_SHARE = 0.1
-MOST_SHARE = 0.5
-"""The hedge's time as a share of the route's target, at least and at most:
-sooner it would only double the work, later it would come too late."""
-
-FIRST_SHARE = 0.2
-"""The same while too few calls have been measured."""
-
-MEAN_SMOOTHING = 0.05
-"""Weight of the newest time in a route's mean."""
+MEDIAN = 1
+"""The number of the median among the quantiles that are measured."""
 
 MOST_ROUTES = 4096
 """Most routes that are measured; the one first seen goes first."""
@@ -31,12 +25,12 @@
         caller_delay: What its callers had spent before.
     """
 
-    __slots__ = ("_mean_s", "_sketch", "caller_delay")
+    __slots__ = ("_first_s", "_sketch", "caller_delay")
 
     def __init__(self) -> None:
         """Makes one without any time."""
-        self._sketch = hedging.Sketch(HEDGE_QUANTILE)
-        self._mean_s = 0.0
+        self._sketch = hedging.Sketch(HEDGE_QUANTILE, 0.5)
+        self._first_s = 0.0
         self.caller_delay = caller_delay.CallerDelay()
 
     def add(self, took_s: float) -> float:
@@ -46,33 +40,32 @@
             took_s: The time, in seconds.
 
         Returns:
-            The time relative to the mean before.
+            The time relative to the usual one before.
         """
+        usual_s = self.get_usual_s()
         self._sketch.add(took_s * 1000)
-        if self._mean_s <= 0:
-            self._mean_s = took_s
+        if usual_s <= 0:
+            self._first_s = took_s
             return 1.0
-        ratio = took_s / self._mean_s
-        # A pause must not move what is usual.
-        change = min(took_s, 4 * self._mean_s) - self._mean_s
-        self._mean_s += MEAN_SMOOTHING * change
-        return ratio
+        return took_s / usual_s
 
-    def get_mean_s(self) -> float:
+    def get_usual_s(self) -> float:
         """Returns a usual call's time in seconds; 0 if none was measured."""
-        return self._mean_s
+        median_ms = self._sketch.get(MEDIAN)
+        return self._first_s if median_ms is None else median_ms / 1000
 
-    def get_hedge_s(self, target_s: float) -> float:
+    def get_hedge_s(self, target_s: float, left_s: float = math.inf) -> float:
         """Returns after how long a call is hedged, in seconds.
 
         Args:
             target_s: The route's target.
+            left_s: The time within which an answer is of use, in seconds.
         """
-        quantile_ms = self._sketch.get()
-        if quantile_ms is None:
-            return FIRST_SHARE * target_s
-        least_s, most_s = LEAST_SHARE * target_s, MOST_SHARE * target_s
-        return min(max(quantile_ms / 1000, least_s), most_s)
+        late_ms = self._sketch.get()
+        late_s = None if late_ms is None else late_ms / 1000
+        return second_calls.choose_time_s(
+            late_s, self.get_usual_s(), target_s, left_s
+        )
 
 
 class Paces:
--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -109,7 +109,7 @@
     def start(self) -> bool:
         """Makes the first call; False if no searcher may get it."""
         now_s = asyncio.get_running_loop().time()
-        self._searchers.get_allowance(self.service).add_request(now_s)
+        self._searchers.bounds.get_allowance(self.service).add_request(now_s)
         return self._send(now_s)
 
     def hedge(self, within_s: float = math.inf) -> bool:
@@ -244,9 +244,9 @@
             return False
         if instead_of is not None and not self._drop_unsent(instead_of, now_s):
             return False
-        if self._count_arrivals() and not self._searchers.get_allowance(
+        if self._count_arrivals() and not self._searchers.bounds.get_allowance(
             self.service
-        ).spend(now_s, self._searchers.get_part(now_s)):
+        ).spend(now_s, self._searchers.bounds.get_part(now_s)):
             self._searchers.metrics.count("call.withheld")
             return False
         self._searchers.metrics.count("call.sent")
@@ -267,7 +267,9 @@
         self, record: selection.Record, now_s: float, within_s: float
     ) -> bool:
         """Tells whether a hedge to a searcher most likely helps."""
-        expected_s = self._pace.get_mean_s() * selection.estimate(record, now_s)
+        expected_s = self._pace.get_usual_s() * selection.estimate(
+            record, now_s
+        )
         return not record.overdue and expected_s <= within_s
 
     def _drop_unsent(
@@ -349,7 +351,7 @@
             self._work.route.name,
             end,
             took_s,
-            self._pace.get_mean_s(),
+            self._pace.get_usual_s(),
         )
 
     def _note_loss(
--- a/src/azureramp/policy/hedging.py
+++ b/src/azureramp/policy/hedging.py
@@ -50,19 +50,19 @@
     times count most.
     """
 
-    __slots__ = ("_cached", "_counts", "_fresh", "_quantile", "_total")
+    __slots__ = ("_cached", "_counts", "_fresh", "_quantiles", "_total")
 
-    def __init__(self, quantile: float) -> None:
+    def __init__(self, *quantiles: float) -> None:
         """Makes an empty sketch.
 
         Args:
-            quantile: The quantile that it is asked for, 0 to 1.
+            quantiles: The quantiles that it is asked for, 0 to 1.
         """
-        self._quantile = quantile
+        self._quantiles = quantiles
         self._counts = [0] * (_OCTAVES * _BUCKETS_PER_OCTAVE)
         self._total = 0
         self._fresh = 0
-        self._cached: float | None = None
+        self._cached: tuple[float, ...] | None = None
 
     def add(self, took_ms: float) -> None:
         """Adds a time, in milliseconds."""
@@ -76,18 +76,24 @@
             self._counts = [count // 2 for count in self._counts]
             self._total = sum(self._counts)
 
-    def get(self) -> float | None:
-        """Returns the quantile in milliseconds; None with too few times."""
+    def get(self, which: int = 0) -> float | None:
+        """Returns a quantile in milliseconds; None with too few times.
+
+        Args:
+            which: The number of the quantile among those asked for.
+        """
         if self._total < _FEWEST:
             return None
         if self._cached is None or self._fresh >= _RECOMPUTE_EVERY:
-            self._cached = self._compute()
+            self._cached = tuple(
+                self._compute(quantile) for quantile in self._quantiles
+            )
             self._fresh = 0
-        return self._cached
+        return self._cached[which]
 
-    def _compute(self) -> float:
-        """Finds the upper edge of the quantile's bucket."""
-        wanted = self._quantile * self._total
+    def _compute(self, quantile: float) -> float:
+        """Finds the upper edge of a quantile's bucket."""
+        wanted = quantile * self._total
         seen = 0
         edge = 0
         for count in self._counts:
