--- a/src/azureramp/controllers/forwarding/rollout_drive.py
+++ b/src/azureramp/controllers/forwarding/rollout_drive.py
@@ -24,7 +24,6 @@
         moved: When each VM last confirmed that it has moved.
         senders: The VMs that have sent requests to the service.
         answers_before: Answers of the new version before this phase.
-        written_s: When the record was last written.
         failing_s: Since when writes fail; None while they work.
         ended_s: When it ended; None before.
     """
@@ -42,7 +41,6 @@
         "record",
         "revision",
         "senders",
-        "written_s",
     )
 
     def __init__(
@@ -63,7 +61,6 @@
         self.moved: dict[str, float] = {}
         self.senders: set[str] = set()
         self.answers_before = 0.0
-        self.written_s = now_s
         self.failing_s: float | None = None
         self.ended_s: float | None = None
         self._last: dict[tuple[str, str, str], api.Count] = {}
--- a/src/azureramp/controllers/forwarding/rollout_driver.py
+++ b/src/azureramp/controllers/forwarding/rollout_driver.py
@@ -239,7 +239,6 @@
             drive.moved.clear()
         drive.record, drive.revision = record, revision
         drive.phase = record.phase
-        drive.written_s = now_s
         if record.has_ended():
             drive.ended_s = now_s
 
--- a/src/azureramp/policy/exposure.py
+++ b/src/azureramp/policy/exposure.py
@@ -28,6 +28,12 @@
 """How long a grant is good for, in seconds. A VM out of touch sends nothing to
 the new version afterwards."""
 
+RATE_SMOOTHING = 0.3
+"""Weight of the newest report in a VM's rate of requests."""
+
+SHORTEST_S = 0.05
+"""Least time between two reports by which a rate is measured, in seconds."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Terms:
@@ -83,13 +89,6 @@
     rate: float = 0.0
 
 
-RATE_SMOOTHING = 0.3
-"""Weight of the newest report in a VM's rate of requests."""
-
-SHORTEST_S = 0.05
-"""Least time between two reports by which a rate is measured, in seconds."""
-
-
 class Ledger:
     """Grants of one roll-out, by the process that drives it.
 
