--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -312,6 +312,11 @@
         """Lists the servers of what the process serves."""
         return self._servers
 
+    def count_bad_answers(self, service: str) -> int:
+        """Counts the bad answers of a version that this process judges."""
+        drive = self._grants.drives.get(service)
+        return 0 if drive is None else round(drive.evidence.count_new().bad)
+
     async def kill(self) -> None:
         """Ends at once."""
         for task in self._tasks:
--- a/src/azureramp_standins/rollouts/main.py
+++ b/src/azureramp_standins/rollouts/main.py
@@ -82,6 +82,11 @@
             click.echo(describe(plan, outcome))
     for line in summarize(outcomes):
         click.echo(line)
+    heard_s = sorted(
+        each for _, outcome in outcomes for each in outcome.heard_s
+    )
+    if heard_s:
+        click.echo(describe_delays(heard_s))
     broken = sum(len(outcome.broken) for _, outcome in outcomes)
     click.echo(f"rules broken: {broken}")
     raise SystemExit(1 if broken else 0)
@@ -107,6 +112,15 @@
     )
 
 
+def describe_delays(delays_s: list[float]) -> str:
+    """Describes how late the driver counted bad answers, in ms."""
+    found = [
+        f"{name} {delays_s[round(share * (len(delays_s) - 1))] * 1000:.0f}"
+        for name, share in (("p50", 0.5), ("p95", 0.95), ("longest", 1.0))
+    ]
+    return f"bad answers counted by the driver after, ms: {', '.join(found)}"
+
+
 def summarize(
     outcomes: list[tuple[play.Plan, play.Outcome]],
 ) -> Iterator[str]:
--- a/src/azureramp_standins/rollouts/play.py
+++ b/src/azureramp_standins/rollouts/play.py
@@ -35,6 +35,9 @@
 """How long after the end the searchers of a version that was rolled back are
 there, in seconds."""
 
+LISTEN_S = 0.02
+"""Time between two looks at what the driver has counted, in seconds."""
+
 EXPOSURE_SHARE = 0.1
 EXPOSURE_SLACK = 50
 STOP_S = 5.0
@@ -89,6 +92,8 @@
             seconds; None if there were fewer.
         cut: Calls that were at old searchers when these ended.
         served: The share of the callers' requests that were answered well.
+        heard_s: How long after each bad answer the driver counted it, in
+            seconds.
         broken: The rules that were broken.
     """
 
@@ -99,6 +104,7 @@
     stopped_s: float | None = None
     cut: int = 0
     served: float = 0.0
+    heard_s: tuple[float, ...] = ()
     broken: tuple[str, ...] = ()
 
 
@@ -122,6 +128,7 @@
         self._ordered_s = 0.0
         self._ended_s = 0.0
         self._cut = 0
+        self._counted_s: list[float] = []
         self._asking: set[asyncio.Task[None]] = set()
 
     async def run(self) -> Outcome:
@@ -145,7 +152,7 @@
         scene.order_rollout(SERVICE, NEW, DURATION_S)
         helpers = [
             asyncio.create_task(each)
-            for each in (self._operate(), self._harm())
+            for each in (self._operate(), self._harm(), self._listen())
         ]
         await asyncio.sleep(DURATION_S + AFTER_S)
         for task in (traffic, *helpers):
@@ -267,6 +274,16 @@
                     await asyncio.sleep(2.0)
                     await crashed.start()
 
+    async def _listen(self) -> None:
+        """Notes when the driver counts each bad answer, forever."""
+        while True:
+            await asyncio.sleep(LISTEN_S)
+            now_s = asyncio.get_running_loop().time()
+            for program in self._scene.programs.values():
+                counted = program.count_bad_answers(SERVICE)
+                while len(self._counted_s) < counted:
+                    self._counted_s.append(now_s)
+
     async def _slow_down(self, slow: searcher.Searcher) -> None:
         """Makes a searcher slow for some seconds."""
         script = slow.script
@@ -320,6 +337,10 @@
             cut=self._cut,
             served=sum(self._answers) / max(1, len(self._answers)),
         )
+        outcome.heard_s = tuple(
+            counted_s - bad_s
+            for bad_s, counted_s in zip(bad, self._counted_s, strict=False)
+        )
         if len(bad) >= MOST_BAD:
             outcome.stopped_s = to_new[-1] - bad[MOST_BAD - 1]
         outcome.broken = tuple(self._list_broken(outcome, both))
