--- a/src/azureramp/controllers/forwarding/rollout_reports.py
+++ b/src/azureramp/controllers/forwarding/rollout_reports.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 import expression
+import logbook
 
 from azureramp import errors, rollout_types
 from azureramp.controllers.forwarding import board as board_module
@@ -28,6 +29,8 @@
 ]
 """Takes a report if this process drives the roll-out; None if it doesn't."""
 
+_logger = logbook.Logger("azureramp.rollout_reports")
+
 
 class Reports:
     """Reports while a roll-out runs, and takes the grants.
@@ -91,7 +94,17 @@
             self.end(service)
 
     async def _follow(self, running: rollout_view.Running) -> None:
-        """Reports to the driver until the roll-out has ended."""
+        """Reports on a roll-out until it ends; after a bug, goes on."""
+        while True:
+            try:
+                await self._report_always(running)
+            except Exception:
+                service = running.order.service
+                _logger.exception("reporting on {} failed", service)
+            await asyncio.sleep(IDLE_S)
+
+    async def _report_always(self, running: rollout_view.Running) -> None:
+        """Reports on a roll-out, forever."""
         reported = -1
         while True:
             running.wanted.clear()
