--- a/src/azureramp/ports/relays/http.py
+++ b/src/azureramp/ports/relays/http.py
@@ -7,7 +7,7 @@
 
 from azureramp import errors
 from azureramp.ports.relays import api, encoding
-from azureramp.ports.web import pool
+from azureramp.ports.web import pools
 
 ANSWER_S = 0.4
 """Longest time that an answer may take beyond the wait, in seconds. A VM that
@@ -24,13 +24,13 @@
 
     def __init__(self) -> None:
         """Makes it without connections."""
-        self._pools: dict[str, pool.Pool] = {}
+        self._pools = pools.Pools(MOST_VMS)
 
     async def ask(
         self, address: str, question: api.Question
     ) -> expression.Result[api.Changes, errors.Failure]:
         """Asks a VM for changes; see `api.Relays`."""
-        result = await self._get_pool(address).exchange(
+        result = await self._pools.get(address).exchange(
             "POST",
             api.CHANGES_PATH,
             encoding.encode_question(question),
@@ -53,15 +53,4 @@
 
     async def close(self) -> None:
         """Closes every idle connection."""
-        for each in self._pools.values():
-            each.close()
-
-    def _get_pool(self, address: str) -> pool.Pool:
-        """Returns the connections to a VM."""
-        found = self._pools.get(address)
-        if found is None:
-            if len(self._pools) >= MOST_VMS:
-                oldest = next(iter(self._pools))
-                self._pools.pop(oldest).close()
-            found = self._pools[address] = pool.Pool(address)
-        return found
+        self._pools.close()
--- a/src/azureramp/ports/rollouts/http.py
+++ b/src/azureramp/ports/rollouts/http.py
@@ -7,7 +7,7 @@
 
 from azureramp import errors
 from azureramp.ports.rollouts import api
-from azureramp.ports.web import pool
+from azureramp.ports.web import pools
 
 ANSWER_S = 0.4
 """Longest wait for an answer, in seconds. A driver that stands still must be
@@ -24,13 +24,13 @@
 
     def __init__(self) -> None:
         """Makes it without connections."""
-        self._pools: dict[str, pool.Pool] = {}
+        self._pools = pools.Pools(MOST_VMS)
 
     async def report(
         self, address: str, report: api.Report
     ) -> expression.Result[api.Grant, errors.Failure]:
         """Reports to a VM; see `api.Drivers`."""
-        result = await self._get_pool(address).exchange(
+        result = await self._pools.get(address).exchange(
             "POST",
             api.REPORTS_PATH,
             api.encode(report),
@@ -52,15 +52,4 @@
 
     async def close(self) -> None:
         """Closes every idle connection."""
-        for each in self._pools.values():
-            each.close()
-
-    def _get_pool(self, address: str) -> pool.Pool:
-        """Returns the connections to a VM."""
-        found = self._pools.get(address)
-        if found is None:
-            if len(self._pools) >= MOST_VMS:
-                oldest = next(iter(self._pools))
-                self._pools.pop(oldest).close()
-            found = self._pools[address] = pool.Pool(address)
-        return found
+        self._pools.close()
