Answer a VM's question for changes with those of the moment in which its wait ends

Cause: the relay looked up the changes, then waited a second for news. Where news came in the very turn of the loop in which the wait ended, it took the wait for over and answered with no changes, but with the new revision; whoever asked went on from there.

Ruled out: the split of routes by weights (a part of weight 0 is never chosen), the VM's choice of whom to ask (it asked the same relay all the time).

Now the changes are looked up again after the wait.

--- a/src/azureramp/controllers/forwarding/feed.py
+++ b/src/azureramp/controllers/forwarding/feed.py
@@ -34,8 +34,9 @@
 that fails would tell it that the store is silent."""
 
 FRESH_S = 1.0
-"""How long after it last heard of changes a VM that lost the one that it asked
-looks for another one before it watches the store, in seconds."""
+"""Age of the last changes, and of the store's last word, up to which a VM that
+lost the one that it asked looks for another one before it watches the store, in
+seconds."""
 
 BATCH_S = 0.4
 """Pause between two watches, in seconds. A storm of changes is read twice a
@@ -195,8 +196,7 @@
         if chosen is not None:
             if await self._follow_relay(chosen):
                 return True
-            now_s = asyncio.get_running_loop().time()
-            if now_s - self._heard_s < FRESH_S:
+            if self._is_fresh():
                 await asyncio.sleep(RELAY_PAUSE_S)
                 return True
         self._note_source(STORE)
@@ -213,6 +213,11 @@
         await asyncio.sleep(BATCH_S)
         return True
 
+    def _is_fresh(self) -> bool:
+        """Tells whether changes were heard of just now, and are no older."""
+        heard_s = asyncio.get_running_loop().time() - self._heard_s
+        return max(heard_s, self._contact.get_age_s()) < FRESH_S
+
     async def _watch(
         self,
     ) -> expression.Result[store_api.Listing, errors.Failure]:
--- a/src/azureramp/controllers/forwarding/relay.py
+++ b/src/azureramp/controllers/forwarding/relay.py
@@ -90,18 +90,22 @@
         if question.after:
             self._roster.take_question(question.vm, question.member)
         announced = self._roster.is_announced(question.vm)
+        waits = True
         while True:
+            # Looked up again after the wait's end too: a change may come in
+            # the moment in which it ends, and its revision is answered.
             changes = self.copy.list_changes(question.after)
             if changes is None:
                 return web_api.Response(410)
-            if changes or announced != self._roster.is_announced(question.vm):
-                break
-            if not self._board.contact.reachable:
+            if (
+                changes
+                or not waits
+                or announced != self._roster.is_announced(question.vm)
                 # Whoever waits here had better watch by itself.
-                break
-            if not await self._wait(until_s):
-                break
-        return self._encode(question, changes)
+                or not self._board.contact.reachable
+            ):
+                return self._encode(question, changes)
+            waits = await self._wait(until_s)
 
     def _can_answer(self, question: api.Question) -> bool:
         """Tells whether this VM's copy is good enough for a question.
