Let a driver that hears of its own write go on driving

Cause: where the answer of a write was lost, the driver counted as one that can't write from the write's beginning, also once it had heard of the change.

--- a/src/azureramp/controllers/forwarding/rollout_driver.py
+++ b/src/azureramp/controllers/forwarding/rollout_driver.py
@@ -220,7 +220,6 @@
                 drive.failing_s = now_s
             await asyncio.sleep(RETRY_S)
             return False
-        drive.failing_s = None
         self._take_written(drive, wanted, written)
         self._rollouts.take_record(wanted, written)
         return True
@@ -231,13 +230,14 @@
         record: rollout_types.Record,
         revision: int,
     ) -> None:
-        """Takes a record that was written."""
+        """Takes a record that was written, also one whose answer was lost."""
         now_s = asyncio.get_running_loop().time()
         if record.phase is not drive.record.phase:
             drive.phase_s = now_s
             drive.answers_before = drive.count_answers()
             drive.moved.clear()
         drive.record, drive.revision = record, revision
+        drive.failing_s = None
         drive.phase = record.phase
         if record.has_ended():
             drive.ended_s = now_s
