Identify client accounts by their keys, and keep the keys on the VM

Cause: the configuration's accounts were not decoded.

Change: accounts and public routes are decoded once in the adapter; an unknown key gets 401 before anything is sent; the account's name is set on each call, and the caller's headers on its identity are forwarded only where no accounts are configured. A retry or a request that waited is judged again. A load report may carry a fourth figure. Calls between VMs share one client.

--- a/src/azureramp/catalog.py
+++ b/src/azureramp/catalog.py
@@ -73,6 +73,7 @@
         max_attempts: Maximum number of searchers (of each shard) that may run
             one request.
         priority: The priority of its requests; 0 is the highest.
+        public: True if its requests need no key.
     """
 
     name: str
@@ -84,6 +85,41 @@
     target_latency_s: float
     max_attempts: int
     priority: int
+    public: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Account:
+    """A client account: the callers that share a set of keys and a limit.
+
+    Attributes:
+        name: The account's name; it can be sent in a header unchanged.
+        key_hashes: The SHA-256 hashes of its keys, hexadecimal.
+        priority: Replaces the priority of the route; None to keep it.
+        rate_per_s: Maximum requests per second, at all VMs together; 0 for no
+            limit.
+        burst: Requests allowed at once beyond that rate.
+    """
+
+    name: str
+    key_hashes: tuple[str, ...]
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Accounts:
+    """The client accounts of a configuration.
+
+    Attributes:
+        by_name: The accounts by name.
+        by_key_hash: The accounts by the hash of each key. A key that several
+            accounts share identifies none of them and is left out.
+    """
+
+    by_name: Mapping[str, Account]
+    by_key_hash: Mapping[str, Account]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -135,12 +171,14 @@
         routes: The routes.
         services: The services by name.
         limits: The limits on callers' requests.
+        accounts: The client accounts; None if requests need no keys.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     limits: RequestLimits
+    accounts: Accounts | None = None
 
 
 class SearcherState(enum.Enum):
--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -11,7 +11,13 @@
 import math
 
 from azureramp import catalog, metrics
-from azureramp.policy import allowances, exposure, routing, searcher_selection
+from azureramp.policy import (
+    account_limits,
+    allowances,
+    exposure,
+    routing,
+    searcher_selection,
+)
 from azureramp.ports.forwarding import pool
 
 
@@ -27,6 +33,9 @@
         address_lifetime_s: Maximum time for which callers keep an address
             answer, in seconds.
         exposure: Limit on requests to a version that is not proven yet.
+        account_limits: How far the client accounts' limits may be exceeded.
+        keys_expire_s: Time without contact with the store after which this VM
+            accepts no keys, in seconds; infinite if it always does.
     """
 
     extra: allowances.Limit
@@ -35,6 +44,8 @@
     grace_s: float
     address_lifetime_s: float
     exposure: exposure.ExposureLimit
+    account_limits: account_limits.Tolerance
+    keys_expire_s: float
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -215,6 +226,12 @@
         """Returns True if callers may be sent to this VM."""
         return self.configuration is not None and not self.leaving
 
+    def get_accounts(self) -> catalog.Accounts | None:
+        """Returns the client accounts; None if requests need no keys."""
+        if self.configuration is None:
+            return None
+        return self.configuration.accounts
+
     def get_service(self, name: str) -> catalog.Service | None:
         """Returns a service of the configuration; None if it isn't declared."""
         if self.configuration is None:
--- a/src/azureramp/controllers/forwarding/fan_out.py
+++ b/src/azureramp/controllers/forwarding/fan_out.py
@@ -7,6 +7,7 @@
 
 from azureramp import catalog, errors
 from azureramp.controllers.forwarding import (
+    authentication,
     crashes,
     part,
     requests,
@@ -75,6 +76,7 @@
         route: catalog.Route,
         destination: catalog.FanoutDestination,
         answer_by_s: float,
+        authorization: authentication.Authorization,
     ) -> None:
         """Creates a request that has sent nothing; see `run`."""
         self._searchers = searchers
@@ -82,7 +84,9 @@
         self._timings = timings
         self._request = request
         self._destination = destination
-        self._context = part.RequestContext(request.message, route, answer_by_s)
+        self._context = part.RequestContext(
+            request.message, route, answer_by_s, authorization
+        )
         self.parts: list[part.Part] = []
         self.caller_overhead_s = 0.0
         self._timers: list[asyncio.TimerHandle] = []
--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -10,6 +10,7 @@
 from azureramp import catalog
 from azureramp.controllers.forwarding import (
     active_rollout,
+    authentication,
     call_results,
     crashes,
     route_timings,
@@ -41,11 +42,13 @@
         message: The message to forward.
         route: The route.
         answer_by_s: When the answer must be sent, on the loop's clock.
+        authorization: The permission to send it; checked before each call.
     """
 
     message: api.Message
     route: catalog.Route
     answer_by_s: float
+    authorization: authentication.Authorization
 
 
 class Part:
@@ -243,7 +246,7 @@
                 sent.
         """
         left_s = self._context.answer_by_s - now_s
-        if left_s <= 0:
+        if left_s <= 0 or not self._context.authorization.is_valid():
             return False
         # A request that may run only once isn't sent to a failing searcher:
         # refusing it is better than losing its answer.
--- a/src/azureramp/controllers/forwarding/request_handler.py
+++ b/src/azureramp/controllers/forwarding/request_handler.py
@@ -6,9 +6,9 @@
 
 from azureramp import catalog, errors
 from azureramp.controllers.forwarding import (
-    board as board_module,
-)
-from azureramp.controllers.forwarding import (
+    account_limits,
+    admission,
+    authentication,
     crashes,
     fan_out,
     request_log,
@@ -16,6 +16,9 @@
     route_timings,
     single,
 )
+from azureramp.controllers.forwarding import (
+    board as board_module,
+)
 from azureramp.controllers.forwarding import (
     searchers as searchers_module,
 )
@@ -30,6 +33,8 @@
     """Answers callers' requests."""
 
     __slots__ = (
+        "_account_limits",
+        "_admission",
         "_board",
         "_crash_tracker",
         "_log",
@@ -43,6 +48,8 @@
         board: board_module.Board,
         searchers: searchers_module.Searchers,
         crash_tracker: crashes.CrashTracker,
+        limits: account_limits.AccountLimits,
+        admission_control: admission.Admission,
     ) -> None:
         """Creates the entry point of a process.
 
@@ -50,7 +57,11 @@
             board: The process's state.
             searchers: The searchers to choose from.
             crash_tracker: Counts the crashes that each request caused.
+            limits: The client accounts' limits.
+            admission_control: Admits requests to the searchers.
         """
+        self._account_limits = limits
+        self._admission = admission_control
         self._board = board
         self._searchers = searchers
         self._crash_tracker = crash_tracker
@@ -95,7 +106,44 @@
             return self._refuse(
                 request, route, errors.Kind.QUARANTINED, quarantine_s
             )
-        run = self._make_execution(request, route, answer_by_s)
+        authorized = authentication.authorize(self._board, request, route)
+        if authorized.is_error():
+            return self._refuse(request, route, authorized.error.kind)
+        authorization = authorized.ok
+        failure = await self._account_limits.take(authorization.account)
+        if failure is not None:
+            return self._write_refusal(request, route, failure, authorization)
+        demand = admission.Demand(
+            route,
+            list_services(route.destination),
+            authorization.get_account_name(),
+            authorization.priority,
+            answer_by_s,
+        )
+        failure = await self._admission.admit(demand)
+        if failure is not None:
+            self._account_limits.give_back(authorization.account)
+            return self._write_refusal(request, route, failure, authorization)
+        try:
+            return await self._execute(
+                request, route, answer_by_s, authorization
+            )
+        finally:
+            self._admission.release(demand)
+
+    async def _execute(
+        self,
+        request: requests.IncomingRequest,
+        route: catalog.Route,
+        answer_by_s: float,
+        authorization: authentication.Authorization,
+    ) -> requests.Answer:
+        """Sends an admitted request and returns its answer."""
+        if not authorization.is_valid():
+            # Its key was revoked while it waited.
+            self._account_limits.give_back(authorization.account)
+            return self._refuse(request, route, errors.Kind.UNAUTHENTICATED)
+        run = self._make_execution(request, route, answer_by_s, authorization)
         answer: requests.Answer | None = None
         try:
             answer = await run.run()
@@ -103,7 +151,12 @@
                 self._crash_tracker.record_answer(request.message)
         finally:
             self._log.write(
-                request, route, run.parts, answer, run.caller_overhead_s
+                request,
+                route,
+                run.parts,
+                answer,
+                run.caller_overhead_s,
+                authorization.get_account_name(),
             )
         return answer
 
@@ -112,6 +165,7 @@
         request: requests.IncomingRequest,
         route: catalog.Route,
         answer_by_s: float,
+        authorization: authentication.Authorization,
     ) -> fan_out.FanOutRequest | single.SingleRequest:
         """Creates the request's execution for its route's destination."""
         timings = self._timings.get(route)
@@ -127,6 +181,7 @@
                     route,
                     destination,
                     answer_by_s,
+                    authorization,
                 )
             case catalog.SplitDestination(choices=choices):
                 service = self._splitter.choose(route.name, choices)
@@ -138,6 +193,7 @@
                     route,
                     service,
                     answer_by_s,
+                    authorization,
                 )
 
     def _refuse(
@@ -152,11 +208,31 @@
         if retry_after_s is not None:
             retry_after_ms = round(retry_after_s * 1000)
         failure = errors.Failure(kind, retry_after_ms=retry_after_ms)
+        return self._write_refusal(request, route, failure)
+
+    def _write_refusal(
+        self,
+        request: requests.IncomingRequest,
+        route: catalog.Route | None,
+        failure: errors.Failure,
+        authorization: authentication.Authorization | None = None,
+    ) -> requests.Refusal:
+        """Logs and returns the refusal of a request that has not run."""
         refused = requests.Refusal(failure, request.id)
-        self._log.write(request, route, (), refused)
+        account = authorization.get_account_name() if authorization else ""
+        self._log.write(request, route, (), refused, account=account)
         return refused
 
 
+def list_services(destination: catalog.Destination) -> tuple[str, ...]:
+    """Returns the services that a route's requests may be sent to."""
+    match destination:
+        case catalog.FanoutDestination(services=services):
+            return services
+        case catalog.SplitDestination(choices=choices):
+            return tuple(choice.service for choice in choices)
+
+
 def compute_answer_by_s(
     request: requests.IncomingRequest, route: catalog.Route
 ) -> float:
--- a/src/azureramp/controllers/forwarding/request_log.py
+++ b/src/azureramp/controllers/forwarding/request_log.py
@@ -54,6 +54,7 @@
         parts: Sequence[part.Part],
         answer: requests.Answer | None,
         caller_overhead_s: float = 0.0,
+        account: str = "",
     ) -> None:
         """Counts a request and writes its line within the rate limit.
 
@@ -64,6 +65,7 @@
             answer: Its answer; None if the caller disconnected before it.
             caller_overhead_s: The time that the caller is estimated to spend
                 outside of this VM, in seconds.
+            account: The name of its client account; empty if it has none.
         """
         now_s = asyncio.get_running_loop().time()
         outcome = describe_answer(answer)
@@ -85,6 +87,8 @@
             "way_ms": round(caller_overhead_s * 1000, 1),
             "advertised": self._is_advertised(),
         }
+        if account:
+            line["account"] = account
         if route is not None:
             line["target_ms"] = round(route.target_latency_s * 1000)
         if request.deadline_s is not None:
--- a/src/azureramp/controllers/forwarding/requests.py
+++ b/src/azureramp/controllers/forwarding/requests.py
@@ -22,6 +22,8 @@
         connection_setup_s: The time that the caller spent on opening its
             connection, in seconds.
         message: The message to forward.
+        key: The key that identifies its client account; empty if none was
+            sent.
     """
 
     id: str
@@ -32,6 +34,7 @@
     round_trip_s: float
     connection_setup_s: float
     message: api.Message
+    key: str = dataclasses.field(default="", repr=False)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/azureramp/controllers/forwarding/single.py
+++ b/src/azureramp/controllers/forwarding/single.py
@@ -6,6 +6,7 @@
 
 from azureramp import catalog, errors
 from azureramp.controllers.forwarding import (
+    authentication,
     crashes,
     part,
     requests,
@@ -47,12 +48,15 @@
         route: catalog.Route,
         service: str,
         answer_by_s: float,
+        authorization: authentication.Authorization,
     ) -> None:
         """Creates a request that has sent nothing; see `run`."""
         self._searchers = searchers
         self._timings = timings
         self._request = request
-        self._context = part.RequestContext(request.message, route, answer_by_s)
+        self._context = part.RequestContext(
+            request.message, route, answer_by_s, authorization
+        )
         self._part = part.Part(
             searchers,
             crash_tracker,
--- a/src/azureramp/errors.py
+++ b/src/azureramp/errors.py
@@ -35,6 +35,8 @@
     BAD_REQUEST = "bad_request"
     TOO_LARGE = "too_large"
     UNAUTHENTICATED = "unauthenticated"
+    KEYS_OUTDATED = "keys_outdated"
+    ACCOUNT_LIMIT = "account_limit"
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not_found"
     METHOD_NOT_ALLOWED = "method_not_allowed"
@@ -120,6 +122,10 @@
     Kind.BAD_REQUEST: Answer(400, Execution.NOT_RUN, Retry.NEVER),
     Kind.TOO_LARGE: Answer(413, Execution.NOT_RUN, Retry.NEVER),
     Kind.UNAUTHENTICATED: Answer(401, Execution.NOT_RUN, Retry.NEVER),
+    Kind.KEYS_OUTDATED: Answer(
+        503, Execution.NOT_RUN, Retry.OTHER_ADDRESS, 1000
+    ),
+    Kind.ACCOUNT_LIMIT: Answer(429, Execution.NOT_RUN, Retry.SAME, 1000),
     Kind.FORBIDDEN: Answer(403, Execution.NOT_RUN, Retry.NEVER),
     Kind.NOT_FOUND: Answer(404, Execution.NOT_RUN, Retry.NEVER),
     Kind.METHOD_NOT_ALLOWED: Answer(405, Execution.NOT_RUN, Retry.NEVER),
--- a/src/azureramp/platform/bodies.py
+++ b/src/azureramp/platform/bodies.py
@@ -22,6 +22,7 @@
         top_k: Maximum number of records in an answer.
         min_shard_share: Minimum share of the shards that an answer must
             cover, 0 to 1.
+        public: True if its requests need no key.
     """
 
     name: str
@@ -37,6 +38,7 @@
     fanout_services: list[str] | None = None
     top_k: int = msgspec.field(default=0, name="TopK")
     min_shard_share: float = 0.0
+    public: bool = False
 
 
 class SplitBody(msgspec.Struct, rename="pascal"):
@@ -70,12 +72,33 @@
     idle_timeout_ms: float = 60_000
 
 
+class TenantBody(msgspec.Struct, rename="pascal"):
+    """A client account.
+
+    Attributes:
+        rate_per_s: Maximum requests per second; 0 for no limit.
+        burst: Requests allowed at once beyond that rate.
+        priority: Replaces the priority of the route; None to keep it.
+    """
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float = msgspec.field(default=0.0, name="RatePerS")
+    burst: float = 0.0
+
+
 class ConfigurationBody(msgspec.Struct, rename="pascal"):
-    """The complete current configuration."""
+    """The complete current configuration.
+
+    Attributes:
+        tenants: The client accounts; None if requests need no keys.
+    """
 
     version: int
     routes: list[RouteBody]
     services: list[ServiceBody] = []
+    tenants: list[TenantBody] | None = None
     limits: LimitsBody = msgspec.field(default_factory=LimitsBody)
 
 
--- a/src/azureramp/platform/decoding.py
+++ b/src/azureramp/platform/decoding.py
@@ -8,6 +8,7 @@
 
 from azureramp import catalog, rollout_types
 from azureramp.platform import bodies
+from azureramp.policy import identity
 from azureramp.ports.store import api as store_api
 
 CONFIGURATION_KEY = "op/config"
@@ -184,10 +185,34 @@
             routes=tuple(_to_route(route) for route in body.routes),
             services=services,
             limits=limits,
+            accounts=(
+                None
+                if body.tenants is None
+                else identity.index_accounts(
+                    _to_account(tenant)
+                    for tenant in body.tenants
+                    if _HEADER_SAFE.fullmatch(tenant.name)
+                )
+            ),
         )
     )
 
 
+def _to_account(body: bodies.TenantBody) -> catalog.Account:
+    """Converts a client account; empty keys are left out."""
+    return catalog.Account(
+        name=body.name,
+        key_hashes=tuple(
+            identity.hash_token(key)
+            for key in dict.fromkeys(body.api_keys)
+            if key
+        ),
+        priority=body.priority,
+        rate_per_s=max(0.0, body.rate_per_s),
+        burst=max(0.0, body.burst),
+    )
+
+
 def _to_route(body: bodies.RouteBody) -> catalog.Route:
     """Converts a route."""
     return catalog.Route(
@@ -202,6 +227,7 @@
         target_latency_s=body.target_latency_ms / 1000,
         max_attempts=max(1, body.attempts),
         priority=body.priority,
+        public=body.public,
     )
 
 
--- a/src/azureramp/platform/headers.py
+++ b/src/azureramp/platform/headers.py
@@ -6,6 +6,7 @@
 
 from azureramp import catalog
 from azureramp.controllers.forwarding import requests
+from azureramp.policy import identity
 from azureramp.ports.forwarding import api
 from azureramp.ports.web import api as web_api
 
@@ -16,6 +17,8 @@
 NOT_EXECUTED = b"azureramp-not-executed"
 SERVER_LOAD = b"azureramp-server-load"
 COLD_REMAINING = b"azureramp-cold-remaining-ms"
+ACCOUNT = b"azureramp-tenant"
+AUTHORIZATION = b"authorization"
 PART_SIGNATURES = "Azureramp-Part-Stamps"
 MISSING_PARTS = "Azureramp-Missing-Parts"
 REQUEST_ID_NAME = "Azureramp-Request-Id"
@@ -43,6 +46,13 @@
 """Request headers that aren't forwarded: the tier either sets its own value for
 each call or has already processed the header."""
 
+IDENTITY_HEADERS = frozenset((ACCOUNT, AUTHORIZATION))
+"""Request headers that are forwarded only where no client accounts are
+configured: a key must not leave the VM, and a caller may not name an account.
+"""
+
+KEY_SCHEME = "token "
+
 MAX_DEADLINE_MS = 3_600_000
 """Upper limit of the times read from headers, in milliseconds. It shortens no
 caller's deadline, since the route's timeout is shorter still."""
@@ -56,6 +66,10 @@
     def encode_message(self, message: api.Message) -> api.Headers:
         """Returns the headers that all calls for a message share."""
         fields = list(message.headers)
+        if message.account is None:
+            fields += message.identity_headers
+        elif message.account:
+            fields.append((ACCOUNT, message.account.encode("latin-1")))
         if message.body or message.method not in (b"GET", b"HEAD"):
             length = str(len(message.body)).encode("ascii")
             fields.append((b"content-length", length))
@@ -109,6 +123,7 @@
     """
     host = request_id = b""
     deadline: bytes | None = None
+    credentials: list[str] = []
     for name, value in request.raw_headers:
         if name == b"host":
             host = value
@@ -116,6 +131,8 @@
             request_id = value
         elif name == DEADLINE:
             deadline = value
+        elif name == AUTHORIZATION:
+            credentials.append(value.decode("latin-1"))
     if not request_id:
         return requests.MalformedRequest("no request id")
     deadline_s: float | None = None
@@ -124,6 +141,7 @@
         if deadline_s is None:
             return requests.MalformedRequest("the deadline is not a number")
     path = request.raw_target.partition(b"?")[0].decode("latin-1")
+    fields = _filter_end_to_end(request.raw_headers, SET_BY_TIER)
     return requests.IncomingRequest(
         id=request_id.decode("latin-1"),
         host=host.decode("latin-1").partition(":")[0].lower(),
@@ -134,12 +152,18 @@
         connection_setup_s=request.round_trip_s
         if request.is_first_on_connection
         else 0.0,
+        key=identity.extract_token(credentials, KEY_SCHEME),
         message=api.Message(
             id=request_id,
             method=request.method.encode("ascii"),
             target=request.raw_target,
-            headers=_filter_end_to_end(request.raw_headers, SET_BY_TIER),
+            headers=[
+                field for field in fields if field[0] not in IDENTITY_HEADERS
+            ],
             body=request.body,
+            identity_headers=[
+                field for field in fields if field[0] in IDENTITY_HEADERS
+            ],
         ),
     )
 
@@ -237,11 +261,16 @@
 
 
 def _parse_load(value: bytes | None) -> api.Load | None:
-    """Parses a searcher's load: requests running, requests waiting, slots."""
+    """Parses a searcher's load: requests running, requests waiting, slots.
+
+    A fourth figure is the time that work takes on its backend server, in
+    percent of the usual time.
+    """
     if value is None:
         return None
     parts = [part.strip() for part in value.split(b",")]
-    if len(parts) != 3 or not all(part.isdigit() for part in parts):
+    if len(parts) < 3 or not all(part.isdigit() for part in parts[:4]):
         return None
-    running, waiting, slots = (int(part[:6]) for part in parts)
-    return api.Load(running, waiting, slots)
+    running, waiting, slots = (int(part[:6]) for part in parts[:3])
+    slowness = int(parts[3][:6]) / 100 if len(parts) > 3 else 1.0
+    return api.Load(running, waiting, slots, slowness)
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -13,9 +13,8 @@
 
 from azureramp import catalog, logs, statsd_metrics
 from azureramp.controllers.forwarding import (
-    board as board_module,
-)
-from azureramp.controllers.forwarding import (
+    account_limits,
+    admission,
     change_log,
     crashes,
     entry_applier,
@@ -35,6 +34,9 @@
     searchers,
     store_contact,
 )
+from azureramp.controllers.forwarding import (
+    board as board_module,
+)
 from azureramp.platform import answers, decoding, headers, settings, store
 from azureramp.policy import store_copy as store_copy_module
 from azureramp.ports.relays import http as relays_http
@@ -225,7 +227,11 @@
         self._answers = answers.Answers(
             board,
             request_handler.RequestHandler(
-                board, searcher_registry, self._crashes
+                board,
+                searcher_registry,
+                self._crashes,
+                account_limits.AccountLimits(board),
+                admission.Admission(board, searcher_registry),
             ),
             log_writer,
         )
--- a/src/azureramp/platform/settings.py
+++ b/src/azureramp/platform/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import os
 import pathlib
 import tomllib
@@ -13,7 +14,7 @@
 import msgspec
 
 from azureramp.controllers.forwarding import board
-from azureramp.policy import allowances, exposure
+from azureramp.policy import account_limits, allowances, exposure
 
 
 class ListenBody(msgspec.Struct, rename="pascal"):
@@ -64,6 +65,11 @@
     exposure_share: float = 0.05
     exposure_slack: float = 0.0
     rollback_ms: float = 5_000.0
+    quota_window_s: float = msgspec.field(default=5.0, name="QuotaWindowS")
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
+    revoke_when_partitioned: bool = False
+    revoke_ms: float = 5_000.0
 
 
 class ProcessLimitsBody(msgspec.Struct, rename="pascal"):
@@ -267,6 +273,8 @@
         "Bounds.ColdSlack": bounds.cold_slack,
         "Bounds.ExposureShare": bounds.exposure_share,
         "Bounds.ExposureSlack": bounds.exposure_slack,
+        "Bounds.QuotaOverage": bounds.quota_overage,
+        "Bounds.QuotaSlack": bounds.quota_slack,
     }
     for field, number in numbers.items():
         if number < 0:
@@ -276,6 +284,8 @@
         "Bounds.GraceS": bounds.grace_s,
         "Bounds.ttl_max_s": bounds.ttl_max_s,
         "Bounds.RollbackMs": bounds.rollback_ms,
+        "Bounds.QuotaWindowS": bounds.quota_window_s,
+        "Bounds.RevokeMs": bounds.revoke_ms,
     }
     for field, number in spans.items():
         if number <= 0:
@@ -317,6 +327,16 @@
                 fixed=bounds.exposure_slack,
                 stop_s=bounds.rollback_ms / 1000,
             ),
+            account_limits=account_limits.Tolerance(
+                window_s=bounds.quota_window_s,
+                overage=bounds.quota_overage,
+                slack=bounds.quota_slack,
+            ),
+            keys_expire_s=(
+                bounds.revoke_ms / 1000
+                if bounds.revoke_when_partitioned
+                else math.inf
+            ),
         ),
         front_address=listen.front if serves_callers else "",
         ready_address=listen.ready if serves_callers else "",
--- a/src/azureramp/policy/identity.py
+++ b/src/azureramp/policy/identity.py
@@ -4,11 +4,11 @@
 
 import hashlib
 import hmac
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 import expression
 
-from azureramp import errors, resources
+from azureramp import catalog, errors, resources
 from azureramp.policy import topology
 
 SCHEME = "bearer "
@@ -20,6 +20,51 @@
     return hashlib.sha256(token.encode("utf-8", "surrogatepass")).hexdigest()
 
 
+def extract_token(values: Sequence[str], scheme: str) -> str:
+    """Returns the token of a request's `Authorization` headers.
+
+    Args:
+        values: The values of all such headers.
+        scheme: The authentication scheme with a trailing space, in lower case.
+
+    Returns:
+        The token; empty if there is none, or if several headers leave open
+        which one applies.
+    """
+    if len(values) != 1 or not values[0].lower().startswith(scheme):
+        return ""
+    token = values[0][len(scheme) :]
+    return token if len(token) <= MAX_TOKEN_CHARACTERS else ""
+
+
+def index_accounts(accounts: Iterable[catalog.Account]) -> catalog.Accounts:
+    """Indexes client accounts; see `catalog.Accounts`.
+
+    Args:
+        accounts: The accounts. Of several with one name the last one counts.
+    """
+    by_name = {account.name: account for account in accounts}
+    by_key_hash: dict[str, catalog.Account] = {}
+    shared: set[str] = set()
+    for account in by_name.values():
+        for key_hash in account.key_hashes:
+            if by_key_hash.setdefault(key_hash, account) is not account:
+                shared.add(key_hash)
+    for key_hash in shared:
+        del by_key_hash[key_hash]
+    return catalog.Accounts(by_name, by_key_hash)
+
+
+def find_account(
+    accounts: catalog.Accounts, key: str
+) -> catalog.Account | None:
+    """Returns the client account that holds a key; None if there is none.
+
+    The lookup uses the key's hash, so its timing reveals nothing of the keys.
+    """
+    return accounts.by_key_hash.get(hash_token(key)) if key else None
+
+
 def find_caller(
     callers: Mapping[str, tuple[resources.Caller, ...]], authorization: str
 ) -> expression.Result[resources.Caller, errors.Failure]:
@@ -38,10 +83,8 @@
         The caller, or `UNAUTHENTICATED`.
     """
     refused = expression.Error(errors.Failure(errors.Kind.UNAUTHENTICATED))
-    token = authorization[len(SCHEME) :]
-    if not authorization.lower().startswith(SCHEME) or not token:
-        return refused
-    if len(token) > MAX_TOKEN_CHARACTERS:
+    token = extract_token((authorization,), SCHEME)
+    if not token:
         return refused
     sha256 = hash_token(token)
     found = callers.get(sha256, ())
--- a/src/azureramp/ports/forwarding/api.py
+++ b/src/azureramp/ports/forwarding/api.py
@@ -24,6 +24,10 @@
         headers: The headers that are forwarded; excludes headers of the
             caller's own connection and those that the tier sets itself.
         body: The body.
+        identity_headers: The caller's own headers that state who it is; they
+            are forwarded only if `account` is None.
+        account: The name of the client account that searchers are told; empty
+            for a caller without one, None if no accounts are configured.
         head: The request line and headers after h11 validated them; None until
             the first call is encoded.
     """
@@ -33,6 +37,8 @@
     target: bytes
     headers: Headers
     body: bytes
+    identity_headers: Headers = ()
+    account: str | None = None
     head: h11.Request | None = dataclasses.field(
         default=None, compare=False, repr=False
     )
@@ -69,11 +75,14 @@
         running: Number of requests that it is running.
         waiting: Number of requests that are queued in it.
         slots: Maximum number of requests that it runs at once.
+        slowness: How long work takes on its backend server at this moment, as
+            a multiple of the usual time.
     """
 
     running: int
     waiting: int
     slots: int
+    slowness: float = 1.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/azureramp/ports/rollouts/http.py
+++ b/src/azureramp/ports/rollouts/http.py
@@ -1,4 +1,4 @@
-"""HTTP client for reports to drivers; shares the store's client code."""
+"""Client for reports to drivers, over the calls between VMs."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 from azureramp import errors
 from azureramp.ports.rollouts import api
-from azureramp.ports.web import pools
+from azureramp.ports.vms import http as vms_http
 
 RESPONSE_TIMEOUT_S = 0.4
 """Maximum time for a response, in seconds. A driver that hangs must be replaced
@@ -21,36 +21,28 @@
 class HttpDriverClient:
     """HTTP client of the drivers; see `api.DriverClient`."""
 
-    __slots__ = ("_pools",)
+    __slots__ = ("_vms",)
 
     def __init__(self) -> None:
         """Makes a client without connections."""
-        self._pools = pools.Pools(MAX_VMS)
+        self._vms = vms_http.HttpVmClient(MAX_VMS)
 
     async def report(
         self, address: str, report: api.Report
     ) -> expression.Result[api.Grant, errors.Failure]:
         """Sends a report to a driver; see `api.DriverClient`."""
-        result = await self._pools.get(address).exchange(
-            "POST",
-            api.REPORTS_PATH,
-            api.encode(report),
-            timeout_s=RESPONSE_TIMEOUT_S,
+        result = await self._vms.call(
+            address, api.REPORTS_PATH, api.encode(report), RESPONSE_TIMEOUT_S
         )
-        lost = errors.Kind.CONNECTION_LOST
         if result.is_error():
-            return expression.Error(errors.Failure(lost, result.error.detail))
-        if result.ok.status != 200:
-            return expression.Error(
-                errors.Failure(
-                    errors.Kind.NOT_OWNER, f"status {result.ok.status}"
-                )
-            )
+            return expression.Error(result.error)
         try:
-            return expression.Ok(api.decode_grant(result.ok.body))
+            return expression.Ok(api.decode_grant(result.ok))
         except msgspec.DecodeError as error:
-            return expression.Error(errors.Failure(lost, str(error)))
+            return expression.Error(
+                errors.Failure(errors.Kind.CONNECTION_LOST, str(error))
+            )
 
     async def close(self) -> None:
         """Closes all idle connections."""
-        self._pools.close()
+        await self._vms.close()
--- /dev/null
+++ b/src/azureramp/ports/vms/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to other VMs of the tier."""
--- a/src/azureramp/texts.py
+++ b/src/azureramp/texts.py
@@ -36,6 +36,14 @@
         "The token is missing or not known.",
         "A token hiányzik vagy ismeretlen.",
     ),
+    errors.Kind.KEYS_OUTDATED: Text(
+        "This VM has not heard of changes of keys for too long.",
+        "Ez a gép túl régóta nem értesült a kulcsok változásairól.",
+    ),
+    errors.Kind.ACCOUNT_LIMIT: Text(
+        "The client account has reached its limit.",
+        "Az ügyfélfiók elérte a korlátját.",
+    ),
     errors.Kind.FORBIDDEN: Text(
         "The caller may not do this.", "A hívónak ehhez nincs joga."
     ),
--- a/src/azureramp_standins/fleet/deployment.py
+++ b/src/azureramp_standins/fleet/deployment.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import itertools
+import math
+from collections.abc import Sequence
 from typing import Any
 
 import expression
@@ -12,7 +14,7 @@
 from azureramp import errors
 from azureramp.controllers.forwarding import board
 from azureramp.platform import program, settings
-from azureramp.policy import allowances, exposure
+from azureramp.policy import account_limits, allowances, exposure
 from azureramp.ports.web import api as web_api
 from azureramp.ports.web import connection as web_connection
 from azureramp_standins.fleet import searcher, store
@@ -151,6 +153,18 @@
             | fields
         )
 
+    def add_account(self, name: str, *keys: str, **fields: Any) -> None:
+        """Adds a client account to the configuration, without writing it.
+
+        Args:
+            name: The account's name.
+            *keys: Its keys.
+            **fields: Further fields of the account's entry.
+        """
+        self.configuration.setdefault("Tenants", []).append(
+            {"Name": name, "ApiKeys": list(keys)} | fields
+        )
+
     def write_configuration(self) -> None:
         """Writes the configuration to the store under a new version."""
         self.configuration["Version"] += 3
@@ -192,6 +206,8 @@
         body: bytes = b"",
         deadline_ms: int = 1000,
         request_id: str = "",
+        key: str = "",
+        headers: Sequence[tuple[str, str]] = (),
     ) -> web_api.Response:
         """Sends a caller's request on a new connection.
 
@@ -202,6 +218,8 @@
             body: The body.
             deadline_ms: The request's deadline, in milliseconds.
             request_id: The request's id; empty to generate one.
+            key: The key of its client account; empty to send none.
+            headers: Further headers.
 
         Raises:
             ConnectionBrokenError: The connection could not be opened, or ended
@@ -210,13 +228,16 @@
         address = self.get_address(vm)
         opened = await web_connection.connect(address, 1.0)
         connection = _get_connection(opened)
-        headers = (
+        sent = [
             ("Azureramp-Request-Id", request_id or f"r{next(self._ids)}"),
             ("Azureramp-Deadline-Ms", str(deadline_ms)),
-        )
+            *headers,
+        ]
+        if key:
+            sent.append(("Authorization", f"Token {key}"))
         try:
             return await connection.exchange(
-                method, target, headers, body, host=HOST
+                method, target, sent, body, host=HOST
             )
         finally:
             connection.abort()
@@ -263,6 +284,8 @@
             grace_s=6.0,
             address_lifetime_s=5.0,
             exposure=exposure.ExposureLimit(share=0.1, fixed=50.0, stop_s=5.0),
+            account_limits=account_limits.Tolerance(5.0, 0.1, 20.0),
+            keys_expire_s=math.inf,
         ),
         front_address=f"127.0.0.1:{first_port}",
         ready_address=f"127.0.0.1:{first_port + 1}",
