Read load reports with their slowness, and use them by their age

Cause: searchers of some services report a fourth figure, how long work takes on their backend server now. It was read into api.Load and used nowhere; a report that could not be read was dropped without a trace.

Change: the fourth figure counts in the expected duration of a call and fades into its mean with a half-life of 0.1 s, as does the reported queue. A call's duration is recorded in relation to the reported slowness, so that own measurements win over false reports after a few calls. Reports that can't be read are counted (report.unreadable) and logged once a searcher. Huge figures are unreadable now, formerly they were cut to six digits. SearcherStats moved to a module of its own.

--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -16,7 +16,7 @@
     allowances,
     exposure,
     routing,
-    searcher_selection,
+    searcher_stats,
 )
 from azureramp.ports.forwarding import pool
 
@@ -87,19 +87,21 @@
             complete.
         entry_expired: True if its entry expired during a store outage; it
             remains in use until the store has been back for a while.
+        reports_unreadable: True once it sent a load report that can't be read.
         call_times_s: When the newest call and those in the second before it
             were sent, including calls to the process that it replaced under its
             id.
     """
 
     searcher: catalog.Searcher
-    stats: searcher_selection.SearcherStats
+    stats: searcher_stats.SearcherStats
     pool: pool.Pool
     cold_until_s: float = -math.inf
     misdirected: bool = False
     probing: bool = False
     removed: bool = False
     entry_expired: bool = False
+    reports_unreadable: bool = False
     call_times_s: collections.deque[float] = dataclasses.field(
         default_factory=collections.deque
     )
--- a/src/azureramp/controllers/forwarding/call_results.py
+++ b/src/azureramp/controllers/forwarding/call_results.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from azureramp.controllers.forwarding import board as board_module
+from azureramp.controllers.forwarding import (
+    load_reports as load_reports_module,
+)
 from azureramp.controllers.forwarding import route_timings
 from azureramp.ports.forwarding import api
 
@@ -18,6 +21,7 @@
     target: board_module.Target,
     reply: api.Reply,
     timings: route_timings.RouteTimings,
+    load_reports: load_reports_module.LoadReports,
     took_s: float,
     now_s: float,
 ) -> None:
@@ -27,6 +31,7 @@
         target: The searcher.
         reply: The answer.
         timings: Call durations of the route; updated as well.
+        load_reports: Records its load report.
         took_s: How long the call took, in seconds.
         now_s: The current time.
     """
@@ -34,10 +39,7 @@
     if reply.misdirected:
         target.misdirected = True
         return
-    if reply.load is not None:
-        total = reply.load.running + reply.load.waiting
-        stats.reported_load = max(0, total - stats.in_flight - 1)
-        stats.reported_s = now_s
+    load_reports.record(target, reply.load, stats.in_flight + 1, now_s)
     if reply.cold_s:
         target.cold_until_s = max(target.cold_until_s, now_s + reply.cold_s)
     if reply.is_success():
--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -20,7 +20,7 @@
 from azureramp.controllers.forwarding import (
     searchers as searchers_module,
 )
-from azureramp.policy import searcher_selection
+from azureramp.policy import searcher_selection, searcher_stats
 from azureramp.ports.forwarding import api
 
 ABANDONED_CALL_LINGER_S = 0.25
@@ -288,7 +288,7 @@
 
     def _is_worth_hedging(
         self,
-        stats: searcher_selection.SearcherStats,
+        stats: searcher_stats.SearcherStats,
         now_s: float,
         within_s: float,
     ) -> bool:
@@ -352,7 +352,12 @@
                         "call.took_ms", took_s * 1000
                     )
                 call_results.record_reply(
-                    attempt.target, outcome, self._timings, took_s, now_s
+                    attempt.target,
+                    outcome,
+                    self._timings,
+                    self._searchers.load_reports,
+                    took_s,
+                    now_s,
                 )
                 if not self.done:
                     self._handle_reply(outcome, now_s)
--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -14,11 +14,12 @@
     advertisement,
     change_log,
     cold_searchers,
+    load_reports,
     rollouts,
     shared_limits,
 )
 from azureramp.controllers.forwarding import board as board_module
-from azureramp.policy import advertising, searcher_selection
+from azureramp.policy import advertising, searcher_selection, searcher_stats
 from azureramp.ports.forwarding import api, pool
 
 COLD_SLOWNESS = 1.6
@@ -40,6 +41,7 @@
 
     Attributes:
         limits: This VM's shares of the limits that apply to all VMs together.
+        load_reports: Records the searchers' load reports.
         metrics: Counts the calls.
         rollouts: Determines which versions may be used.
     """
@@ -50,6 +52,7 @@
         "_log",
         "_rng",
         "limits",
+        "load_reports",
         "metrics",
         "rollouts",
     )
@@ -67,6 +70,7 @@
         self._log = log
         self._board = board
         self.metrics = board.metrics
+        self.load_reports = load_reports.LoadReports(board.metrics, log)
         self._codec = codec
         self._rng = rng
         self.limits = shared_limits.SharedLimits(board)
@@ -252,6 +256,7 @@
     def record_call(self, target: board_module.Target, now_s: float) -> None:
         """Records a call to a searcher."""
         cold_searchers.record_call(target, now_s)
+        self.load_reports.record_choice(target, now_s)
         self.rollouts.record_call(target.searcher, now_s)
 
     def _is_usable(
@@ -271,7 +276,7 @@
     def _make_target(self, searcher: catalog.Searcher) -> board_module.Target:
         """Creates the state of a newly announced searcher."""
         near = searcher.zone == self._board.identity.zone
-        record = searcher_selection.SearcherStats(searcher.slots, near)
+        record = searcher_stats.SearcherStats(searcher.slots, near)
         if searcher.cold_remaining_s > 0:
             record.relative_time = COLD_SLOWNESS
             record.updated_s = asyncio.get_running_loop().time()
--- a/src/azureramp/platform/headers.py
+++ b/src/azureramp/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable, Sequence
 
 from azureramp import catalog
@@ -53,6 +54,17 @@
 
 KEY_SCHEME = "token "
 
+MAX_SLOWNESS = 1000.0
+"""Largest multiple of the usual time that a load report may state."""
+
+MAX_UNREADABLE_BYTES = 80
+"""How much of an unreadable load report is kept for the log, in bytes."""
+
+_LOAD = re.compile(
+    rb"(\d{1,6})\s*,\s*(\d{1,6})\s*,\s*(\d{1,6})"
+    rb"(?:\s*,\s*(\d{1,9}(?:\.\d{1,9})?)(?:\s*,.*)?)?"
+)
+
 MAX_DEADLINE_MS = 3_600_000
 """Upper limit of the times read from headers, in milliseconds. It shortens no
 caller's deadline, since the route's timeout is shorter still."""
@@ -260,17 +272,25 @@
     return min(int(value[:9]), MAX_DEADLINE_MS) / 1000
 
 
-def _parse_load(value: bytes | None) -> api.Load | None:
+def _parse_load(
+    value: bytes | None,
+) -> api.Load | api.UnreadableLoad | None:
     """Parses a searcher's load: requests running, requests waiting, slots.
 
     A fourth figure is the time that work takes on its backend server, in
-    percent of the usual time.
+    percent of the usual time. Figures beyond the fourth are ignored.
     """
     if value is None:
         return None
-    parts = [part.strip() for part in value.split(b",")]
-    if len(parts) < 3 or not all(part.isdigit() for part in parts[:4]):
-        return None
-    running, waiting, slots = (int(part[:6]) for part in parts[:3])
-    slowness = int(parts[3][:6]) / 100 if len(parts) > 3 else 1.0
+    match = _LOAD.fullmatch(value.strip())
+    slowness = None
+    if match is not None and match[4] is not None:
+        slowness = float(match[4]) / 100
+    if match is None or (
+        slowness is not None and not 0.0 < slowness <= MAX_SLOWNESS
+    ):
+        return api.UnreadableLoad(
+            value[:MAX_UNREADABLE_BYTES].decode("latin-1")
+        )
+    running, waiting, slots = (int(match[index]) for index in (1, 2, 3))
     return api.Load(running, waiting, slots, slowness)
--- a/src/azureramp/ports/forwarding/api.py
+++ b/src/azureramp/ports/forwarding/api.py
@@ -76,13 +76,24 @@
         waiting: Number of requests that are queued in it.
         slots: Maximum number of requests that it runs at once.
         slowness: How long work takes on its backend server at this moment, as
-            a multiple of the usual time.
+            a multiple of the usual time; None if not reported.
     """
 
     running: int
     waiting: int
     slots: int
-    slowness: float = 1.0
+    slowness: float | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class UnreadableLoad:
+    """A load report that can't be read.
+
+    Attributes:
+        text: The report as received, shortened.
+    """
+
+    text: str
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -107,7 +118,7 @@
     signature: bytes
     ran: Execution
     misdirected: bool
-    load: Load | None
+    load: Load | UnreadableLoad | None
     cold_s: float | None
 
     def is_success(self) -> bool:
--- a/src/azureramp_standins/fleet/searcher.py
+++ b/src/azureramp_standins/fleet/searcher.py
@@ -49,6 +49,7 @@
         raw: Bytes to send instead of an answer.
         extra: Bytes to send after the answer.
         extra_delay_s: Delay before the extra bytes, in seconds.
+        load: The load report in the answer; empty for none.
         framed: False for an answer without a length, ended by closing the
             connection.
         connection_action: What happens to the connection afterwards: `keep`,
@@ -65,6 +66,7 @@
     raw: bytes | None = None
     extra: bytes = b""
     extra_delay_s: float = 0.0
+    load: str = ""
     framed: bool = True
     connection_action: str = "keep"
 
@@ -274,6 +276,8 @@
         headers = [("Azureramp-Request-Id", name)]
         if reaction.signed:
             headers.append(("Azureramp-Server-Stamp", signature))
+        if reaction.load:
+            headers.append(("Azureramp-Server-Load", reaction.load))
         if reaction.not_run:
             headers.append(("Azureramp-Not-Executed", "1"))
         if reaction.framed:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -82,16 +82,58 @@
     assert reply.ran is ran
 
 
-def test_load_is_parsed_and_invalid_values_are_ignored() -> None:
-    codec = headers.Codec()
-    valid = codec.decode_reply(
-        200, ((b"azureramp-server-load", b"3,1,2"),), b""
-    )
-    assert valid.load == api.Load(3, 1, 2)
-    invalid = codec.decode_reply(
-        200, ((b"azureramp-server-load", b"3,x"),), b""
-    )
-    assert invalid.load is None
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,1,2", api.Load(3, 1, 2)),
+        (b" 3 , 1 , 2 ", api.Load(3, 1, 2)),
+        (b"3,1,2,250", api.Load(3, 1, 2, 2.5)),
+        (b"3, 1, 2, 87.5", api.Load(3, 1, 2, 0.875)),
+        (b"3,1,2,100,7", api.Load(3, 1, 2, 1.0)),
+        (b"3,1,2,100,new,figures", api.Load(3, 1, 2, 1.0)),
+    ],
+)
+def test_a_load_report_has_three_figures_or_more(
+    value: bytes, load: api.Load
+) -> None:
+    fields = ((b"azureramp-server-load", value),)
+    assert headers.Codec().decode_reply(200, fields, b"").load == load
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"3",
+        b"3,1",
+        b"3,x",
+        b"3,1,2,",
+        b"3,1,2,x",
+        b"3,1,2,nan",
+        b"3,1,2,1e3",
+        b"3,1,2,0",
+        b"-3,1,2",
+        b"3,1,2,-250",
+        b"3,1,2,99999999999",
+        b"9999999999,1,2,100",
+        b"\xff\x00",
+        b"9" * 10_000,
+    ],
+)
+def test_an_unreadable_load_report_is_kept_for_the_log(value: bytes) -> None:
+    """Guards against reports that are dropped without a trace.
+
+    A searcher reported one figure more than was read, and all of its reports
+    were ignored unnoticed.
+    """
+    fields = ((b"azureramp-server-load", value),)
+    load = headers.Codec().decode_reply(200, fields, b"").load
+    assert isinstance(load, api.UnreadableLoad)
+    assert len(load.text) <= headers.MAX_UNREADABLE_BYTES
+
+
+def test_a_reply_without_a_load_report_has_none() -> None:
+    assert headers.Codec().decode_reply(200, (), b"").load is None
 
 
 def test_retry_after_is_sent_only_for_requests_that_did_not_run() -> None:
--- a/tests/policy/test_searcher_selection.py
+++ b/tests/policy/test_searcher_selection.py
@@ -4,11 +4,11 @@
 
 import random
 
-from azureramp.policy import searcher_selection
+from azureramp.policy import searcher_selection, searcher_stats
 
 
 def choose(
-    records: dict[str, searcher_selection.SearcherStats], now_s: float = 10.0
+    records: dict[str, searcher_stats.SearcherStats], now_s: float = 10.0
 ) -> str:
     chosen = searcher_selection.choose(records.items(), now_s, random.Random(1))
     assert chosen is not None
@@ -23,23 +23,21 @@
     another searcher, even in another zone.
     """
     records = {
-        "paused": searcher_selection.SearcherStats(
+        "paused": searcher_stats.SearcherStats(
             2, same_zone=True, in_flight=1, overdue=1
         ),
-        "other": searcher_selection.SearcherStats(
-            2, same_zone=False, in_flight=1
-        ),
+        "other": searcher_stats.SearcherStats(2, same_zone=False, in_flight=1),
     }
     assert choose(records) == "other"
 
 
 def test_a_slow_searcher_is_avoided_until_its_slowness_decays() -> None:
-    slow = searcher_selection.SearcherStats(2, same_zone=True)
+    slow = searcher_stats.SearcherStats(2, same_zone=True)
     for _ in range(5):
         slow.record_time(8.0, 10.0)
     records = {
         "slow": slow,
-        "other": searcher_selection.SearcherStats(2, same_zone=False),
+        "other": searcher_stats.SearcherStats(2, same_zone=False),
     }
     assert choose(records, 10.0) == "other"
     assert (
@@ -49,10 +47,10 @@
 
 
 def test_the_same_zone_is_preferred_until_its_slots_are_in_use() -> None:
-    near = searcher_selection.SearcherStats(2, same_zone=True)
+    near = searcher_stats.SearcherStats(2, same_zone=True)
     records = {
         "near": near,
-        "far": searcher_selection.SearcherStats(2, same_zone=False),
+        "far": searcher_stats.SearcherStats(2, same_zone=False),
     }
     assert choose(records) == "near"
     near.in_flight = 1
@@ -69,12 +67,12 @@
     request to many shards waits for the slowest of them anyway, so only a
     searcher that stays slow is avoided.
     """
-    near = searcher_selection.SearcherStats(
+    near = searcher_stats.SearcherStats(
         2, same_zone=True, relative_time=2.2, updated_s=10.0
     )
     records = {
         "near": near,
-        "far": searcher_selection.SearcherStats(2, same_zone=False),
+        "far": searcher_stats.SearcherStats(2, same_zone=False),
     }
     assert choose(records) == "near"
     near.relative_time = 6.0
@@ -82,7 +80,7 @@
 
 
 def test_the_estimate_includes_the_wait_beyond_the_slots() -> None:
-    record = searcher_selection.SearcherStats(
+    record = searcher_stats.SearcherStats(
         2, same_zone=True, relative_time=7.0, updated_s=10.0
     )
     idle = searcher_selection.estimate_relative_time(record, 10.0)
@@ -93,7 +91,7 @@
 
 
 def test_a_queue_exists_if_calls_exceed_the_slots() -> None:
-    record = searcher_selection.SearcherStats(2, same_zone=True, in_flight=2)
+    record = searcher_stats.SearcherStats(2, same_zone=True, in_flight=2)
     assert not searcher_selection.has_queued_calls(record, 10.0)
     record.reported_load, record.reported_s = 1.0, 10.0
     assert searcher_selection.has_queued_calls(record, 10.0)
@@ -106,8 +104,8 @@
     An unresponsive searcher is now probed by a new connection; one that answers
     with errors is still probed by a call.
     """
-    silent = searcher_selection.SearcherStats(2, same_zone=True)
-    failing = searcher_selection.SearcherStats(2, same_zone=True)
+    silent = searcher_stats.SearcherStats(2, same_zone=True)
+    failing = searcher_stats.SearcherStats(2, same_zone=True)
     for _ in range(2):
         silent.record_failure(10.0, sent=True, silent=True)
         failing.record_failure(10.0)
@@ -122,7 +120,7 @@
 
 def test_a_possibly_recovered_searcher_is_probed_if_alone() -> None:
     records = {
-        name: searcher_selection.SearcherStats(2, same_zone=True)
+        name: searcher_stats.SearcherStats(2, same_zone=True)
         for name in ("a", "b")
     }
     for record in records.values():
@@ -140,7 +138,7 @@
     It gets no calls during the backoff and then a single probe, whose failure
     starts a longer backoff and whose success ends it.
     """
-    record = searcher_selection.SearcherStats(2, same_zone=True)
+    record = searcher_stats.SearcherStats(2, same_zone=True)
     record.record_failure(10.0)
     assert not record.is_excluded(10.0)
     record.record_failure(10.0)
@@ -155,7 +153,7 @@
 
 
 def test_no_searcher_is_chosen_if_all_are_in_backoff() -> None:
-    record = searcher_selection.SearcherStats(2, same_zone=True)
+    record = searcher_stats.SearcherStats(2, same_zone=True)
     for _ in range(3):
         record.record_failure(10.0)
     records = {"a": record}
@@ -171,7 +169,7 @@
     Each loss costs the request a retry. The healthy searcher is preferred until
     the failures have decayed.
     """
-    faulty = searcher_selection.SearcherStats(2, same_zone=True)
+    faulty = searcher_stats.SearcherStats(2, same_zone=True)
     for number in range(20):
         if number % 5 < 2:
             faulty.record_failure(10.0)
@@ -180,18 +178,18 @@
         faulty.updated_s = 10.0
     records = {
         "faulty": faulty,
-        "healthy": searcher_selection.SearcherStats(2, same_zone=False),
+        "healthy": searcher_stats.SearcherStats(2, same_zone=False),
     }
     assert choose(records, 10.0) == "healthy"
     assert choose(records, 40.0) == "faulty"
 
 
 def test_a_recovered_searcher_has_its_usual_cost() -> None:
-    record = searcher_selection.SearcherStats(2, same_zone=True)
+    record = searcher_stats.SearcherStats(2, same_zone=True)
     for _ in range(4):
         record.record_failure(10.0, sent=False)
     before = searcher_selection.compute_cost(
-        searcher_selection.SearcherStats(2, same_zone=True), 12.0
+        searcher_stats.SearcherStats(2, same_zone=True), 12.0
     )
     assert searcher_selection.compute_cost(record, 12.0) == before
 
@@ -203,9 +201,9 @@
     3 of 5 lookups. A searcher that can't be reached or does not respond is not
     used, since it would only delay them.
     """
-    lossy = searcher_selection.SearcherStats(2, same_zone=True)
-    silent = searcher_selection.SearcherStats(2, same_zone=True)
-    down = searcher_selection.SearcherStats(2, same_zone=True)
+    lossy = searcher_stats.SearcherStats(2, same_zone=True)
+    silent = searcher_stats.SearcherStats(2, same_zone=True)
+    down = searcher_stats.SearcherStats(2, same_zone=True)
     for _ in range(2):
         lossy.record_failure(10.0)
         silent.record_failure(10.0, silent=True)
