Rank the VMs to advertise by cores and link

Cause: advertised VMs were ranked by cores only. Where links differ, a VM with many cores and a link of 11 Mbit/s holds up the answers of 90 shards for 65 ms.

Change: the settings' LinkMbps is announced with the VM. Where the links of the VMs differ, VMs are ranked by the rate at which they can make calls; where they are alike, or while one is unknown (entries of older versions), by cores as before.

--- a/src/azureramp/catalog.py
+++ b/src/azureramp/catalog.py
@@ -234,6 +234,7 @@
         busy: True while its CPU load is high enough to delay requests.
         keeper: The VM to whose lease the entry is attached; empty if it is the
             announced VM's own lease.
+        link_mbps: The bandwidth of its link, in Mbit/s; 0 if unknown.
     """
 
     vm: str
@@ -244,6 +245,7 @@
     leaving: bool
     busy: bool = False
     keeper: str = ""
+    link_mbps: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -61,6 +61,7 @@
         first_start: True if the whole tier is starting for the first time.
         serves_callers: True if it forwards requests; False for a process that
             only advertises addresses to callers.
+        link_mbps: The bandwidth of its link, in Mbit/s; 0 if unknown.
     """
 
     vm: str
@@ -70,6 +71,7 @@
     cores: float
     first_start: bool
     serves_callers: bool = True
+    link_mbps: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -250,4 +252,5 @@
             cores=self.identity.cores,
             leaving=self.leaving,
             busy=self.busy,
+            link_mbps=self.identity.link_mbps,
         )
--- a/src/azureramp/platform/settings.py
+++ b/src/azureramp/platform/settings.py
@@ -79,11 +79,13 @@
         cpu_share: Share of a core.
         cores: Relative speed of that core, not the number of cores.
         max_fds: Maximum number of open file descriptors.
+        link_mbps: Bandwidth of the VM's link, in Mbit/s; 0 if not stated.
     """
 
     cpu_share: float = 1.0
     cores: float = 1.0
     max_fds: int = 1024
+    link_mbps: float = 0.0
 
 
 class StoreBody(msgspec.Struct, rename="pascal"):
@@ -313,6 +315,7 @@
             caller_address=listen.front if serves_callers else "",
             peer_address=listen.control if serves_callers else "",
             cores=body.limits.cpu_share * body.limits.cores,
+            link_mbps=max(0.0, body.limits.link_mbps),
             first_start=body.bootstrap,
             serves_callers=serves_callers,
         ),
--- a/src/azureramp/policy/advertising.py
+++ b/src/azureramp/policy/advertising.py
@@ -1,5 +1,10 @@
 """Selects the VMs that are advertised to callers.
 
+The load it answers: requests that each call up to a few hundred searchers, at
+VMs whose cores and links differ. Its inputs are the VMs' announcements, the
+zones of the searchers and the connections that a searcher accepts; its outcome
+is the set of advertised VMs.
+
 Advertising a subset of the VMs gives better service: a searcher accepts a few
 dozen connections from all VMs together, so with few VMs each can keep warm
 connections, and a VM that gets many requests has better measurements of the
@@ -9,7 +14,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from azureramp import catalog
 
@@ -36,10 +41,16 @@
 exceed the limit of a searcher, which resets the connections beyond it."""
 
 LARGE_VM_SHARE = 0.5
-"""A VM with less than this share of the largest VM's cores is advertised only
-to reach `MIN_ADVERTISED`, or in place of a busy VM: a small VM answers a
+"""A VM with less than this share of the largest VM's capacity is advertised
+only to reach `MIN_ADVERTISED`, or in place of a busy VM: a small VM answers a
 request to all shards too late."""
 
+CALL_CORE_S = 0.0004
+"""CPU time that a call to a searcher takes on a VM, in core-seconds."""
+
+CALL_MBIT = 0.008
+"""Size of a call to a searcher with its answer, in Mbit."""
+
 NEAR_ZONE_SHARE = 0.5
 """An availability zone counts as near the searchers if its share of them is at
 least this fraction of the largest zone's share."""
@@ -53,7 +64,8 @@
     """Selects the VMs to advertise.
 
     VMs in availability zones that hold many searchers are preferred, since
-    their calls need not cross zones, and among them those with most cores. Each
+    their calls need not cross zones, and among them those with the most
+    capacity. Each
     busy VM is replaced by two others: if only that VM is slow, they do its
     work; if all are loaded, twice as many VMs share the load. Busy VMs are
     advertised only if there are too few others.
@@ -68,8 +80,9 @@
         The selected VMs, sorted by name.
     """
     staying = [member for member in members if not member.leaving]
+    capacities = measure_capacities(staying)
     usual, maximum = _count_targets(connections)
-    usual = min(usual, max(MIN_ADVERTISED, _count_large(staying)))
+    usual = min(usual, max(MIN_ADVERTISED, _count_large(capacities)))
     chosen: list[catalog.Member] = []
     busy: list[catalog.Member] = []
     groups = _group_zones(_rank_zones(staying, nearness), nearness)
@@ -81,7 +94,7 @@
             break
         # The last place is reserved for another zone.
         reserved = index == 0 and len(zones) == 1 and len(groups) > 1
-        for member in _rank_alternating(staying, zones):
+        for member in _rank_alternating(staying, zones, capacities):
             if len(chosen) >= min(maximum, usual + len(busy)) - reserved:
                 break
             (busy if member.busy else chosen).append(member)
@@ -118,10 +131,34 @@
     return min(MAX_ADVERTISED, usual), min(MAX_ADVERTISED, maximum)
 
 
-def _count_large(members: list[catalog.Member]) -> int:
-    """Returns how many VMs have at least `LARGE_VM_SHARE` of the most cores."""
-    maximum = max((member.cores for member in members), default=0.0)
-    return sum(member.cores >= LARGE_VM_SHARE * maximum for member in members)
+def measure_capacities(
+    members: Collection[catalog.Member],
+) -> dict[str, float]:
+    """Returns what each VM can carry, in units that only compare VMs.
+
+    If links differ, the capacity is the rate at which a VM can make one call
+    after the other. Otherwise, or while the link of any VM is unknown, it is
+    the number of cores.
+
+    Args:
+        members: The VMs to compare.
+    """
+    links = {member.link_mbps for member in members}
+    if len(links) <= 1 or min(links) <= 0:
+        return {member.vm: member.cores for member in members}
+    return {
+        member.vm: 1.0
+        / (CALL_CORE_S / max(member.cores, 1e-9) + CALL_MBIT / member.link_mbps)
+        for member in members
+    }
+
+
+def _count_large(capacities: Mapping[str, float]) -> int:
+    """Returns how many VMs have at least `LARGE_VM_SHARE` of the largest."""
+    maximum = max(capacities.values(), default=0.0)
+    return sum(
+        capacity >= LARGE_VM_SHARE * maximum for capacity in capacities.values()
+    )
 
 
 def _rank_zones(
@@ -148,13 +185,15 @@
 
 
 def _rank_alternating(
-    members: list[catalog.Member], zones: list[str]
+    members: list[catalog.Member],
+    zones: list[str],
+    capacities: Mapping[str, float],
 ) -> list[catalog.Member]:
-    """Ranks VMs, alternating between zones, those with most cores first."""
+    """Ranks VMs, alternating between zones, the largest capacity first."""
     queues = [
         sorted(
             (member for member in members if member.zone == zone),
-            key=lambda member: (member.cores, member.vm),
+            key=lambda member: (capacities[member.vm], member.vm),
         )
         for zone in zones
     ]
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -174,3 +174,22 @@
         "State": state,
         "TargetVersion": "v2",
     }
+
+
+def test_a_vm_entry_without_a_link_is_still_read() -> None:
+    """Guards against VMs of an older version that drop out of the roster."""
+    entry = {
+        "vm": "v",
+        "zone": "z",
+        "address": "a:1",
+        "peer_address": "a:2",
+        "cores": 2.0,
+        "leaving": False,
+    }
+    update = decode("azureramp/members/v", entry)
+    assert isinstance(update, catalog.MemberAnnounced)
+    assert update.member.link_mbps == 0.0
+    entry["link_mbps"] = 30.5
+    update = decode("azureramp/members/v", entry)
+    assert isinstance(update, catalog.MemberAnnounced)
+    assert update.member.link_mbps == 30.5
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -20,6 +20,7 @@
 [Limits]
 CpuShare = 0.5
 Cores = 2
+LinkMbps = 30.5
 [Bounds]
 RetryBudgetRatio = 0.2
 BudgetWindowS = 10
@@ -52,6 +53,7 @@
     loaded = read(tmp_path, TEXT)
     assert loaded.identity.vm == "vm-1"
     assert loaded.identity.cores == 1.0
+    assert loaded.identity.link_mbps == 30.5
     assert loaded.identity.first_start
     assert loaded.bounds.extra.fixed == 56
     assert loaded.bounds.exposure.share == 0.1
--- a/tests/policy/test_advertising.py
+++ b/tests/policy/test_advertising.py
@@ -61,6 +61,45 @@
     assert all(member.cores > 2.0 for member in advertised)
 
 
+def test_a_vm_with_a_slow_link_is_not_advertised_beside_enough_others() -> None:
+    """Guards against late answers from a VM whose link holds them up.
+
+    Four VMs of a zone have two cores and links of 11 Mbit/s, on which the
+    answers of 90 shards take 65 ms. Those with half the cores and links of 100
+    Mbit/s answer sooner.
+    """
+    zones = {"a": 8, "b": 8}
+    members = [
+        dataclasses.replace(
+            member,
+            cores=2.0 if index % 2 else 1.0,
+            link_mbps=11.0 if index % 2 else 100.0,
+        )
+        for index, member in enumerate(make_members(zones))
+    ]
+    advertised = advertising.choose_members(members, {}, 54)
+    assert len(advertised) >= advertising.MIN_ADVERTISED
+    assert all(member.link_mbps == 100.0 for member in advertised)
+
+
+def test_vms_with_like_or_unknown_links_are_advertised_by_their_cores() -> None:
+    """Guards against other VMs for deployments whose links don't differ."""
+    zones = {"a": 16, "b": 16}
+    members = [
+        dataclasses.replace(member, cores=2.0 if index % 4 == 0 else 0.9)
+        for index, member in enumerate(make_members(zones))
+    ]
+    usual = {each.vm for each in advertising.choose_members(members, {}, 54)}
+    alike = [dataclasses.replace(each, link_mbps=25.0) for each in members]
+    one_unknown = [
+        dataclasses.replace(each, link_mbps=25.0 * index)
+        for index, each in enumerate(members)
+    ]
+    for changed in (alike, one_unknown):
+        advertised = advertising.choose_members(changed, {}, 54)
+        assert {each.vm for each in advertised} == usual
+
+
 def test_advertised_vms_remain_after_the_loss_of_a_zone() -> None:
     zones = {"a": 3, "b": 2, "c": 2, "d": 1}
     nearness = {"a": 1.0}
