Measure how long load reports stay true, and let them fade by it

Change: the half-life is measured from reports of one searcher that follow each other. An old report gives way to the measured durations, as before there were reports. A figure counts by the durations of the calls that brought it, so that own measurements win over false figures.

--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -19,7 +19,12 @@
     shared_limits,
 )
 from azureramp.controllers.forwarding import board as board_module
-from azureramp.policy import advertising, searcher_selection, searcher_stats
+from azureramp.policy import (
+    advertising,
+    searcher_selection,
+    searcher_stats,
+    server_slowness,
+)
 from azureramp.ports.forwarding import api, pool
 
 COLD_SLOWNESS = 1.6
@@ -50,6 +55,7 @@
         "_board",
         "_codec",
         "_log",
+        "_persistence",
         "_rng",
         "limits",
         "load_reports",
@@ -73,6 +79,7 @@
         self.load_reports = load_reports.LoadReports(board.metrics, log)
         self._codec = codec
         self._rng = rng
+        self._persistence = server_slowness.Persistence()
         self.limits = shared_limits.SharedLimits(board)
 
     def add_or_update(self, searcher: catalog.Searcher) -> None:
@@ -276,7 +283,11 @@
     def _make_target(self, searcher: catalog.Searcher) -> board_module.Target:
         """Creates the state of a newly announced searcher."""
         near = searcher.zone == self._board.identity.zone
-        record = searcher_stats.SearcherStats(searcher.slots, near)
+        record = searcher_stats.SearcherStats(
+            searcher.slots,
+            near,
+            server=server_slowness.ServerSlowness(self._persistence),
+        )
         if searcher.cold_remaining_s > 0:
             record.relative_time = COLD_SLOWNESS
             record.updated_s = asyncio.get_running_loop().time()
--- a/src/azureramp/policy/searcher_selection.py
+++ b/src/azureramp/policy/searcher_selection.py
@@ -15,7 +15,7 @@
 import random
 from collections.abc import Iterable
 
-from azureramp.policy import searcher_stats, server_slowness
+from azureramp.policy import searcher_stats
 
 CROSS_ZONE_COST = 0.8
 """Extra cost of a searcher in another availability zone, as a multiple of a
@@ -67,12 +67,16 @@
 def _get_slowness(stats: searcher_stats.SearcherStats, now_s: float) -> float:
     """Returns a searcher's expected relative duration.
 
-    Its own measured slowness decays toward the usual one.
+    What it reported counts less the older it is. The measured duration, which
+    takes its place, decays toward the usual one.
     """
-    own = stats.relative_time
-    if own > 1.0:
-        own = 1.0 + (own - 1.0) * _compute_decay(stats, now_s)
-    return own * stats.server.estimate(now_s)
+    slowness = stats.relative_time
+    if slowness > 1.0:
+        slowness = 1.0 + (slowness - 1.0) * _compute_decay(stats, now_s)
+    if stats.server.is_known():
+        weight = stats.server.compute_weight(now_s)
+        slowness += (stats.server.estimate() - slowness) * weight
+    return slowness
 
 
 def _compute_decay(stats: searcher_stats.SearcherStats, now_s: float) -> float:
@@ -83,12 +87,12 @@
 
 def _get_load(stats: searcher_stats.SearcherStats, now_s: float) -> float:
     """Returns a searcher's number of calls, as far as this VM knows it."""
-    age_s = now_s - stats.reported_s
     if stats.server.is_known():
-        weight = server_slowness.compute_weight(age_s)
+        age_s = now_s - stats.reported_s
+        weight = stats.server.persistence.compute_weight(age_s)
         return stats.in_flight + stats.reported_load * weight
     load = float(stats.in_flight)
-    if age_s < MAX_REPORT_AGE_S:
+    if now_s - stats.reported_s < MAX_REPORT_AGE_S:
         load += stats.reported_load
     return load
 
--- a/src/azureramp/policy/searcher_stats.py
+++ b/src/azureramp/policy/searcher_stats.py
@@ -74,16 +74,15 @@
     )
 
     def record_time(self, ratio: float, now_s: float) -> None:
-        """Records the duration of a call.
-
-        Where the searcher reports how slow its backend server is, only the rest
-        of the duration is its own.
+        """Records the duration of a call, after the report in its answer.
 
         Args:
             ratio: The duration, relative to the usual one.
             now_s: The current time, in seconds.
         """
-        ratio = min(ratio / self.server.estimate(now_s), 20.0)
+        ratio = min(ratio, 20.0)
+        if self.server.is_known():
+            self.server.record_time(ratio)
         self.relative_time += SMOOTHING * (ratio - self.relative_time)
         self.updated_s = now_s
 
