Let the advertised VMs tell each other of slow backend servers

Cause: when many backend servers turn many times slower, each VM finds each of them by late calls of its own, about one a second.

What is told counts like an own report until a newer one comes, for at most 5 s without a call.

--- a/src/azureramp/controllers/forwarding/load_reports.py
+++ b/src/azureramp/controllers/forwarding/load_reports.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import logbook
 
 from azureramp import metrics
@@ -16,10 +18,18 @@
 _logger = logbook.Logger("azureramp.searchers")
 
 
+HandleSlowness = Callable[[board_module.Target, float, float], None]
+"""Handles a searcher's figure, received at a time in seconds."""
+
+
 class LoadReports:
-    """Records the load reports in the answers of searchers."""
+    """Records the load reports in the answers of searchers.
 
-    __slots__ = ("_log", "_metrics")
+    Attributes:
+        on_slowness: Called with each report of slowness before it is recorded.
+    """
+
+    __slots__ = ("_log", "_metrics", "on_slowness")
 
     def __init__(
         self, counters: metrics.Metrics, log: change_log.ChangeLog
@@ -27,6 +37,7 @@
         """Creates an instance that has recorded nothing."""
         self._metrics = counters
         self._log = log
+        self.on_slowness: HandleSlowness = _ignore
 
     def record(
         self,
@@ -49,6 +60,7 @@
                 stats.reported_load = max(0, running + waiting - own_calls)
                 stats.reported_s = now_s
                 if slowness is not None:
+                    self.on_slowness(target, slowness, now_s)
                     stats.server.record(slowness, now_s)
                     self._metrics.count("report.received")
                     if slowness >= SLOW_FROM:
@@ -63,7 +75,7 @@
         """Records how old the report is on which a choice was based."""
         server = target.stats.server
         if server.is_known():
-            age_ms = (now_s - server.reported_s) * 1000
+            age_ms = (now_s - server.get_latest()[1]) * 1000
             self._metrics.record_ms("report.age_ms", age_ms)
 
     def _log_unreadable(
@@ -80,3 +92,7 @@
             f" that can't be read: {text!r}",
             now_s,
         )
+
+
+def _ignore(target: board_module.Target, figure: float, now_s: float) -> None:
+    """Ignores a report: nobody is to be told of it."""
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -32,17 +32,21 @@
     rollouts,
     roster,
     searchers,
+    slowness_exchange,
     store_contact,
 )
 from azureramp.controllers.forwarding import (
     board as board_module,
 )
 from azureramp.platform import answers, decoding, headers, settings, store
+from azureramp.policy import advertising
 from azureramp.policy import store_copy as store_copy_module
 from azureramp.ports.relays import http as relays_http
 from azureramp.ports.rollouts import api as rollouts_api
 from azureramp.ports.rollouts import http as rollouts_http
 from azureramp.ports.store import counting
+from azureramp.ports.vms import http as vms_http
+from azureramp.ports.vms import slowness
 from azureramp.ports.web import api as web_api
 from azureramp.ports.web import request_reader
 from azureramp.ports.web import server as web_server
@@ -73,6 +77,7 @@
     Attributes:
         board: The state of the process.
         rollouts: The roll-outs known to this process.
+        slowness_exchange: Exchanges reports on slow searchers with other VMs.
     """
 
     __slots__ = (
@@ -96,8 +101,10 @@
         "_settings",
         "_store",
         "_tasks",
+        "_vms",
         "board",
         "rollouts",
+        "slowness_exchange",
     )
 
     def __init__(
@@ -142,6 +149,10 @@
         searcher_registry = searchers.Searchers(
             board, headers.Codec(), rng, log, self.rollouts
         )
+        self._vms = vms_http.HttpVmClient(advertising.MAX_ADVERTISED)
+        self.slowness_exchange = slowness_exchange.SlownessExchange(
+            board, self._vms, searcher_registry.load_reports
+        )
         self._settings = process_settings
         self.board = board
         self._store = counting.CountingBatchStore(
@@ -277,6 +288,8 @@
         """Handles a request from another VM."""
         if request.path == rollouts_api.REPORTS_PATH:
             return await self._grants.handle(request)
+        if request.path == slowness.PATH:
+            return await self.slowness_exchange.handle(request)
         return await self._relay.handle(request)
 
     async def run(self) -> int:
@@ -312,6 +325,7 @@
                 "roster": self._roster.run,
                 "crashes": self._crashes.run,
                 "shares": self._searchers.limits.run,
+                "slowness": self.slowness_exchange.run,
                 "rollouts": self._claims.run,
             }
         for name, run in loops.items():
@@ -360,6 +374,8 @@
         self._driver.close()
         self._reports.close()
         self._searchers.close()
+        self.slowness_exchange.close()
+        await self._vms.close()
         await self._drivers.close()
         await self._relays.close()
         await self._store.close()
--- a/src/azureramp/policy/searcher_stats.py
+++ b/src/azureramp/policy/searcher_stats.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 from azureramp.policy import server_slowness
 
@@ -81,7 +82,7 @@
             now_s: The current time, in seconds.
         """
         ratio = min(ratio, 20.0)
-        if self.server.is_known():
+        if self.server.reported_s > -math.inf:
             self.server.record_time(ratio)
         self.relative_time += SMOOTHING * (ratio - self.relative_time)
         self.updated_s = now_s
--- a/src/azureramp/policy/server_slowness.py
+++ b/src/azureramp/policy/server_slowness.py
@@ -6,6 +6,9 @@
 received, and how long calls took in relation to them; its outcome is how long
 work is expected to take now, and how much this says at its age.
 
+What other VMs tell of a searcher counts like its own reports, until this VM
+gets a newer one or has not checked for too long.
+
 A searcher may report wrong figures. Therefore a figure counts only in relation
 to the measured durations of the calls in whose answers it came: a searcher that
 claims to be fast and is slow has long calls for its figures.
@@ -32,6 +35,10 @@
 """Factor on older comparisons at each new one: about the last thousand
 count."""
 
+MAX_UNCHECKED_S = 5.0
+"""For how long other VMs are believed while this VM makes no call to the
+searcher, in seconds."""
+
 SMOOTHING = 0.2
 """Weight of the latest report and of the latest call in the averages."""
 
@@ -84,6 +91,21 @@
         return math.pow(0.5, max(0.0, age_s) / self.half_life_s)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Told:
+    """A searcher's figure that another VM told.
+
+    Attributes:
+        vm: The VM that told it.
+        figure: The figure.
+        reported_s: When that VM had received it, in seconds.
+    """
+
+    vm: str
+    figure: float
+    reported_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class ServerSlowness:
     """What a searcher reported about its backend server.
@@ -96,6 +118,10 @@
         mean: Moving average of the figures.
         time_per_figure: Moving average of the relative durations of calls,
             divided by the figures in their answers.
+        told: What another VM told since the searcher's latest report to this
+            VM.
+        told_since_s: When the first VM told anything after that report, in
+            seconds.
     """
 
     persistence: Persistence = dataclasses.field(default_factory=Persistence)
@@ -103,10 +129,12 @@
     reported_s: float = -math.inf
     mean: float = 1.0
     time_per_figure: float = 1.0
+    told: Told | None = None
+    told_since_s: float = -math.inf
 
     def is_known(self) -> bool:
         """Returns True if the searcher reports how slow its server is."""
-        return self.reported_s > -math.inf
+        return self.reported_s > -math.inf or self.told is not None
 
     def record(self, figure: float, now_s: float) -> None:
         """Records a report.
@@ -115,7 +143,7 @@
             figure: How long work takes, as a multiple of the usual time.
             now_s: The current time, in seconds.
         """
-        if self.is_known():
+        if self.reported_s > -math.inf:
             self.persistence.compare(
                 self.latest - self.mean,
                 figure - self.mean,
@@ -126,6 +154,39 @@
             self.mean = figure
         self.latest = figure
         self.reported_s = now_s
+        self.told = None
+
+    def record_told(self, vm: str, figure: float, reported_s: float) -> None:
+        """Records what another VM told, unless there is newer knowledge.
+
+        A searcher of which this VM only hears for too long must prove itself by
+        a call: what is told until then is ignored.
+
+        Args:
+            vm: The VM that told it.
+            figure: The figure.
+            reported_s: When that VM had received it, in seconds.
+        """
+        if reported_s <= self.reported_s:
+            return
+        told = self.told
+        if told is None:
+            self.told_since_s = reported_s
+        elif reported_s <= told.reported_s:
+            return
+        elif reported_s - told.reported_s > MAX_UNCHECKED_S:
+            self.told_since_s = reported_s
+        self.told = Told(vm, figure, reported_s)
+
+    def get_latest(self) -> tuple[float, float]:
+        """Returns the latest figure to use, and when it was reported."""
+        told = self.told
+        if (
+            told is not None
+            and told.reported_s - self.told_since_s <= MAX_UNCHECKED_S
+        ):
+            return told.figure, told.reported_s
+        return self.latest, self.reported_s
 
     def record_time(self, ratio: float) -> None:
         """Records the duration of the call that brought the latest report.
@@ -139,8 +200,8 @@
 
     def estimate(self) -> float:
         """Estimates a call's relative duration from the latest report."""
-        return self.latest * self.time_per_figure
+        return self.get_latest()[0] * self.time_per_figure
 
     def compute_weight(self, now_s: float) -> float:
         """Returns how much the latest report says about now, 0 to 1."""
-        return self.persistence.compute_weight(now_s - self.reported_s)
+        return self.persistence.compute_weight(now_s - self.get_latest()[1])
