--- a/src/azureramp/cli/main.py
+++ b/src/azureramp/cli/main.py
@@ -18,6 +18,7 @@
     options,
     restore_zone,
     rollouts,
+    searchers,
     status,
     timeline,
     watch,
@@ -43,6 +44,7 @@
     timeline,
     explain,
     losses,
+    searchers,
     rollouts,
 ):
     options.set_variable_names(_module.command)
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -32,6 +32,7 @@
     rollouts,
     roster,
     searchers,
+    slow_searchers,
     slowness_exchange,
     store_contact,
 )
@@ -326,6 +327,7 @@
                 "crashes": self._crashes.run,
                 "shares": self._searchers.limits.run,
                 "slowness": self.slowness_exchange.run,
+                "slow searchers": lambda: slow_searchers.run(self.board),
                 "rollouts": self._claims.run,
             }
         for name, run in loops.items():
--- a/src/azureramp/policy/slowness_digests.py
+++ b/src/azureramp/policy/slowness_digests.py
@@ -19,8 +19,9 @@
 before it is told. A call that takes this many times as long as usual makes a
 request late; a smaller difference seldom does."""
 
-MAX_REPORTS = 100
-"""Maximum number of reports in a message; the slowest searchers go first."""
+MAX_REPORTS = 20
+"""Maximum number of reports in a message; the slowest searchers go first, the
+others with the next message."""
 
 MAX_AGE_S = 0.3
 """Maximum age of a report that is told, in seconds."""
@@ -101,13 +102,14 @@
             for report in self._pending.values()
             if now_s - report.received_s <= MAX_AGE_S
         ]
-        self._pending.clear()
         self._told = {
             name: report
             for name, report in self._told.items()
             if now_s - report.received_s <= REMEMBERED_S
         }
-        chosen = sorted(fresh, key=lambda report: -report.figure)[:MAX_REPORTS]
+        fresh.sort(key=lambda report: -report.figure)
+        chosen, left = fresh[:MAX_REPORTS], fresh[MAX_REPORTS:]
+        self._pending = {report.searcher: report for report in left}
         self._told.update((report.searcher, report) for report in chosen)
         return tuple(chosen)
 
--- a/tests/forwarding/test_slowness_exchange.py
+++ b/tests/forwarding/test_slowness_exchange.py
@@ -7,6 +7,7 @@
 from azureramp.controllers.forwarding import (
     change_log,
     load_reports,
+    slow_searchers,
     slowness_exchange,
 )
 from azureramp.ports.forwarding import api
@@ -36,6 +37,14 @@
         assert server.get_latest()[0] == 8.5
         assert server.told is not None
         assert server.told.vm == "vm-0"
+        now_s = asyncio.get_running_loop().time()
+        rows = {
+            vm: slow_searchers.list_slow(daemon.board, now_s)[1]
+            for vm, daemon in scene.daemons.items()
+        }
+        assert rows["vm-0"][0].startswith("statements-0 statements 8.50 ")
+        assert rows["vm-0"][0].endswith(" own")
+        assert rows["vm-1"][0].endswith(" vm-0")
 
     scenes.run(scenario, vms=2)
 
--- a/tests/policy/test_slowness_digests.py
+++ b/tests/policy/test_slowness_digests.py
@@ -49,6 +49,7 @@
     told = outbox.take(1.0)
     assert len(told) == slowness_digests.MAX_REPORTS
     assert told[0].figure == 304.0
+    assert outbox.take(1.1)[0].figure == told[-1].figure - 1.0
 
 
 def test_the_rate_of_messages_does_not_grow_with_the_vms() -> None:
