Prefer the own zone while the target leaves the time

Cause: a searcher in the own zone was left at 2.5 times the usual time, whatever the route's target. Bytes between zones are dear, and a search with 133 ms has time for a call of 40.

Change: where searchers report how slow they are, a first call in the own zone may take a third of the route's target, at most four times the usual time. call.left_zone counts calls to another zone though the own one had a usable searcher.

--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -255,7 +255,8 @@
             self._tried,
             now_s,
             self._context.route.repeatable,
-            is_first=not self._attempts,
+            not self._attempts,
+            self._compute_tolerance(),
         )
         if target is None:
             return False
@@ -286,6 +287,14 @@
         )
         return True
 
+    def _compute_tolerance(self) -> float:
+        """Returns how much slower the own zone may be before it is left."""
+        if self._attempts:
+            return searcher_selection.SAME_ZONE_TOLERANCE
+        return searcher_selection.compute_same_zone_tolerance(
+            self._context.route.target_latency_s, self._timings.get_usual_s()
+        )
+
     def _is_worth_hedging(
         self,
         stats: searcher_stats.SearcherStats,
--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -177,6 +177,7 @@
         now_s: float,
         allow_faulty: bool = False,
         is_first: bool = False,
+        tolerance: float = searcher_selection.SAME_ZONE_TOLERANCE,
     ) -> board_module.Target | None:
         """Chooses a searcher of a service for one call.
 
@@ -187,6 +188,8 @@
             allow_faulty: True if a searcher that often fails may be chosen as a
                 last resort.
             is_first: True for the first call of a request.
+            tolerance: How much longer than usual a call in the own zone may
+                take, as a multiple of a usual call.
 
         Returns:
             The searcher; None if none may get a call now.
@@ -197,7 +200,7 @@
                 self._probe(target)
         for side in self.rollouts.list_version_groups(service, is_first, now_s):
             chosen = self._choose_from(
-                side, targets, excluded, now_s, allow_faulty
+                side, targets, excluded, now_s, allow_faulty, tolerance
             )
             if chosen is not None:
                 return chosen
@@ -210,6 +213,7 @@
         excluded: Collection[str],
         now_s: float,
         allow_faulty: bool,
+        tolerance: float,
     ) -> board_module.Target | None:
         """Chooses among a service's searchers on one side of a roll-out."""
         sides = (side,)
@@ -225,14 +229,24 @@
             for name, record in usable
             if not targets[name].pool.is_stalled()
         ]
-        chosen = searcher_selection.choose(responsive, now_s, self._rng)
+        chosen = searcher_selection.choose(
+            responsive, now_s, self._rng, tolerance
+        )
         if chosen is None:
-            chosen = searcher_selection.choose(usable, now_s, self._rng)
+            chosen = searcher_selection.choose(
+                usable, now_s, self._rng, tolerance
+            )
         if chosen is None:
             chosen = searcher_selection.choose_for_probe(usable, now_s)
         if chosen is None and allow_faulty:
             chosen = searcher_selection.choose_in_backoff(usable, now_s)
-        return None if chosen is None else targets[chosen]
+        if chosen is None:
+            return None
+        if not targets[chosen].stats.same_zone and any(
+            record.same_zone for _, record in usable
+        ):
+            self.metrics.count("call.left_zone")
+        return targets[chosen]
 
     def count_usable(self, service: str, now_s: float) -> int:
         """Returns how many searchers of a service may get a call now."""
--- a/src/azureramp/policy/searcher_selection.py
+++ b/src/azureramp/policy/searcher_selection.py
@@ -29,6 +29,15 @@
 is charged, and a request to many shards waits for the slowest of them
 anyway."""
 
+SAME_ZONE_TARGET_SHARE = 1 / 3
+"""Share of the route's target that a call in this VM's zone may take before one
+in another zone is preferred, if searchers report how slow they are: the rest is
+left for a hedge, for merging and for the way to the caller."""
+
+MAX_SAME_ZONE_TOLERANCE = 3.0
+"""Upper limit of the tolerance derived from the target: slower searchers soon
+have a queue."""
+
 OVERDUE_COST = 4.0
 """Extra cost per overdue call, as a multiple of a usual call: a searcher that
 pauses delays all calls in flight on it."""
@@ -97,14 +106,44 @@
     return load
 
 
-def compute_cost(stats: searcher_stats.SearcherStats, now_s: float) -> float:
-    """Returns a searcher's cost for one more call; lower is better."""
+def compute_same_zone_tolerance(target_s: float, usual_s: float) -> float:
+    """Returns how much longer than usual a call in the own zone may take.
+
+    Args:
+        target_s: The route's target latency, in seconds.
+        usual_s: The usual duration of its calls, in seconds; 0 if unknown.
+
+    Returns:
+        The tolerance, as a multiple of a usual call.
+    """
+    if usual_s <= 0:
+        return SAME_ZONE_TOLERANCE
+    allowed = SAME_ZONE_TARGET_SHARE * target_s / usual_s - 1.0
+    return min(MAX_SAME_ZONE_TOLERANCE, max(SAME_ZONE_TOLERANCE, allowed))
+
+
+def compute_cost(
+    stats: searcher_stats.SearcherStats,
+    now_s: float,
+    tolerance: float = SAME_ZONE_TOLERANCE,
+) -> float:
+    """Returns a searcher's cost for one more call; lower is better.
+
+    Args:
+        stats: The searcher's statistics.
+        now_s: The current time, in seconds.
+        tolerance: How much longer than usual a call in the own zone may take,
+            as a multiple of a usual call; used if the searcher reports how slow
+            it is.
+    """
     load = _get_load(stats, now_s)
     # While slots are free, concurrent calls hardly delay each other. A call
     # beyond the slots waits for the duration of a whole call.
     slowness = _get_slowness(stats, now_s)
     if stats.same_zone:
-        slowness = max(min(slowness, 1.0), slowness - SAME_ZONE_TOLERANCE)
+        if not stats.server.is_known():
+            tolerance = SAME_ZONE_TOLERANCE
+        slowness = max(min(slowness, 1.0), slowness - tolerance)
     cost = slowness * (1.0 + (load / max(1, stats.slots)) ** 2)
     cost += OVERDUE_COST * stats.overdue
     cost += FAILURE_COST * stats.failure_rate * _compute_decay(stats, now_s)
@@ -117,6 +156,7 @@
     candidates: Iterable[tuple[str, searcher_stats.SearcherStats]],
     now_s: float,
     rng: random.Random,
+    tolerance: float = SAME_ZONE_TOLERANCE,
 ) -> str | None:
     """Chooses the best searcher.
 
@@ -124,6 +164,7 @@
         candidates: The searchers' ids and statistics.
         now_s: The current time, in seconds.
         rng: Random source that varies the costs, to break ties.
+        tolerance: As in `compute_cost`.
 
     Returns:
         The id of the best searcher that may get calls; None if there is none.
@@ -133,7 +174,8 @@
     for searcher, stats in candidates:
         if stats.is_excluded(now_s):
             continue
-        cost = compute_cost(stats, now_s) * (1.0 + 0.1 * rng.random())
+        cost = compute_cost(stats, now_s, tolerance)
+        cost *= 1.0 + 0.1 * rng.random()
         if best is None or cost < best_cost:
             best, best_cost = searcher, cost
     return best
--- a/tests/policy/test_server_slowness.py
+++ b/tests/policy/test_server_slowness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import itertools
 import random
 
 from azureramp.policy import (
@@ -155,3 +156,51 @@
     means = {name: sum(each) / len(each) for name, each in times.items()}
     assert means["fast"] < min(means["slow-1"], means["slow-2"])
     assert len(times["fast"]) > max(len(times["slow-1"]), len(times["slow-2"]))
+
+
+def test_the_own_zone_is_left_if_its_answer_would_take_too_long() -> None:
+    """Guards against calls between zones that no caller would notice.
+
+    A searcher in the own zone takes 3.5 times as long as usual. It is used for
+    requests whose target leaves the time, not for urgent ones.
+    """
+    near, far = make_stats(same_zone=True), make_stats()
+    for stats, figure in ((near, 3.5), (far, 1.0)):
+        for number in range(40):
+            stats.server.record(figure, number / 10)
+            stats.record_time(figure, number / 10)
+    records = {"near": near, "far": far}
+    chosen: list[str | None] = []
+    for target_s in (0.133, 0.045):
+        tolerance = searcher_selection.compute_same_zone_tolerance(
+            target_s, 0.013
+        )
+        chosen.append(
+            searcher_selection.choose(
+                records.items(), 4.0, random.Random(1), tolerance
+            )
+        )
+    assert chosen == ["near", "far"]
+
+
+def test_work_leaves_a_zone_by_what_it_has_too_much() -> None:
+    """Guards against a zone that is left, or returned to, at once.
+
+    The more calls come, the more leave the zone, step by step.
+    """
+    near, far = make_stats(same_zone=True), make_stats()
+    records = {"near": near, "far": far}
+    for stats in records.values():
+        stats.server.record(1.0, 0.0)
+    counts: list[int] = []
+    for load in range(9):
+        rng = random.Random(1)
+        near.in_flight = far.in_flight = 0
+        for _ in range(load):
+            name = searcher_selection.choose(records.items(), 0.1, rng) or ""
+            records[name].in_flight += 1
+        counts.append(far.in_flight)
+    assert counts[:3] == [0, 0, 0], "its slots are free"
+    assert counts[-1] >= 3
+    for less, more in itertools.pairwise(counts):
+        assert 0 <= more - less <= 1
