Complete a roll-out only when all VMs have left the old searchers

The trace: all VMs had confirmed at 9.2 s, six of ten were missing at 10.6 s when the roll-out was due, and vm-3 at 11.5 s, which reported at that moment that a call was running at an old searcher. At the end of its time the driver then completed without asking for confirmations at all.

Change: while traffic moves, each VM that has sent requests reports every 0.2 s. A VM in a long pause between reports sends one with its next call. At the end of its time a roll-out is rolled back if a VM hasn't confirmed, since the old searchers are stopped without draining.

--- a/src/azureramp/controllers/forwarding/active_rollout.py
+++ b/src/azureramp/controllers/forwarding/active_rollout.py
@@ -103,6 +103,7 @@
         traffic_moved: True if the last report stated that all traffic uses the
             new version and no call to an old searcher is running.
         report_due: Set when a report should be sent now.
+        report_on_call: True if the next call sets `report_due`.
     """
 
     __slots__ = (
@@ -115,6 +116,7 @@
         "driver_seen_s",
         "order",
         "report_due",
+        "report_on_call",
         "requests",
         "traffic_moved",
         "versions",
@@ -141,6 +143,7 @@
         self.driver_seen_s = now_s
         self.traffic_moved = False
         self.report_due = asyncio.Event()
+        self.report_on_call = False
         self._measured_usual: dict[str, UsualDuration] = {}
         self._recorded_usual_s: Mapping[str, float] = {}
         self._grant: api.Grant | None = None
@@ -196,6 +199,9 @@
             now_s: The current time, in seconds.
         """
         self.requests += 1
+        if self.report_on_call:
+            self.report_on_call = False
+            self.report_due.set()
         if not self.is_new(searcher):
             return
         self.calls_to_new += 1
--- a/src/azureramp/controllers/forwarding/rollout_reports.py
+++ b/src/azureramp/controllers/forwarding/rollout_reports.py
@@ -131,6 +131,9 @@
                 self._signal_missing_driver(running)
             pause_s = self._get_pause_s(running, running.requests != reported)
             reported = running.requests
+            # Its grant may expire in a long pause, and the next call then uses
+            # an old searcher.
+            running.report_on_call = pause_s > REPORT_INTERVAL_S
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(pause_s):
                     await running.report_due.wait()
@@ -151,7 +154,12 @@
         driver_missing = now_s - running.driver_seen_s > REPORT_INTERVAL_S
         if sends or driver_missing or (moving and not running.traffic_moved):
             return REPORT_INTERVAL_S
-        if moving and self._board.identity.vm in self._board.advertised:
+        # The driver waits for a valid confirmation of each of these VMs.
+        must_confirm = (
+            running.requests > 0
+            or self._board.identity.vm in self._board.advertised
+        )
+        if moving and must_confirm:
             return REPORT_INTERVAL_S
         return IDLE_REPORT_INTERVAL_S + IDLE_INTERVAL_PER_VM_S * len(
             self._board.members
--- a/src/azureramp/policy/rollouts.py
+++ b/src/azureramp/policy/rollouts.py
@@ -240,6 +240,9 @@
         if not proved or not _has_enough_searchers(now):
             reason = "its time ends, and the new version isn't proved"
             return PhaseChange(rollout_types.Phase.ROLLED_BACK, reason)
+        if not now.all_moved:
+            reason = "its time ends, and calls to the old version may run"
+            return PhaseChange(rollout_types.Phase.ROLLED_BACK, reason)
         return PhaseChange(completed, "its time ends, and nothing is worse")
     if now.age_s < complete_s and now.used >= now.allowed:
         # After a return to the canary phase no exposure would be left to prove
--- a/tests/forwarding/test_rollouts.py
+++ b/tests/forwarding/test_rollouts.py
@@ -62,6 +62,24 @@
     check(play.Parameters(3, 2012, KIND.SLOW, FAULT.ALL_KILLED), "rolled_back")
 
 
+def test_a_vm_that_rarely_sends_keeps_confirming_that_it_has_moved() -> None:
+    """Guards against a completion while a VM still uses the old searchers.
+
+    VMs that paused between two requests reported less often than their
+    confirmations and grants expired.
+    """
+    check(play.Parameters(30, 21582, KIND.GOOD), "completed")
+
+
+def test_no_call_is_aborted_if_traffic_moves_back_before_the_time_ends() -> (
+    None
+):
+    """Guards against a completion by a driver that could not write before."""
+    check(
+        play.Parameters(12, 60015, KIND.GOOD, FAULT.STORE_DOWN), "rolled_back"
+    )
+
+
 async def send(
     scene: deployment.Deployment, target: str, seconds: float
 ) -> int:
--- a/tests/policy/test_rollouts.py
+++ b/tests/policy/test_rollouts.py
@@ -94,6 +94,13 @@
     assert decide(MOVED) is PHASE.COMPLETED
 
 
+def test_a_roll_out_is_not_completed_while_a_vm_has_not_confirmed() -> None:
+    """Guards against aborted calls: the old searchers stop without draining."""
+    late = dataclasses.replace(MOVED, age_s=11.6)
+    assert decide(late) is PHASE.COMPLETED
+    assert decide(late, all_moved=False) is PHASE.ROLLED_BACK
+
+
 def test_a_roll_out_needs_answers_under_all_traffic() -> None:
     """Guards against a version that is faulty only under load."""
     assert decide(MOVED, answers=1) is None
