Show why a connection of the searcher's tests failed

Cause: the tests dropped the detail of a failed connection, and went on if the searcher's process never accepted one or a call to it failed. So the failure that was seen once named none of these steps.

Change: each result is asserted with its detail and the process's exit status. No wait or bound changes.

--- a/tests/standins/test_searcher.py
+++ b/tests/standins/test_searcher.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
+import expression
 import msgspec
 
 from azureramp import errors
@@ -40,17 +41,30 @@
                 opened.ok.abort()
                 break
             await asyncio.sleep(0.02)
+        check(opened, process)
         yield process
     finally:
         process.terminate()
         await asyncio.to_thread(process.wait)
 
 
+def check(
+    result: expression.Result[Any, Any], process: subprocess.Popen[bytes]
+) -> None:
+    """Fails with the error's detail and the state of the process."""
+    assert result.is_ok(), f"{result}, exit status {process.poll()}"
+
+
 async def send_request(
-    address: str, method: str, path: str, body: bytes = b""
+    process: subprocess.Popen[bytes],
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
 ) -> Any:
     """Sends a request and decodes the response's JSON body."""
     opened = await web_connection.connect(address, 1.0)
+    check(opened, process)
     response = await opened.ok.exchange(method, path, (), body)
     opened.ok.abort()
     return msgspec.json.decode(response.body)
@@ -69,12 +83,15 @@
                 )
                 for version in (1, 2)
             ]
+            for reply in replies:
+                check(reply, process)
             grant = harness.make_call(
                 address, body=b'{"grant":"BF-1"}', idempotent=False
             )
-            await port.call(grant, lambda: True)
-            effects = await send_request(address, "GET", "/v1/effects")
+            check(await port.call(grant, lambda: True), process)
+            effects = await send_request(process, address, "GET", "/v1/effects")
             health = await port.read_health(address)
+            check(health, process)
             await port.close()
             process.terminate()
             exit_code = await asyncio.to_thread(process.wait)
@@ -96,7 +113,7 @@
         address = harness.find_free_address()
         async with start(address) as process:
             await send_request(
-                address, "POST", "/v1/faults", b'{"crash":"poison"}'
+                process, address, "POST", "/v1/faults", b'{"crash":"poison"}'
             )
             port = http.make()
             result = await port.call(
