Keep keys out of logs, and judge requests by the newest keys

Cause: a review of the keys found these faults. - A malformed header was quoted in the line "rejected a request", and with it the key ("Authorization : Token ..."). - The repr of a forwarded message, a raw request and a store entry showed keys. - One account with a wrong type kept a whole configuration out of force, so revoked keys stayed valid. A name with a space lost its account without a line. - A request that waited or was retried was judged by its key only when the configuration changed: not by the VM's contact with the store, nor by a route that stopped being public. A request that was valid under a new account was answered 401, after which callers give up. - A VM that hears of no changes answered 401 to a key that other VMs know. - A deadline or a quarantine was checked before the key, so an unknown key got 503 and was tried again. - Refusals of one account's flood used up the log lines of other requests.

Change: accounts are decoded one by one, invalid ones are left out and named in one line of the configuration. `find_refusal` judges a waiting request by the newest configuration and by the contact. Keys sent as UTF-8 or Latin-1 and with several spaces after the scheme are read. Request lines carry the priority.

Measured: the tests of the log line and of the repr fail on the code before.

--- a/src/azureramp/catalog.py
+++ b/src/azureramp/catalog.py
@@ -102,7 +102,7 @@
     """
 
     name: str
-    key_hashes: tuple[str, ...]
+    key_hashes: tuple[str, ...] = dataclasses.field(repr=False)
     priority: int | None = None
     rate_per_s: float = 0.0
     burst: float = 0.0
@@ -116,10 +116,12 @@
         by_name: The accounts by name.
         by_key_hash: The accounts by the hash of each key. A key that several
             accounts share identifies none of them and is left out.
+        problems: What is wrong with the accounts' entries, without any keys.
     """
 
     by_name: Mapping[str, Account]
-    by_key_hash: Mapping[str, Account]
+    by_key_hash: Mapping[str, Account] = dataclasses.field(repr=False)
+    problems: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/azureramp/controllers/forwarding/entry_applier.py
+++ b/src/azureramp/controllers/forwarding/entry_applier.py
@@ -27,6 +27,9 @@
 entries stay in use, in seconds. Those that are alive write their entries again
 within about 2 s."""
 
+MAX_LOGGED_PROBLEMS = 10
+"""Maximum number of a configuration's problems that its line names."""
+
 Decode = Callable[[store_api.Entry], catalog.Update | None]
 """Decodes an entry; returns None for a key that this process doesn't use."""
 
@@ -160,6 +163,14 @@
         board.configuration = new
         board.table = routing.RoutingTable(new)
         _logger.info("configuration {} is in force", new.version)
+        if new.accounts is not None and new.accounts.problems:
+            problems = new.accounts.problems
+            _logger.warning(
+                "configuration {} has {} problems with client accounts: {}",
+                new.version,
+                len(problems),
+                "; ".join(problems[:MAX_LOGGED_PROBLEMS]),
+            )
         if self.on_configuration is not None:
             self.on_configuration(new)
 
--- a/src/azureramp/controllers/forwarding/request_handler.py
+++ b/src/azureramp/controllers/forwarding/request_handler.py
@@ -98,18 +98,27 @@
         route = table.find(request.host, request.path)
         if route is None:
             return self._refuse(request, None, errors.Kind.NOT_FOUND)
+        authorized = authentication.authorize(self._board, request, route)
+        if authorized.is_error():
+            return self._write_refusal(request, route, authorized.error)
+        authorization = authorized.ok
         answer_by_s = compute_answer_by_s(request, route)
         if answer_by_s <= asyncio.get_running_loop().time():
-            return self._refuse(request, route, errors.Kind.DEADLINE_TOO_SHORT)
+            return self._refuse(
+                request,
+                route,
+                errors.Kind.DEADLINE_TOO_SHORT,
+                authorization=authorization,
+            )
         quarantine_s = self._crash_tracker.get_quarantine_s(request.message)
         if quarantine_s > 0:
             return self._refuse(
-                request, route, errors.Kind.QUARANTINED, quarantine_s
+                request,
+                route,
+                errors.Kind.QUARANTINED,
+                quarantine_s,
+                authorization,
             )
-        authorized = authentication.authorize(self._board, request, route)
-        if authorized.is_error():
-            return self._refuse(request, route, authorized.error.kind)
-        authorization = authorized.ok
         failure = await self._account_limits.take(authorization.account)
         if failure is not None:
             return self._write_refusal(request, route, failure, authorization)
@@ -139,10 +148,10 @@
         authorization: authentication.Authorization,
     ) -> requests.Answer:
         """Sends an admitted request and returns its answer."""
-        if not authorization.is_valid():
-            # Its key was revoked while it waited.
+        failure = authorization.find_refusal()
+        if failure is not None:
             self._account_limits.give_back(authorization.account)
-            return self._refuse(request, route, errors.Kind.UNAUTHENTICATED)
+            return self._write_refusal(request, route, failure, authorization)
         run = self._make_execution(request, route, answer_by_s, authorization)
         answer: requests.Answer | None = None
         try:
@@ -156,7 +165,7 @@
                 run.parts,
                 answer,
                 run.caller_overhead_s,
-                authorization.get_account_name(),
+                authorization,
             )
         return answer
 
@@ -202,13 +211,14 @@
         route: catalog.Route | None,
         kind: errors.Kind,
         retry_after_s: float | None = None,
+        authorization: authentication.Authorization | None = None,
     ) -> requests.Refusal:
         """Refuses a request for which no call was made."""
         retry_after_ms = None
         if retry_after_s is not None:
             retry_after_ms = round(retry_after_s * 1000)
         failure = errors.Failure(kind, retry_after_ms=retry_after_ms)
-        return self._write_refusal(request, route, failure)
+        return self._write_refusal(request, route, failure, authorization)
 
     def _write_refusal(
         self,
@@ -219,8 +229,9 @@
     ) -> requests.Refusal:
         """Logs and returns the refusal of a request that has not run."""
         refused = requests.Refusal(failure, request.id)
-        account = authorization.get_account_name() if authorization else ""
-        self._log.write(request, route, (), refused, account=account)
+        self._log.write(
+            request, route, (), refused, authorization=authorization
+        )
         return refused
 
 
--- a/src/azureramp/controllers/forwarding/request_log.py
+++ b/src/azureramp/controllers/forwarding/request_log.py
@@ -9,8 +9,8 @@
 import logbook
 
 from azureramp import catalog, errors
+from azureramp.controllers.forwarding import authentication, part, requests
 from azureramp.controllers.forwarding import board as board_module
-from azureramp.controllers.forwarding import part, requests
 from azureramp.policy import log_sampling
 
 GOOD_LINES_PER_S = 5.0
@@ -35,7 +35,7 @@
 class RequestLog:
     """Writes the log lines of requests, within rate limits."""
 
-    __slots__ = ("_bad_sampler", "_board", "_sampler")
+    __slots__ = ("_bad_sampler", "_board", "_refusal_sampler", "_sampler")
 
     def __init__(self, board: board_module.Board) -> None:
         """Creates the log of one process."""
@@ -46,6 +46,23 @@
         self._bad_sampler = log_sampling.LogLimiter(
             BAD_LINES_PER_S, BAD_LINES_BURST
         )
+        self._refusal_sampler = log_sampling.LogLimiter(
+            BAD_LINES_PER_S, BAD_LINES_BURST
+        )
+
+    def _choose_sampler(
+        self, outcome: str, good: bool
+    ) -> log_sampling.LogLimiter:
+        """Returns the rate limit of a request's line.
+
+        Refusals that a caller brings about itself have one of their own, so
+        that a caller that floods doesn't suppress the lines of others.
+        """
+        if good:
+            return self._sampler
+        if outcome in CALLER_REFUSALS:
+            return self._refusal_sampler
+        return self._bad_sampler
 
     def write(
         self,
@@ -54,7 +71,7 @@
         parts: Sequence[part.Part],
         answer: requests.Answer | None,
         caller_overhead_s: float = 0.0,
-        account: str = "",
+        authorization: authentication.Authorization | None = None,
     ) -> None:
         """Counts a request and writes its line within the rate limit.
 
@@ -65,7 +82,7 @@
             answer: Its answer; None if the caller disconnected before it.
             caller_overhead_s: The time that the caller is estimated to spend
                 outside of this VM, in seconds.
-            account: The name of its client account; empty if it has none.
+            authorization: Its permission; None if it was refused before.
         """
         now_s = asyncio.get_running_loop().time()
         outcome = describe_answer(answer)
@@ -74,7 +91,7 @@
         total_ms = took_ms + caller_overhead_s * 1000
         late = route is not None and total_ms > route.target_latency_s * 1000
         good = outcome in GOOD_OUTCOMES and not late
-        sampler = self._sampler if good else self._bad_sampler
+        sampler = self._choose_sampler(outcome, good)
         if not sampler.allow(now_s):
             return
         line: dict[str, Any] = {
@@ -87,8 +104,10 @@
             "way_ms": round(caller_overhead_s * 1000, 1),
             "advertised": self._is_advertised(),
         }
-        if account:
-            line["account"] = account
+        if authorization is not None:
+            line["priority"] = authorization.priority
+            if authorization.account is not None:
+                line["account"] = authorization.account.name
         if route is not None:
             line["target_ms"] = round(route.target_latency_s * 1000)
         if request.deadline_s is not None:
@@ -148,6 +167,11 @@
 GOOD_OUTCOMES = frozenset(("answered", "complete", "not_found"))
 """Outcomes of requests that need no explanation."""
 
+CALLER_REFUSALS = frozenset(
+    (errors.Kind.UNAUTHENTICATED.value, errors.Kind.ACCOUNT_LIMIT.value)
+)
+"""Outcomes that a caller's own key or number of requests brings about."""
+
 
 def describe_answer(answer: requests.Answer | None) -> str:
     """Returns an answer's outcome as one word."""
--- a/src/azureramp/platform/bodies.py
+++ b/src/azureramp/platform/bodies.py
@@ -92,13 +92,15 @@
     """The complete current configuration.
 
     Attributes:
-        tenants: The client accounts; None if requests need no keys.
+        tenants: The client accounts, each a `TenantBody`; None if requests
+            need no keys. They are decoded one by one, so that an invalid
+            account doesn't invalidate the others.
     """
 
     version: int
     routes: list[RouteBody]
     services: list[ServiceBody] = []
-    tenants: list[TenantBody] | None = None
+    tenants: list[msgspec.Raw] | None = None
     limits: LimitsBody = msgspec.field(default_factory=LimitsBody)
 
 
--- a/src/azureramp/platform/decoding.py
+++ b/src/azureramp/platform/decoding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Sequence
 
 import msgspec
 
@@ -42,7 +43,15 @@
 """Pattern of names that can be sent unchanged in a header. A name with a line
 break would let the writer of the entry inject headers into every call."""
 
+_ACCOUNT_NAME = re.compile(r"[!-~](?:[ -~]{0,254}[!-~])?")
+"""Pattern of account names that reach searchers unchanged in a header: like
+`_HEADER_SAFE`, but spaces within the name are allowed, and its length is
+limited, since some servers limit the size of headers."""
+
+MAX_SHOWN_NAME_CHARACTERS = 40
+
 _configuration_decoder = msgspec.json.Decoder(bodies.ConfigurationBody)
+_account_decoder = msgspec.json.Decoder(bodies.TenantBody)
 _searcher_decoder = msgspec.json.Decoder(bodies.SearcherBody)
 _vm_decoder = msgspec.json.Decoder(catalog.Member)
 _crash_report_decoder = msgspec.json.Decoder(catalog.CrashReport)
@@ -186,18 +195,33 @@
             services=services,
             limits=limits,
             accounts=(
-                None
-                if body.tenants is None
-                else identity.index_accounts(
-                    _to_account(tenant)
-                    for tenant in body.tenants
-                    if _HEADER_SAFE.fullmatch(tenant.name)
-                )
+                None if body.tenants is None else _decode_accounts(body.tenants)
             ),
         )
     )
 
 
+def _decode_accounts(entries: Sequence[msgspec.Raw]) -> catalog.Accounts:
+    """Decodes the client accounts; invalid ones are left out."""
+    accounts: list[catalog.Account] = []
+    problems: list[str] = []
+    for number, entry in enumerate(entries):
+        try:
+            body = _account_decoder.decode(entry)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            problems.append(f"account entry {number} is left out: {error}")
+            continue
+        if _ACCOUNT_NAME.fullmatch(body.name):
+            accounts.append(_to_account(body))
+        else:
+            shown = body.name[:MAX_SHOWN_NAME_CHARACTERS]
+            problems.append(
+                f"account {shown!a} is left out: its name can't be sent in a"
+                " header"
+            )
+    return identity.index_accounts(accounts, problems)
+
+
 def _to_account(body: bodies.TenantBody) -> catalog.Account:
     """Converts a client account; empty keys are left out."""
     return catalog.Account(
--- a/src/azureramp/platform/headers.py
+++ b/src/azureramp/platform/headers.py
@@ -132,7 +132,7 @@
         elif name == DEADLINE:
             deadline = value
         elif name == AUTHORIZATION:
-            credentials.append(value.decode("latin-1"))
+            credentials.append(_decode_credentials(value))
     if not request_id:
         return requests.MalformedRequest("no request id")
     deadline_s: float | None = None
@@ -240,6 +240,17 @@
     ]
 
 
+def _decode_credentials(value: bytes) -> str:
+    """Decodes an `Authorization` header as UTF-8, otherwise as Latin-1.
+
+    HTTP doesn't define the encoding, and clients use either one.
+    """
+    try:
+        return value.decode("utf-8")
+    except UnicodeDecodeError:
+        return value.decode("latin-1")
+
+
 def _to_text(
     fields: Sequence[tuple[bytes, bytes]],
 ) -> tuple[tuple[str, str], ...]:
--- a/src/azureramp/policy/identity.py
+++ b/src/azureramp/policy/identity.py
@@ -33,26 +33,41 @@
     """
     if len(values) != 1 or not values[0].lower().startswith(scheme):
         return ""
-    token = values[0][len(scheme) :]
+    token = values[0][len(scheme) :].lstrip(" ")
     return token if len(token) <= MAX_TOKEN_CHARACTERS else ""
 
 
-def index_accounts(accounts: Iterable[catalog.Account]) -> catalog.Accounts:
+def index_accounts(
+    accounts: Iterable[catalog.Account], problems: Iterable[str] = ()
+) -> catalog.Accounts:
     """Indexes client accounts; see `catalog.Accounts`.
 
     Args:
         accounts: The accounts. Of several with one name the last one counts.
+        problems: What was wrong with entries that are not among them.
     """
-    by_name = {account.name: account for account in accounts}
+    found = list(problems)
+    by_name: dict[str, catalog.Account] = {}
+    for account in accounts:
+        if account.name in by_name:
+            found.append(f"account {account.name} has several entries")
+        by_name[account.name] = account
     by_key_hash: dict[str, catalog.Account] = {}
     shared: set[str] = set()
     for account in by_name.values():
+        if not account.key_hashes:
+            found.append(f"account {account.name} has no key")
         for key_hash in account.key_hashes:
-            if by_key_hash.setdefault(key_hash, account) is not account:
+            holder = by_key_hash.setdefault(key_hash, account)
+            if holder is not account:
                 shared.add(key_hash)
+                found.append(
+                    f"accounts {holder.name} and {account.name} share a key,"
+                    " which identifies neither"
+                )
     for key_hash in shared:
         del by_key_hash[key_hash]
-    return catalog.Accounts(by_name, by_key_hash)
+    return catalog.Accounts(by_name, by_key_hash, tuple(found))
 
 
 def find_account(
--- a/src/azureramp/ports/forwarding/api.py
+++ b/src/azureramp/ports/forwarding/api.py
@@ -37,7 +37,7 @@
     target: bytes
     headers: Headers
     body: bytes
-    identity_headers: Headers = ()
+    identity_headers: Headers = dataclasses.field(default=(), repr=False)
     account: str | None = None
     head: h11.Request | None = dataclasses.field(
         default=None, compare=False, repr=False
--- a/src/azureramp/ports/store/api.py
+++ b/src/azureramp/ports/store/api.py
@@ -32,7 +32,7 @@
     """
 
     key: str
-    value: bytes | None
+    value: bytes | None = dataclasses.field(repr=False)
     revision: int
 
 
--- a/src/azureramp/ports/web/api.py
+++ b/src/azureramp/ports/web/api.py
@@ -35,10 +35,12 @@
     method: str
     path: str
     query: Mapping[str, str]
-    headers: Mapping[str, str]
+    headers: Mapping[str, str] = dataclasses.field(repr=False)
     body: bytes = b""
     raw_target: bytes = b""
-    raw_headers: tuple[tuple[bytes, bytes], ...] = ()
+    raw_headers: tuple[tuple[bytes, bytes], ...] = dataclasses.field(
+        default=(), repr=False
+    )
     received_s: float = 0.0
     round_trip_s: float = 0.0
     is_first_on_connection: bool = False
--- a/src/azureramp/ports/web/server_connection.py
+++ b/src/azureramp/ports/web/server_connection.py
@@ -103,7 +103,9 @@
             await self._reject(error.status, error.detail)
             return False
         except h11.RemoteProtocolError as error:
-            await self._reject(error.error_status_hint, str(error))
+            # The text after the colon quotes the request, maybe with a key.
+            detail = str(error).partition(":")[0]
+            await self._reject(error.error_status_hint, detail)
             return False
         response = await self._handle(request)
         if response is None:
--- a/tests/forwarding/test_authentication.py
+++ b/tests/forwarding/test_authentication.py
@@ -3,9 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+import io
+from typing import Any
 
 import pytest
 
+from azureramp import logs
+from azureramp.platform import store
+from azureramp.ports.web import api as web_api
 from azureramp_standins.fleet import deployment, searcher
 from tests.forwarding import scenes
 
@@ -22,6 +28,23 @@
     await deployment.wait_for_updates(UPDATE_S)
 
 
+async def send_all(
+    scene: deployment.Deployment, vm: str, *keys: str, target: str = "/one/a"
+) -> list[int]:
+    """Sends a request with each key and returns the statuses."""
+    return [
+        (await scene.send_request(vm, target, key=key)).status for key in keys
+    ]
+
+
+def expire_keys(scene: deployment.Deployment, after_s: float) -> None:
+    """Makes all VMs refuse keys after a time without the store."""
+    for program in scene.daemons.values():
+        program.board.bounds = dataclasses.replace(
+            program.board.bounds, keys_expire_s=after_s
+        )
+
+
 def list_received(scene: deployment.Deployment) -> list[dict[str, str]]:
     """Returns the headers of all requests that reached searchers."""
     return [
@@ -111,3 +134,179 @@
         assert len(list_received(scene)) == 1
 
     scenes.run(run)
+
+
+@pytest.mark.parametrize(
+    ("headers", "status"),
+    [
+        ([("Authorization", "Token k-yard")], 200),
+        ([("AUTHORIZATION", "tOKEN k-yard")], 200),
+        ([("Authorization", "Token   k-yard")], 200),
+        ([("Authorization", "Token k-YARD")], 401),
+        ([("Authorization", "Token k-yard k-yard")], 401),
+        ([("Authorization", "Tokenk-yard")], 401),
+        ([("Authorization", "k-yard")], 401),
+        ([("Authorization", "Bearer k-yard")], 401),
+        ([("Authorization", "Token " + "k" * 9000)], 401),
+        ([("Authorization", "Token k-yard")] * 2, 401),
+        ([("Authorization", "Token k-yard"), ("Authorization", "x")], 401),
+        ([("Proxy-Authorization", "Token k-yard")], 401),
+        (
+            [
+                ("Connection", "authorization, azureramp-tenant"),
+                ("Authorization", "Token k-yard"),
+            ],
+            200,
+        ),
+    ],
+)
+def test_ways_to_send_a_key(
+    headers: list[tuple[str, str]], status: int
+) -> None:
+    """Guards against keys that are refused, or forwarded, for their form."""
+    output = io.StringIO()
+
+    async def run(scene: deployment.Deployment) -> None:
+        await declare_accounts(scene)
+        response = await scene.send_request("vm-0", "/one/a", headers=headers)
+        assert response.status == status
+        received = list_received(scene)
+        assert [fields["azureramp-tenant"] for fields in received] == (
+            ["yard"] if status == 200 else []
+        )
+        assert "k-yard" not in str(received)
+        metrics = await read_metrics(scene)
+        assert b"k-yard" not in metrics + response.body
+
+    with logs.JsonLinesHandler("vm-0", output).applicationbound():
+        scenes.run(run)
+    assert "request" in output.getvalue()
+    assert "k-yard" not in output.getvalue()
+
+
+async def read_metrics(scene: deployment.Deployment) -> bytes:
+    """Returns the metrics page of a VM."""
+    answers = scene.daemons["vm-0"]._answers
+    request = web_api.Request("GET", "/metrics", {}, {})
+    return (await answers.handle_metrics(request)).body
+
+
+def test_old_and_new_key_are_valid_together_until_the_old_one_is_removed() -> (
+    None
+):
+    """Guards against a rotation in which callers are refused."""
+
+    async def run(scene: deployment.Deployment) -> None:
+        for keys, expected in (
+            (["old"], [200, 401]),
+            (["old", "new"], [200, 200]),
+            (["new"], [401, 200]),
+            ([], [401, 401]),
+        ):
+            scene.configuration["Tenants"] = [{"Name": "a", "ApiKeys": keys}]
+            scene.write_configuration()
+            await deployment.wait_for_updates(UPDATE_S)
+            assert await send_all(scene, "vm-0", "old", "new") == expected
+
+    scenes.run(run)
+
+
+def test_invalid_account_leaves_the_rest_of_the_configuration_in_force() -> (
+    None
+):
+    """Guards against one account's error that keeps all VMs on old keys."""
+    output = io.StringIO()
+    broken: list[dict[str, Any]] = [
+        {"Name": "typed", "ApiKeys": "k-secret"},
+        {"Name": "typed", "ApiKeys": ["k-secret", 5]},
+        {"Name": "two\r\nlines", "ApiKeys": ["k-secret"]},
+        {"ApiKeys": ["k-secret"]},
+    ]
+
+    async def run(scene: deployment.Deployment) -> None:
+        scene.add_account("two words", "k-fine")
+        scene.configuration["Tenants"] += broken
+        scene.write_configuration()
+        await deployment.wait_for_updates(UPDATE_S)
+        assert await send_all(scene, "vm-0", "k-fine", "k-secret") == [200, 401]
+
+    with logs.JsonLinesHandler("vm-0", output).applicationbound():
+        scenes.run(run)
+    warnings = [
+        row for row in output.getvalue().splitlines() if "4 problems" in row
+    ]
+    assert len(warnings) == 1
+    assert "k-secret" not in output.getvalue()
+
+
+def test_vm_without_configuration_never_answers_401() -> None:
+    """Guards against callers that give up since they met a starting VM."""
+
+    async def run(scene: deployment.Deployment) -> None:
+        await declare_accounts(scene)
+        scene.store.faults.busy = True
+        for program in scene.daemons.values():
+            await program.abort()
+        await scene.add_vm("vm-9", "zone-0")
+        response = await scene.send_request("vm-9", "/one/a", key="k-unknown")
+        assert response.status == 503
+        assert response.body == b"no_configuration"
+
+    scenes.run(run)
+
+
+@pytest.mark.parametrize(
+    ("expires", "known", "unknown", "public"),
+    [(True, 503, 503, 200), (False, 200, 503, 200)],
+)
+def test_vm_without_store_contact(
+    expires: bool, known: int, unknown: int, public: int
+) -> None:
+    """Guards against revoked keys that a VM which was cut off still accepts.
+
+    Where keys don't expire it serves on. An unknown key isn't refused for
+    good in either case, since it may be newer than the VM's configuration.
+    """
+
+    async def run(scene: deployment.Deployment) -> None:
+        await declare_accounts(scene)
+        if expires:
+            expire_keys(scene, 3.0)
+        scene.store.faults.silent = True
+        await deployment.wait_for_updates(6.0)
+        assert await send_all(scene, "vm-0", "k-yard", "k-unknown", "") == [
+            known,
+            unknown,
+            503 if expires else 401,
+        ]
+        assert await send_all(scene, "vm-0", "", target="/open/a") == [public]
+        scene.store.faults.silent = False
+        await deployment.wait_for_updates(4.0)
+        assert await send_all(scene, "vm-0", "k-yard", "k-unknown") == [
+            200,
+            401,
+        ]
+
+    scenes.run(run)
+
+
+def test_vm_that_a_relay_feeds_counts_the_relays_contact() -> None:
+    """Guards against a VM that refuses keys although it hears of changes."""
+
+    async def run(scene: deployment.Deployment) -> None:
+        await declare_accounts(scene)
+        expire_keys(scene, 3.0)
+        follower = next(
+            program
+            for program in scene.daemons.values()
+            if not program.board.reads_from_store
+        )
+        unreachable = store.PlatformStore("127.0.0.1:1")
+        await follower._store.close()
+        follower._feed._store = follower._members._store = unreachable
+        follower._roster._store = unreachable
+        await deployment.wait_for_updates(8.0)
+        vm = follower.board.identity.vm
+        assert await send_all(scene, vm, "k-yard", "k-unknown") == [200, 401]
+
+    scenes.run(run, vms=6)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -9,6 +9,7 @@
 
 from azureramp import catalog, rollout_types
 from azureramp.platform import decoding
+from azureramp.policy import identity
 from azureramp.ports.store import api
 
 ROUTE = {
@@ -174,3 +175,80 @@
         "State": state,
         "TargetVersion": "v2",
     }
+
+
+def decode_accounts(*tenants: Any) -> catalog.Accounts:
+    body = {"Version": 1, "Routes": [ROUTE | {"Backend": "s"}]}
+    update = decode("op/config", body | {"Tenants": tenants})
+    assert isinstance(update, catalog.ConfigurationDeclared)
+    accounts = update.configuration.accounts
+    assert accounts is not None
+    return accounts
+
+
+def test_client_account() -> None:
+    accounts = decode_accounts(
+        {
+            "Name": "Dealer 7",
+            "ApiKeys": ["k1", "", "k2", "k1"],
+            "Priority": 1,
+            "RatePerS": 12.5,
+            "Burst": 30,
+            "Unknown": {},
+        },
+        {"Name": "plain"},
+    )
+    hashes = tuple(identity.hash_token(key) for key in ("k1", "k2"))
+    assert accounts.by_name["Dealer 7"] == catalog.Account(
+        "Dealer 7", hashes, 1, 12.5, 30.0
+    )
+    assert accounts.by_name["plain"] == catalog.Account("plain", ())
+
+
+@pytest.mark.parametrize(
+    "tenant",
+    [
+        {"Name": "bad", "ApiKeys": "secret"},
+        {"Name": "bad", "ApiKeys": ["secret", 5]},
+        {"Name": "bad", "ApiKeys": ["secret"], "RatePerS": "fast"},
+        {"Name": "bad", "ApiKeys": ["secret"], "Priority": 1.5},
+        {"Name": ["secret"]},
+        {"ApiKeys": ["secret"]},
+        ["secret"],
+        "secret",
+        None,
+        {"Name": "", "ApiKeys": ["secret"]},
+        {"Name": "a\r\nX-Y: z", "ApiKeys": ["secret"]},
+        {"Name": " padded ", "ApiKeys": ["secret"]},
+        {"Name": "náutica", "ApiKeys": ["secret"]},
+        {"Name": "n" * 300, "ApiKeys": ["secret"]},
+    ],
+)
+def test_invalid_account_is_left_out_and_its_keys_are_not_shown(
+    tenant: Any,
+) -> None:
+    """Guards against one account that keeps a configuration out of force."""
+    accounts = decode_accounts(tenant, {"Name": "good", "ApiKeys": ["k"]})
+    assert list(accounts.by_name) == ["good"]
+    assert list(accounts.by_key_hash) == [identity.hash_token("k")]
+    (problem,) = accounts.problems
+    assert "left out" in problem
+    assert "secret" not in problem
+    assert len(problem) < 200
+
+
+@pytest.mark.parametrize("tenants", [{}, "secret", 5, [1, {"Name": "x"}, "x]"]])
+def test_reason_of_an_invalid_configuration_shows_no_key(tenants: Any) -> None:
+    body = {"Version": "x", "Routes": [ROUTE], "Tenants": tenants}
+    update = decode("op/config", body)
+    assert isinstance(update, catalog.InvalidEntry)
+    assert "secret" not in update.reason
+
+
+def test_configuration_without_accounts_needs_no_keys() -> None:
+    for more in ({}, {"Tenants": None}):
+        body = {"Version": 1, "Routes": []} | more
+        update = decode("op/config", body)
+        assert isinstance(update, catalog.ConfigurationDeclared)
+        assert update.configuration.accounts is None
+    assert decode_accounts() == catalog.Accounts({}, {})
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import hypothesis
 import pytest
+from hypothesis import strategies
 
 from azureramp import errors
 from azureramp.controllers.forwarding import requests
@@ -103,3 +105,68 @@
     response = headers.encode_answer(unknown)
     assert response.status == 502
     assert "Retry-After" not in dict(response.headers)
+
+
+def read_key(*values: bytes) -> str:
+    fields = ((b"authorization", value) for value in values)
+    incoming = headers.decode_request(make_request(*fields))
+    assert isinstance(incoming, requests.IncomingRequest)
+    return incoming.key
+
+
+@pytest.mark.parametrize(
+    ("values", "key"),
+    [
+        ([b"Token k"], "k"),
+        ([b"TOKEN  k"], "k"),
+        (["Token ké".encode()], "ké"),
+        (["Token ké".encode("latin-1")], "ké"),
+        ([b"Token k\xff\x80"], "k\xff\x80"),
+        ([b"Token " + b"k" * 512], "k" * 512),
+        ([b"Token " + b"k" * 513], ""),
+        ([b"Token"], ""),
+        ([b"Token "], ""),
+        ([b"Token\tk"], ""),
+        ([b"Basic k"], ""),
+        ([b"Token k", b"Token k"], ""),
+        ([], ""),
+    ],
+)
+def test_key_of_the_authorization_header(values: list[bytes], key: str) -> None:
+    assert read_key(*values) == key
+
+
+NAMES = strategies.sampled_from(
+    [b"authorization", b"azureramp-tenant", b"connection", b"x-other", b"te"]
+)
+VALUES = strategies.one_of(
+    strategies.binary(max_size=20),
+    strategies.sampled_from(
+        [b"Token k-1", b"token k-1", b"authorization", b"x-other", b"Token "]
+    ),
+)
+
+
+@hypothesis.given(
+    fields=strategies.lists(strategies.tuples(NAMES, VALUES), max_size=5),
+    account=strategies.sampled_from(["", "yard"]),
+)
+def test_any_headers_are_decoded_and_no_key_is_forwarded(
+    fields: list[tuple[bytes, bytes]], account: str
+) -> None:
+    """Guards against a key or a forged account among the forwarded headers."""
+    incoming = headers.decode_request(make_request(*fields))
+    assert isinstance(incoming, requests.IncomingRequest)
+    incoming.message.account = account
+    sent = headers.Codec().encode_message(incoming.message)
+    assert not any(name == b"authorization" for name, _ in sent)
+    named = [value for name, value in sent if name == b"azureramp-tenant"]
+    assert named == ([account.encode()] if account else [])
+    values = [value for name, value in fields if name == b"authorization"]
+    if len(values) == 1 and values[0].lower() == b"token k-1":
+        assert incoming.key == "k-1"
+    if len(values) != 1:
+        assert not incoming.key
+    assert "k-1" not in f"{incoming!r}" or any(
+        b"k-1" in value for name, value in fields if name == b"x-other"
+    )
--- a/tests/policy/test_identity.py
+++ b/tests/policy/test_identity.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from azureramp import errors, resources
+from azureramp import catalog, errors, resources
 from azureramp.policy import identity, topology
 from tests.policy import query_parts
 
@@ -104,3 +104,36 @@
 
     assert some == [True, False]
     assert every == [True, True]
+
+
+def make_account(name: str, *keys: str) -> catalog.Account:
+    return catalog.Account(name, tuple(identity.hash_token(k) for k in keys))
+
+
+@pytest.mark.parametrize(
+    ("accounts", "holders", "problems"),
+    [
+        ([("a", "x", "y"), ("b", "z")], {"x": "a", "y": "a", "z": "b"}, 0),
+        ([("a", "x", "x")], {"x": "a"}, 0),
+        ([("a", "x", "y"), ("b", "x", "z")], {"y": "a", "z": "b"}, 1),
+        ([("a", "x"), ("b", "x"), ("c", "x")], {}, 2),
+        ([("a", "x"), ("a", "y")], {"y": "a"}, 1),
+        ([("a", "x"), ("b", "x"), ("a", "y")], {"x": "b", "y": "a"}, 1),
+        ([("a",), ("b", "x")], {"x": "b"}, 1),
+        ([], {}, 0),
+    ],
+)
+def test_keys_identify_one_account(
+    accounts: list[tuple[str, ...]], holders: dict[str, str], problems: int
+) -> None:
+    indexed = identity.index_accounts(
+        make_account(name, *keys) for name, *keys in accounts
+    )
+    found = {
+        key: identity.find_account(indexed, key) for key in ("x", "y", "z")
+    }
+    assert {key: a.name for key, a in found.items() if a} == holders
+    assert len(indexed.problems) == problems
+    assert identity.find_account(indexed, "") is None
+    shown = f"{indexed!r}"
+    assert not any(identity.hash_token(key) in shown for key in holders)
--- a/tests/ports/web/test_server.py
+++ b/tests/ports/web/test_server.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 import async_solipsism
+import logbook
 import pytest
 
 from azureramp.ports.web import api, request_reader, server
@@ -316,3 +317,26 @@
         assert outcome == 200 or handler.cancelled == 0
 
     run(scenario)
+
+
+@pytest.mark.parametrize(
+    "field",
+    [
+        b"Authorization : Token k-secret",
+        b"Authorization: Token k-secret\x00",
+        b"Authorization\xff: Token k-secret",
+    ],
+)
+def test_line_about_an_invalid_request_quotes_nothing_of_it(
+    field: bytes,
+) -> None:
+    """Guards against a key in the log after a malformed header."""
+
+    async def scenario(handler: Handler, served: server.Server) -> None:
+        raw = b"GET / HTTP/1.1\r\nHost: a\r\n" + field + b"\r\n\r\n"
+        assert b" 400 " in (await send_raw(raw)).splitlines()[0]
+
+    with logbook.TestHandler(level=logbook.INFO).applicationbound() as log:
+        run(scenario)
+    assert log.has_info("rejected a request: illegal header line")
+    assert not any("secret" in str(each) for each in log.formatted_records)
