Explain refusals by key, account and limit

Cause: `azureramp explain` knew neither accounts nor what a VM had decided on, and called a request that wasn't admitted one without usable searchers.

Change: it names the account and priority, since when the configuration had been in force on the VM, how old its contact with the store was, and for 401, 429 and 503 the cause: no key, unknown key (and whether another VM had a newer configuration by then), the limit's inputs and since when it was reached. Request lines of requests that went badly carry `contact_age_ms`.

--- a/src/azureramp/cli/explain.py
+++ b/src/azureramp/cli/explain.py
@@ -56,6 +56,22 @@
         f" {fields.get('configuration')}, deadline"
         f" {fields.get('deadline_ms')} ms"
     )
+    if "priority" in fields:
+        account = fields.get("account")
+        yield (
+            f"  {f'account {account}' if account else 'no account'}, priority"
+            f" {fields['priority']}"
+        )
+    if known := explanation.in_force:
+        yield (
+            f"  configuration {known.version} had been in force on the VM for"
+            f" {own.at_s - known.since_s:.1f} s"
+        )
+    if "contact_age_ms" in fields:
+        yield (
+            "  changes of the store had last reached the VM"
+            f" {fields['contact_age_ms']} ms before"
+        )
     if fields.get("detail"):
         yield f"  {fields['detail']}"
     yield f"cause: {explanation.cause}"
--- a/src/azureramp/controllers/forwarding/authentication.py
+++ b/src/azureramp/controllers/forwarding/authentication.py
@@ -100,7 +100,9 @@
         route = self._find_route()
         holder = identity.find_account(accounts, self._request.key)
         if holder is None and not route.public:
-            return errors.Failure(errors.Kind.UNAUTHENTICATED)
+            return errors.Failure(
+                errors.Kind.UNAUTHENTICATED, "key removed while it waited"
+            )
         name = "" if holder is None else holder.name
         if self._request.message.account != name:
             return errors.Failure(
@@ -170,4 +172,5 @@
         return errors.Failure(
             errors.Kind.KEYS_OUTDATED, "the key may be new: no store contact"
         )
-    return errors.Failure(errors.Kind.UNAUTHENTICATED)
+    detail = "unknown key" if request.key else "no key"
+    return errors.Failure(errors.Kind.UNAUTHENTICATED, detail)
--- a/src/azureramp/controllers/forwarding/request_log.py
+++ b/src/azureramp/controllers/forwarding/request_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Sequence
 from typing import Any
 
@@ -121,6 +122,9 @@
                 line["shards"] = len(parts)
         if not good:
             line["store_reachable"] = self._board.contact.reachable
+            age_s = now_s - self._board.contact.last_answer_s
+            if math.isfinite(age_s):
+                line["contact_age_ms"] = round(age_s * 1000)
             line["calls"] = describe_calls(parts, request.began_s)
             not_ready = list_not_ready(parts)
             if not_ready:
--- a/src/azureramp/explanations.py
+++ b/src/azureramp/explanations.py
@@ -1,8 +1,8 @@
 """Explains from the log lines of all VMs why a request failed.
 
 A request's own line lists the searchers that were called and how each call
-ended. The VM's other state at that time, and how other requests' calls to the
-same searchers ended, are in other lines; this module combines them.
+ended. The VM's other state, and how other requests' calls to these searchers
+ended, are in other lines; this module combines them.
 """
 
 from __future__ import annotations
@@ -10,7 +10,7 @@
 import collections
 import dataclasses
 
-from azureramp import log_lines
+from azureramp import account_causes, log_lines
 
 OBSERVATION_WINDOW_S = 1.0
 """Maximum time between the lines of two requests that are considered affected
@@ -61,6 +61,8 @@
         observations: Unsuccessful calls of other requests to each called
             searcher.
         crash_lines: Lines about crashes of the called searchers.
+        in_force: The configuration in force on the VM; None if the logs don't
+            say.
         cause: The cause in one sentence.
         missing_lines: Descriptions of missing log lines.
     """
@@ -71,6 +73,7 @@
     searcher_lines: list[log_lines.Line]
     observations: dict[str, CallObservations]
     crash_lines: list[log_lines.Line]
+    in_force: account_causes.InForce | None = None
     cause: str = ""
     missing_lines: list[str] = dataclasses.field(default_factory=list)
 
@@ -85,11 +88,14 @@
     Returns:
         The explanation; None if there is no line of the request.
     """
-    request_line = _find_request(lines, request)
+    request_line = next(
+        (each for each in lines if each.fields.get("request") == request), None
+    )
     if request_line is None:
         return None
     calls = log_lines.parse_calls(request_line)
     searchers = {call.searcher for call in calls if call.searcher}
+    in_force = account_causes.list_in_force(lines, request_line.at_s)
     explanation = Explanation(
         request_line,
         calls,
@@ -97,21 +103,31 @@
         _find_searcher_lines(lines, request_line, searchers),
         _collect_observations(lines, request_line, searchers),
         _find_crashes(lines, request_line, searchers),
+        in_force.get(request_line.vm),
     )
-    explanation.cause = summarize_cause(explanation)
+    if request_line.fields.get("outcome") in account_causes.OUTCOMES:
+        explanation.cause = account_causes.summarize(
+            lines, request_line, in_force
+        )
+    else:
+        explanation.cause = summarize_cause(explanation)
     explanation.missing_lines = _find_gaps(lines, request_line)
     return explanation
 
 
 def summarize_cause(explanation: Explanation) -> str:
     """Describes in one sentence why a request ended as it did."""
-    outcome = str(explanation.request.fields.get("outcome", ""))
-    detail = str(explanation.request.fields.get("detail", ""))
+    fields = explanation.request.fields
+    outcome, detail = fields.get("outcome", ""), str(fields.get("detail", ""))
     match outcome:
         case "answered" | "complete":
             return "the request succeeded"
         case "short" | "shards_missing":
             return "; ".join(_describe_missing_shards(explanation)) or detail
+        case "overloaded" | "shed" if not (
+            explanation.calls or "no searcher" in detail
+        ):
+            return f"not admitted: {detail}"
         case "shed":
             names = {call.searcher for call in explanation.calls}
             descriptions = [
@@ -137,8 +153,7 @@
             ]
             return "no answer in time: " + "; ".join(descriptions)
         case "caller_gone":
-            took = explanation.request.fields.get("took_ms")
-            return f"the caller left after {took} ms"
+            return f"the caller left after {fields.get('took_ms')} ms"
         case "no_configuration":
             return "the VM had just started and had no configuration yet"
         case "quarantined":
@@ -192,16 +207,6 @@
     )
 
 
-def _find_request(
-    lines: list[log_lines.Line], request: str
-) -> log_lines.Line | None:
-    """Returns a request's own line; None if there is none."""
-    for line in lines:
-        if line.fields.get("request") == request:
-            return line
-    return None
-
-
 def _find_vm_lines(
     lines: list[log_lines.Line], request_line: log_lines.Line
 ) -> list[log_lines.Line]:
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -156,3 +156,106 @@
         not_ready=["i-1 draining", "i-2 gone"],
     )
     assert explain(row).cause == "a: i-1 was draining, i-2 was gone"
+
+
+def in_force(at: float, vm: str, version: int) -> str:
+    return write(at, vm, "applying", f"configuration {version} is in force")
+
+
+@pytest.mark.parametrize(
+    ("fields", "rows", "expected"),
+    [
+        (
+            {"outcome": "unauthenticated", "detail": "no key"},
+            [],
+            "had no key",
+        ),
+        (
+            {"outcome": "unauthenticated", "detail": "unknown key"},
+            [in_force(9.5, "vm-1", 7), in_force(9.9, "vm-2", 7)],
+            "the VM was behind: configuration 7 had been in force on vm-1 for"
+            " 0.5 s",
+        ),
+        (
+            {"outcome": "unauthenticated", "detail": "unknown key"},
+            [in_force(9.5, "vm-1", 4), in_force(10.1, "vm-2", 7)],
+            "no account of the VM's configuration holds its key alone",
+        ),
+        (
+            {"outcome": "keys_outdated", "contact_age_ms": 6100},
+            [],
+            "last reached it 6100 ms before",
+        ),
+        ({"outcome": "keys_outdated"}, [], "never had contact"),
+        (
+            {
+                "outcome": "account_limit",
+                "account": "big yard",
+                "detail": "account big yard: limit 5/s and 10; vm-3 decided",
+            },
+            [
+                write(
+                    at,
+                    vm,
+                    "account_limits",
+                    f"account {name} reached its limit: limit 5/s and 10",
+                )
+                for at, vm, name in (
+                    (8.0, "vm-0", "big yard"),
+                    (9.0, "vm-0", "other"),
+                    (9.0, "vm-1", "big yard"),
+                    (10.5, "vm-0", "big yard"),
+                )
+            ],
+            "big yard was beyond its limit (reached 2.0 s before): limit 5/s",
+        ),
+        (
+            {"outcome": "stale_configuration", "detail": "its account"},
+            [],
+            "the configuration changed while it waited",
+        ),
+        (
+            {"outcome": "overloaded", "detail": "3 ahead of it"},
+            [],
+            "not admitted: 3 ahead of it",
+        ),
+    ],
+)
+def test_refusal_of_an_account_is_explained_by_what_the_vm_knew(
+    fields: dict[str, Any], rows: list[str], expected: str
+) -> None:
+    """Guards against a refusal whose cause is in another VM's lines."""
+    own = {"request": "mine", "configuration": 4} | fields
+    explanation = explain(
+        in_force(2.0, "vm-0", 4),
+        write(10, "vm-0", "request", "request", **own),
+        *rows,
+    )
+    assert expected in explanation.cause
+    assert "behind" in expected or "behind" not in explanation.cause
+    assert explanation.in_force is not None
+    assert explanation.in_force.version == 4
+
+
+def test_command_names_the_account_and_what_the_vm_knew(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "vm-0.log"
+    fields = {
+        "request": "mine",
+        "outcome": "account_limit",
+        "account": "yard",
+        "priority": 1,
+        "configuration": 4,
+        "contact_age_ms": 250,
+    }
+    rows = [
+        in_force(2.0, "vm-0", 4),
+        write(10, "vm-0", "request", "request", **fields),
+    ]
+    path.write_text("\n".join(rows), "utf-8")
+    assert main.run(["explain", "mine", str(path)]) == 0
+    output = capsys.readouterr().out
+    assert "account yard, priority 1" in output
+    assert "configuration 4 had been in force on the VM for 8.0 s" in output
+    assert "250 ms before" in output
