Divide losses by account or priority, and find needless refusals

Cause: `azureramp losses` had rows by route only, and counted a refusal the same whether or not there was room elsewhere.

Change: `--by account` and `--by priority`; a column for requests beyond their account's limit, which count as no loss; and how many were refused although a later request of the same route that was not more urgent was served in time. Lines of good requests are sampled, so that number is a lower bound.

Measured: tests of this commit.

--- a/src/azureramp/cli/losses.py
+++ b/src/azureramp/cli/losses.py
@@ -31,28 +31,45 @@
     show_default=True,
     help="Length of the time span of a row, in seconds.",
 )
+@click.option(
+    "--by",
+    "group",
+    type=click.Choice([each.value for each in losses_module.Group]),
+    default=losses_module.Group.ROUTE.value,
+    show_default=True,
+    help="What the rows of a time span are divided by.",
+)
 @click.option(
     "--worst",
     type=click.IntRange(min=1),
     help="Maximum number of rows; those with the largest losses are kept.",
 )
 def command(
-    logs: tuple[pathlib.Path, ...], span_s: float, worst: int | None
+    logs: tuple[pathlib.Path, ...],
+    span_s: float,
+    group: str,
+    worst: int | None,
 ) -> exit_codes.ExitCode:
     """Shows when requests were late, short, refused or failed, and why.
 
     LOGS are the log files of all VMs, in any order. Each row covers a time
-    span and a route. It shows the callers' loss, in units of one good answer;
-    how many requests were late, short (answered in part), refused and failed;
-    how the calls that delayed them ended; and the shards, searchers and VMs
-    that most of them have in common.
+    span and a route, account or priority. It shows the callers' loss, in units
+    of one good answer; how many requests were late, short (answered in part),
+    refused, failed and beyond their account's limit; how many were refused
+    though later ones that were not more urgent were served; how the calls that
+    delayed them ended; and the shards, searchers and VMs that most of them
+    have in common.
     """
-    losses_by_span = losses_module.collect(log_lines.read(logs), span_s)
+    losses_by_span = losses_module.collect(
+        log_lines.read(logs), span_s, losses_module.Group(group)
+    )
     spans = list(losses_by_span)
     if worst is not None:
         spans.sort(key=lambda span: -losses_by_span[span].weight)
         spans = sorted(spans[:worst], key=lambda each: each.begins_s)
-    click.echo("span, route: lost, late short refused failed; causes")
+    click.echo(
+        f"span, {group}: lost, late short refused failed limited; causes"
+    )
     for span in spans:
         for row in format_losses(span, losses_by_span[span]):
             click.echo(row)
@@ -60,12 +77,14 @@
 
 
 def format_losses(
-    span: losses_module.RouteSpan, lost: losses_module.SpanLosses
+    span: losses_module.Span, lost: losses_module.SpanLosses
 ) -> Iterator[str]:
     """Yields the output lines for the losses of a span."""
     counts = " ".join(f"{lost.counts[loss]:>4}" for loss in losses_module.Loss)
     at = timelines.format_utc(span.begins_s)
-    yield f"{at} {span.route or 'no route'}: {lost.weight:>6.1f} {counts}"
+    yield f"{at} {span.name or '(none)'}: {lost.weight:>6.1f} {counts}"
+    if lost.room:
+        yield f"    refused though room was there: {lost.room}"
     if lost.causes:
         causes = ", ".join(
             f"{cause.value} {count}"
--- a/src/azureramp/losses.py
+++ b/src/azureramp/losses.py
@@ -11,7 +11,7 @@
 import dataclasses
 import enum
 
-from azureramp import log_lines, loss_causes
+from azureramp import log_lines, loss_causes, refusal_room
 
 SLOW_CALL_SHARE = 0.5
 """A call that took at least this share of the request's duration delayed it."""
@@ -24,6 +24,15 @@
     SHORT = "short"
     REFUSED = "refused"
     FAILED = "failed"
+    LIMITED = "limited"
+
+
+class Group(enum.Enum):
+    """What the rows of a time span differ in; the value is the log field."""
+
+    ROUTE = "route"
+    ACCOUNT = "account"
+    PRIORITY = "priority"
 
 
 OUTCOME_LOSSES = {
@@ -34,6 +43,9 @@
     "shards_unreachable": Loss.REFUSED,
     "deadline_too_short": Loss.REFUSED,
     "no_configuration": Loss.REFUSED,
+    "keys_outdated": Loss.REFUSED,
+    "stale_configuration": Loss.REFUSED,
+    "account_limit": Loss.LIMITED,
     "shards_missing": Loss.FAILED,
     "outcome_unknown": Loss.FAILED,
     "deadline_passed": Loss.FAILED,
@@ -41,9 +53,15 @@
 }
 """The outcomes in request lines that are losses regardless of the duration."""
 
-LOSS_WEIGHTS = {Loss.LATE: 0.9, Loss.REFUSED: 0.5, Loss.FAILED: 1.0}
+LOSS_WEIGHTS = {
+    Loss.LATE: 0.9,
+    Loss.REFUSED: 0.5,
+    Loss.FAILED: 1.0,
+    Loss.LIMITED: 0.0,
+}
 """The share of a good answer's value that each kind of loss costs. A refused
-request was not run, so a retry may still succeed."""
+request was not run, so a retry may still succeed; one beyond its account's
+limit was not owed an answer."""
 
 DEFAULT_SHORT_SHARE = 0.5
 """The share of the shards that a short answer is assumed to cover if its line
@@ -54,16 +72,16 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class RouteSpan:
-    """A span of time on one route.
+class Span:
+    """A span of time on one route, or of one account or priority.
 
     Attributes:
         begins_s: The start of the span, in seconds since 1970.
-        route: The route's name.
+        name: The name of the route or account, or the priority.
     """
 
     begins_s: float
-    route: str
+    name: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,6 +93,8 @@
             twice.
         weight: Their total loss, in units of one good answer.
         causes: Number of calls to the shards that delayed them, by cause.
+        room: Number of requests that were refused though there was room; see
+            `refusal_room`.
         called_once: Number of times that a request was delayed by a shard and
             had called it only once.
         shards: Number of requests by the service that delayed them.
@@ -89,6 +109,7 @@
     causes: collections.Counter[loss_causes.Cause] = dataclasses.field(
         default_factory=collections.Counter
     )
+    room: int = 0
     called_once: int = 0
     shards: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
@@ -102,8 +123,8 @@
 
 
 def collect(
-    lines: list[log_lines.Line], span_s: float
-) -> dict[RouteSpan, SpanLosses]:
+    lines: list[log_lines.Line], span_s: float, group: Group = Group.ROUTE
+) -> dict[Span, SpanLosses]:
     """Collects the losses of each span.
 
     Routes on which no logged request was answered are omitted: either no route
@@ -114,13 +135,19 @@
     Args:
         lines: The log lines of all VMs, by time.
         span_s: The length of a span, in seconds.
+        group: What the spans are divided by.
 
     Returns:
-        The spans with losses, ordered by time and route.
+        The spans with losses, ordered by time and name.
     """
     served = find_served_routes(lines)
     call_times = loss_causes.CallTimes(lines)
-    lost_by_span: dict[RouteSpan, SpanLosses] = {}
+    served_times = refusal_room.ServedTimes()
+    for line in lines:
+        answered = line.fields.get("outcome") in ANSWERED_OUTCOMES
+        if answered and not _is_late(line):
+            served_times.add(line)
+    lost_by_span: dict[Span, SpanLosses] = {}
     for line in lines:
         losses = classify(line)
         route = str(line.fields.get("route", ""))
@@ -128,14 +155,12 @@
             continue
         if not line.fields.get("advertised", True):
             continue
-        span = RouteSpan(line.at_s // span_s * span_s, route)
-        _add(
-            lost_by_span.setdefault(span, SpanLosses()),
-            line,
-            losses,
-            call_times,
-        )
-    order = sorted(lost_by_span, key=lambda each: (each.begins_s, each.route))
+        name = str(line.fields.get(group.value, ""))
+        span = Span(line.at_s // span_s * span_s, name)
+        lost = lost_by_span.setdefault(span, SpanLosses())
+        _add(lost, line, losses, call_times)
+        lost.room += served_times.had_room(line)
+    order = sorted(lost_by_span, key=lambda each: (each.begins_s, each.name))
     return {span: lost_by_span[span] for span in order}
 
 
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -175,3 +175,47 @@
     rows += [write(1.0, "shed", advertised=True), write(1.1, "complete")]
     (lost,) = collect(*rows)
     assert lost.counts == {losses.Loss.REFUSED: 1}
+
+
+def test_losses_are_divided_by_account_and_by_priority() -> None:
+    rows = [
+        write(1.0, "complete"),
+        write(1.0, "shed", account="yard", priority=0),
+        write(1.1, "shed", account="dealer", priority=1),
+        write(1.2, "account_limit", account="dealer", priority=1),
+        write(1.3, "shed", priority=1),
+    ]
+    lines = log_lines.parse(rows)
+    by_account = losses.collect(lines, 1.0, losses.Group.ACCOUNT)
+    assert [span.name for span in by_account] == ["", "dealer", "yard"]
+    dealer = list(by_account.values())[1]
+    assert dealer.counts == {losses.Loss.REFUSED: 1, losses.Loss.LIMITED: 1}
+    assert dealer.weight == 0.5
+    by_priority = losses.collect(lines, 1.0, losses.Group.PRIORITY)
+    assert {
+        span.name: lost.counts.total() for span, lost in by_priority.items()
+    } == {"0": 1, "1": 3}
+
+
+@pytest.mark.parametrize(
+    ("served", "room"),
+    [
+        ({"at": 1.2, "took_ms": 50.0, "priority": 1}, 1),
+        ({"at": 1.2, "took_ms": 50.0, "priority": 2}, 1),
+        ({"at": 1.2, "took_ms": 50.0, "priority": 0}, 0),
+        ({"at": 1.2, "took_ms": 50.0, "priority": 1, "route": "other"}, 0),
+        ({"at": 1.2, "took_ms": 180.0, "target_ms": 150, "priority": 1}, 0),
+        ({"at": 1.05, "took_ms": 90.0, "priority": 1}, 0),
+        ({"at": 1.6, "took_ms": 50.0, "priority": 1}, 0),
+    ],
+)
+def test_refusal_though_room_was_there(
+    served: dict[str, Any], room: int
+) -> None:
+    """Guards against refusals that a later, less urgent request disproves."""
+    rows = [write(0.1, "complete", priority=0)]
+    rows.append(write(1.0, "overloaded", priority=1, took_ms=0.2))
+    rows.append(write(1.0, "overloaded", "a s 0: 1 503 not run", priority=1))
+    at = served.pop("at")
+    rows.append(write(at, "complete", vm="vm-1", **served))
+    assert sum(lost.room for lost in collect(*rows)) == room
