--- a/src/azureramp/cli/main.py
+++ b/src/azureramp/cli/main.py
@@ -8,6 +8,7 @@
 import click
 
 from azureramp.cli import (
+    accounts,
     apply,
     delete,
     drain_zone,
@@ -43,6 +44,7 @@
     timeline,
     explain,
     losses,
+    accounts,
     rollouts,
 ):
     options.set_variable_names(_module.command)
