Count ended requests by client account and reason

Cause: the metrics told neither which account was refused nor why.

Change: `account.outcomes` has the labels `account` and `reason`, only while the configuration has accounts.

--- a/src/azureramp/account_use.py
+++ b/src/azureramp/account_use.py
@@ -7,14 +7,11 @@
 import re
 from collections.abc import Iterable
 
-from azureramp import account_causes, log_lines, loss_causes
+from azureramp import account_causes, log_lines, loss_causes, metrics
 
 MAX_REFUSALS = 3
 """Maximum number of an account's last refusals that are kept."""
 
-NO_ACCOUNT = "(none)"
-"""The name under which requests without a known key are counted."""
-
 REFUSED_OUTCOMES = account_causes.OUTCOMES | {
     "shed",
     "overloaded",
@@ -100,7 +97,11 @@
     for vm, rows in pages:
         _add_page(accounts, vm, rows)
     order = sorted(
-        accounts, key=lambda name: (*_rank(accounts[name]), name == NO_ACCOUNT)
+        accounts,
+        key=lambda name: (
+            *_rank(accounts[name]),
+            name == metrics.NO_ACCOUNT,
+        ),
     )
     return {name: accounts[name] for name in order}
 
@@ -122,7 +123,7 @@
     outcome = str(line.fields.get("outcome", ""))
     if not name and outcome not in account_causes.OUTCOMES:
         return
-    account = accounts[name or NO_ACCOUNT]
+    account = accounts[name or metrics.NO_ACCOUNT]
     account.vms[line.vm].outcomes[outcome] += 1
     if outcome in REFUSED_OUTCOMES:
         account.last_refusals.append(line)
--- a/src/azureramp/cli/accounts.py
+++ b/src/azureramp/cli/accounts.py
@@ -83,10 +83,11 @@
         yield row
     for line in account.last_refusals:
         fields = line.fields
+        retry_after_ms = fields.get("retry_after_ms")
+        back = f", back after {retry_after_ms} ms" if retry_after_ms else ""
         yield (
             f"    refused {timelines.format_utc(line.at_s)} on {line.vm}:"
-            f" {fields.get('request')} {fields.get('outcome')},"
-            f" back after {fields.get('retry_after_ms', 0)} ms;"
+            f" {fields.get('request')} {fields.get('outcome')}{back};"
             f" {fields.get('detail') or 'no detail'}"
         )
 
--- a/src/azureramp/controllers/forwarding/entry_applier.py
+++ b/src/azureramp/controllers/forwarding/entry_applier.py
@@ -166,7 +166,7 @@
         if new.accounts is not None and new.accounts.problems:
             problems = new.accounts.problems
             _logger.warning(
-                "configuration {} has {} problems with client accounts: {}",
+                "configuration {}: problems with client accounts ({}): {}",
                 new.version,
                 len(problems),
                 "; ".join(problems[:MAX_LOGGED_PROBLEMS]),
--- a/src/azureramp/controllers/forwarding/request_log.py
+++ b/src/azureramp/controllers/forwarding/request_log.py
@@ -9,7 +9,7 @@
 
 import logbook
 
-from azureramp import catalog, errors
+from azureramp import catalog, errors, metrics
 from azureramp.controllers.forwarding import authentication, part, requests
 from azureramp.controllers.forwarding import board as board_module
 from azureramp.policy import log_sampling
@@ -89,6 +89,13 @@
         outcome = describe_answer(answer)
         took_ms = (now_s - request.began_s) * 1000
         self._count(answer, took_ms)
+        if self._board.get_accounts() is not None:
+            account = authorization.get_account_name() if authorization else ""
+            self._board.metrics.account_outcomes.count(
+                account or metrics.NO_ACCOUNT,
+                outcome,
+                near_limit=outcome == errors.Kind.ACCOUNT_LIMIT.value,
+            )
         total_ms = took_ms + caller_overhead_s * 1000
         late = route is not None and total_ms > route.target_latency_s * 1000
         good = outcome in GOOD_OUTCOMES and not late
--- a/src/azureramp/exposition.py
+++ b/src/azureramp/exposition.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from azureramp import metrics
+from azureramp import account_metrics, metrics
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -29,6 +29,7 @@
     metrics.Type.COUNTER: "counter",
     metrics.Type.GAUGE: "gauge",
     metrics.Type.TIMER: "histogram",
+    metrics.Type.ACCOUNT_COUNTER: "counter",
 }
 
 
@@ -52,6 +53,30 @@
                 if histogram is None
                 else _render_buckets(exposed_name, histogram)
             )
+        case metrics.Type.ACCOUNT_COUNTER:
+            if metric.name == "account.outcomes":
+                return _render_accounts(
+                    exposed_name, "reason", values.account_outcomes
+                )
+            return _render_accounts(exposed_name, "decision", values.accounts)
+
+
+def _render_accounts(
+    exposed_name: str, label: str, values: account_metrics.AccountCounts
+) -> list[str]:
+    """Returns the lines of counts by account and a second label."""
+    return [
+        f"{exposed_name}{{account={_quote(account)},{label}={_quote(kind)}}}"
+        f" {count}"
+        for (account, kind), count in sorted(values.counts.items())
+    ]
+
+
+def _quote(value: str) -> str:
+    """Returns the value of a label in quotes."""
+    for character, escaped in (("\\", "\\\\"), ('"', '\\"'), ("\n", "\\n")):
+        value = value.replace(character, escaped)
+    return f'"{value}"'
 
 
 def _render_buckets(
--- a/src/azureramp/metrics.py
+++ b/src/azureramp/metrics.py
@@ -12,8 +12,13 @@
 import enum
 from typing import Protocol
 
+from azureramp import account_metrics
+
 PREFIX = "azureramp"
 
+NO_ACCOUNT = "(none)"
+"""The name under which requests without a client account are counted."""
+
 
 class Type(enum.Enum):
     """The type of a metric."""
@@ -21,6 +26,7 @@
     COUNTER = "counter"
     GAUGE = "gauge"
     TIMER = "timer"
+    ACCOUNT_COUNTER = "counter by account"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -96,6 +102,16 @@
         Metric("idempotency.records", Type.COUNTER, "Records claimed."),
         Metric("idempotency.segments", Type.COUNTER, "Grouped writes."),
         Metric("idempotency.replayed", Type.COUNTER, "Outcomes told again."),
+        Metric(
+            "account.requests",
+            Type.ACCOUNT_COUNTER,
+            "Requests of client accounts, by account and decision.",
+        ),
+        Metric(
+            "account.outcomes",
+            Type.ACCOUNT_COUNTER,
+            "Ended requests by client account and reason.",
+        ),
     )
 }
 
@@ -145,12 +161,22 @@
     """Keeps metrics in memory and sends them to statsd if there is a sender.
 
     Attributes:
+        account_outcomes: The ended requests by client account and outcome
+            since the start.
+        accounts: The decisions of accounts' limits since the start.
         counts: The counters' totals since the start.
         gauges: The current values of the gauges.
         histograms: The timers' durations since the start.
     """
 
-    __slots__ = ("_sender", "counts", "gauges", "histograms")
+    __slots__ = (
+        "_sender",
+        "account_outcomes",
+        "accounts",
+        "counts",
+        "gauges",
+        "histograms",
+    )
 
     def __init__(self, sender: StatsdClient | None = None) -> None:
         """Creates metrics without any values.
@@ -158,6 +184,8 @@
         Args:
             sender: The statsd client; None to keep the metrics in memory only.
         """
+        self.account_outcomes = account_metrics.AccountCounts()
+        self.accounts = account_metrics.AccountCounts()
         self.counts: collections.Counter[str] = collections.Counter()
         self.gauges: dict[str, float] = {}
         self.histograms: dict[str, Histogram] = {}
--- a/tests/forwarding/test_authentication.py
+++ b/tests/forwarding/test_authentication.py
@@ -233,7 +233,7 @@
     with logs.JsonLinesHandler("vm-0", output).applicationbound():
         scenes.run(run)
     warnings = [
-        row for row in output.getvalue().splitlines() if "4 problems" in row
+        row for row in output.getvalue().splitlines() if "accounts (4)" in row
     ]
     assert len(warnings) == 1
     assert "k-secret" not in output.getvalue()
@@ -310,3 +310,21 @@
         assert await send_all(scene, vm, "k-yard", "k-unknown") == [200, 401]
 
     scenes.run(run, vms=6)
+
+
+def test_outcomes_are_counted_by_account_only_if_there_are_accounts() -> None:
+    async def run(scene: deployment.Deployment) -> None:
+        await scene.send_request("vm-0", "/one/a")
+        assert b"account_outcomes" not in await read_metrics(scene)
+        await declare_accounts(scene)
+        await send_all(scene, "vm-0", "k-yard", "k-yard", "k-unknown")
+        rows = (await read_metrics(scene)).decode().splitlines()
+        assert [
+            row for row in rows if row.startswith("azureramp_account_o")
+        ] == [
+            'azureramp_account_outcomes{account="(none)",'
+            'reason="unauthenticated"} 1',
+            'azureramp_account_outcomes{account="yard",reason="answered"} 2',
+        ]
+
+    scenes.run(run)
--- a/tests/test_account_use.py
+++ b/tests/test_account_use.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from azureramp import account_use, log_lines
+from azureramp import account_use, log_lines, metrics
 from azureramp.cli import main
 
 
@@ -58,7 +58,7 @@
 
 def test_use_is_collected_from_logs() -> None:
     accounts = account_use.collect(log_lines.parse(ROWS))
-    assert list(accounts) == ["big yard", "dealer", account_use.NO_ACCOUNT]
+    assert list(accounts) == ["big yard", "dealer", metrics.NO_ACCOUNT]
     yard = accounts["big yard"]
     assert yard.sum_outcomes() == {"complete": 1, "account_limit": 2}
     assert yard.limit == "limit 5/s and 10"
