Judge a call again that waited for a connection

Cause: a call that waits for a connection in a searcher's pool was sent when one became free, up to its deadline later, with a key that was revoked by then.

Change: the pool asks for permission again before it sends a call that has waited; one that is no longer permitted is lost unsent, so its request is answered as not run.

--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -280,7 +280,12 @@
         stats.in_flight += 1
         stats.probing = stats.failures > 0
         self._searchers.record_call(target, now_s)
-        call = api.Call(self._context.message, target.searcher.id, left_s)
+        call = api.Call(
+            self._context.message,
+            target.searcher.id,
+            left_s,
+            self._context.authorization.is_valid,
+        )
         attempt.pending_call = target.pool.submit(
             call, lambda outcome: self._handle_outcome(attempt, outcome)
         )
--- a/src/azureramp/ports/forwarding/api.py
+++ b/src/azureramp/ports/forwarding/api.py
@@ -44,6 +44,11 @@
     )
 
 
+def always_permit() -> bool:
+    """Permits a call whenever it is sent."""
+    return True
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Call:
     """One call to one searcher.
@@ -52,11 +57,16 @@
         message: The message to forward.
         searcher: The id of the searcher that should answer.
         left_s: How long the searcher may work on the call, in seconds.
+        is_permitted: Asked again before a call is sent that has waited for a
+            connection.
     """
 
     message: Message
     searcher: str
     left_s: float
+    is_permitted: Callable[[], bool] = dataclasses.field(
+        default=always_permit, compare=False, repr=False
+    )
 
 
 class Execution(enum.Enum):
@@ -122,6 +132,7 @@
     BROKEN = "broken"
     INVALID = "invalid"
     NO_ROOM = "no_room"
+    NOT_PERMITTED = "not_permitted"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/azureramp/ports/forwarding/pool.py
+++ b/src/azureramp/ports/forwarding/pool.py
@@ -238,9 +238,15 @@
     def _serve_waiting(self) -> None:
         """Assigns idle connections to the waiting calls."""
         while self._waiting:
-            if self._waiting[0].receiver is None:
+            first = self._waiting[0]
+            if first.receiver is None:
                 self._waiting.popleft()
                 continue
+            if not first.call.is_permitted():
+                self._waiting.popleft()
+                lost = api.LostCall(api.LossReason.NOT_PERMITTED, sent=False)
+                asyncio.get_running_loop().call_soon(first.deliver, lost)
+                continue
             link = self._pop_idle()
             if link is None:
                 break
--- a/tests/forwarding/test_authentication.py
+++ b/tests/forwarding/test_authentication.py
@@ -342,3 +342,32 @@
         ]
 
     scenes.run(run)
+
+
+def test_call_that_waited_for_a_connection_is_judged_again() -> None:
+    """Guards against a key that is revoked while its call waits in a queue."""
+
+    async def run(scene: deployment.Deployment) -> None:
+        await declare_accounts(scene)
+        for each in scene.searchers.values():
+            each.script = searcher.Reaction(delay_s=0.9).always
+        for target in scene.daemons["vm-0"].board.targets.values():
+            target.pool.set_limit(1)
+        running = asyncio.create_task(
+            scene.send_request("vm-0", "/one/a", key="k-dealer")
+        )
+        await asyncio.sleep(0.05)
+        waiting = asyncio.create_task(
+            scene.send_request("vm-0", "/one/a", key="k-yard")
+        )
+        await asyncio.sleep(0.05)
+        assert len(list_received(scene)) == 1
+        del scene.configuration["Tenants"][0]
+        scene.write_configuration()
+        assert (await waiting).status == 503
+        assert (await running).status == 200
+        await asyncio.sleep(1.0)
+        accounts = [each["azureramp-tenant"] for each in list_received(scene)]
+        assert accounts == ["dealer"]
+
+    scenes.run(run, searchers=1)
