Leave out accounts with a negative limit

Cause: a negative rate was taken for no limit. A deeply nested configuration raised an error that no code handled and ended the loop that applies entries.

Change: such an account is left out and named in the log, like one with a wrong type; such a configuration is an invalid entry. The bounds on client accounts of the settings file have a test.

--- a/src/azureramp/platform/bodies.py
+++ b/src/azureramp/platform/bodies.py
@@ -6,8 +6,12 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
+_NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+
 
 class RouteBody(msgspec.Struct, rename="pascal"):
     """A route.
@@ -84,8 +88,8 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
-    rate_per_s: float = msgspec.field(default=0.0, name="RatePerS")
-    burst: float = 0.0
+    rate_per_s: _NotNegative = msgspec.field(default=0.0, name="RatePerS")
+    burst: _NotNegative = 0.0
 
 
 class ConfigurationBody(msgspec.Struct, rename="pascal"):
--- a/src/azureramp/platform/decoding.py
+++ b/src/azureramp/platform/decoding.py
@@ -91,7 +91,7 @@
             return catalog.RolloutRecorded(
                 _record_decoder.decode(value), entry.revision
             )
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+    except (msgspec.DecodeError, RecursionError, ValueError) as error:
         return catalog.InvalidEntry(f"{key}: {error}")
     return None
 
@@ -232,8 +232,8 @@
             if key
         ),
         priority=body.priority,
-        rate_per_s=max(0.0, body.rate_per_s),
-        burst=max(0.0, body.burst),
+        rate_per_s=body.rate_per_s,
+        burst=body.burst,
     )
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -212,6 +212,8 @@
         {"Name": "bad", "ApiKeys": ["secret", 5]},
         {"Name": "bad", "ApiKeys": ["secret"], "RatePerS": "fast"},
         {"Name": "bad", "ApiKeys": ["secret"], "Priority": 1.5},
+        {"Name": "bad", "ApiKeys": ["secret"], "RatePerS": -1},
+        {"Name": "bad", "ApiKeys": ["secret"], "RatePerS": 5, "Burst": -1},
         {"Name": ["secret"]},
         {"ApiKeys": ["secret"]},
         ["secret"],
@@ -245,6 +247,13 @@
     assert "secret" not in update.reason
 
 
+def test_deeply_nested_configuration_is_unreadable() -> None:
+    """Guards against an entry that ends the loop which applies entries."""
+    value = b'{"Version":1,"Routes":[],"Tenants":' + b"[" * 100_000
+    update = decoding.decode(api.Entry("op/config", value, 1))
+    assert isinstance(update, catalog.InvalidEntry)
+
+
 def test_configuration_without_accounts_needs_no_keys() -> None:
     for more in ({}, {"Tenants": None}):
         body = {"Version": 1, "Routes": []} | more
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import math
 import pathlib
+import re
 
 import pytest
 
 from azureramp.platform import settings
+from azureramp.policy import account_limits
 
 TEXT = """
 Node = "vm-1"
@@ -152,3 +155,18 @@
     tmp_path: pathlib.Path, text: str, named: str
 ) -> None:
     assert named in read_problem(tmp_path, text)
+
+
+def test_bounds_on_client_accounts(tmp_path: pathlib.Path) -> None:
+    fields = "QuotaWindowS = 4\nQuotaOverage = 0.1\nQuotaSlack = 20\n"
+    fields += "RevokeWhenPartitioned = true\nRevokeMs = 2500\n"
+    text = TEXT.replace("[Bounds]\n", "[Bounds]\n" + fields)
+    bounds = read(tmp_path, text).bounds
+    assert bounds.account_limits == account_limits.Tolerance(4.0, 0.1, 20.0)
+    assert bounds.keys_expire_s == 2.5
+    never = read(tmp_path, text.replace("= true\nRevoke", "= false\nRevoke"))
+    assert never.bounds.keys_expire_s == math.inf
+    assert read(tmp_path, TEXT).bounds.keys_expire_s == math.inf
+    for field in ("RevokeMs", "QuotaWindowS"):
+        wrong = re.sub(f"{field} = [0-9]+", f"{field} = 0", text)
+        assert f"Bounds.{field}: 0" in read_problem(tmp_path, wrong)
