--- a/tests/forwarding/test_authentication.py
+++ b/tests/forwarding/test_authentication.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from azureramp import logs
+from azureramp import explanations, log_lines, logs
 from azureramp.platform import store
 from azureramp.ports.web import api as web_api
 from azureramp.ports.web import connection as web_connection
@@ -371,3 +371,24 @@
         assert accounts == ["dealer"]
 
     scenes.run(run, searchers=1)
+
+
+def test_refusal_is_explained_from_the_logs_of_the_vm() -> None:
+    """Guards against log lines that `azureramp explain` no longer reads."""
+    output = io.StringIO()
+
+    async def run(scene: deployment.Deployment) -> None:
+        await declare_accounts(scene)
+        await scene.send_request(
+            "vm-0", "/one/a", key="k-unknown", request_id="mine"
+        )
+
+    with logs.JsonLinesHandler("vm-0", output).applicationbound():
+        scenes.run(run)
+    lines = log_lines.parse(output.getvalue().splitlines())
+    explanation = explanations.explain(lines, "mine")
+    assert explanation is not None
+    assert "holds its key alone" in explanation.cause
+    assert explanation.in_force is not None
+    version = explanation.request.fields["configuration"]
+    assert explanation.in_force.version == version
