--- a/src/azureramp/platform/bodies.py
+++ b/src/azureramp/platform/bodies.py
@@ -6,8 +6,12 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
+_NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+
 
 class RouteBody(msgspec.Struct, rename="pascal"):
     """A route.
@@ -84,21 +88,23 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
-    rate_per_s: float = msgspec.field(default=0.0, name="RatePerS")
-    burst: float = 0.0
+    rate_per_s: _NotNegative = msgspec.field(default=0.0, name="RatePerS")
+    burst: _NotNegative = 0.0
 
 
 class ConfigurationBody(msgspec.Struct, rename="pascal"):
     """The complete current configuration.
 
     Attributes:
-        tenants: The client accounts; None if requests need no keys.
+        tenants: The client accounts, each a `TenantBody`; None if requests
+            need no keys. They are decoded one by one, so that an invalid
+            account doesn't invalidate the others.
     """
 
     version: int
     routes: list[RouteBody]
     services: list[ServiceBody] = []
-    tenants: list[TenantBody] | None = None
+    tenants: list[msgspec.Raw] | None = None
     limits: LimitsBody = msgspec.field(default_factory=LimitsBody)
 
 
