--- /dev/null
+++ b/src/azureramp/controllers/forwarding/account_decider.py
@@ -0,0 +1,250 @@
+"""Decides on other VMs' reports about the accounts that this VM owns."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+import logbook
+import msgspec
+
+from azureramp import catalog
+from azureramp.controllers.forwarding import board as board_module
+from azureramp.policy import account_lending, account_limits
+from azureramp.ports.vms import account_messages as messages
+from azureramp.ports.vms import api as vms_api
+from azureramp.ports.web import api as web_api
+
+MAX_ACCOUNTS_PER_MESSAGE = 200
+
+MAX_MS = 3_600_000
+"""Upper limit of the times in messages, in milliseconds."""
+
+_logger = logbook.Logger("azureramp.account_decider")
+
+
+class AccountDecider:
+    """Answers reports, and moves accounts between their owners."""
+
+    __slots__ = (
+        "_addresses",
+        "_advertised",
+        "_board",
+        "_client",
+        "_lending",
+        "_seen",
+        "_tasks",
+        "_to_release",
+    )
+
+    def __init__(
+        self, board: board_module.Board, client: vms_api.VmClient
+    ) -> None:
+        """Creates the state of a process that has just started.
+
+        Args:
+            board: The process's state.
+            client: Client of the other VMs.
+        """
+        identity = board.identity
+        self._board = board
+        self._client = client
+        self._lending = account_lending.Lending(
+            identity.vm, board.started_s, identity.first_start
+        )
+        self._seen: object = None
+        self._advertised: frozenset[str] = frozenset()
+        self._addresses: dict[str, str] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._to_release: dict[str, set[str]] = {}
+
+    def observe(self, now_s: float) -> None:
+        """Records the VMs and the contact with the store; call it often."""
+        board = self._board
+        if board.advertised is not self._seen:
+            self._seen = board.advertised
+            self._advertised = frozenset(board.advertised)
+            for vm, member in board.advertised.items():
+                self._addresses[vm] = member.peer_address
+        if self._advertised:
+            age_s = now_s - board.contact.last_answer_s
+            self._lending.observe(self._advertised, age_s, now_s)
+
+    def get_owner(self, account: str) -> str:
+        """Returns the VM that decides for an account; empty if unknown."""
+        return self._lending.history.get_owner(account)
+
+    def get_address(self, vm: str) -> str:
+        """Returns a VM's peer address; empty if it is unknown."""
+        return self._addresses.get(vm, "")
+
+    def get_budget(self, account: catalog.Account) -> account_limits.Budget:
+        """Returns an account's budget."""
+        return account_limits.compute_budget(
+            account.rate_per_s, account.burst, self._board.bounds.account_limits
+        )
+
+    def decide(
+        self, process: str, use: messages.Use, now_s: float
+    ) -> account_lending.Decision:
+        """Decides on one account of a report; see `account_lending`."""
+        account = self._find_account(use.account)
+        if account is None:
+            # This VM may not have received the newest configuration yet.
+            return account_lending.Decision(account_lending.State.OUT_OF_TOUCH)
+        if account.rate_per_s <= 0:
+            return account_lending.Decision(
+                account_lending.State.LENDING, use.asked
+            )
+        decision = self._lending.decide(
+            use.account,
+            self.get_budget(account),
+            process,
+            use.asked,
+            use.settled,
+            now_s,
+        )
+        if decision.state is account_lending.State.TAKING_OVER:
+            self._take_over(use.account, now_s)
+        return decision
+
+    async def handle(self, request: web_api.Request) -> web_api.Response:
+        """Handles another VM's message.
+
+        Returns:
+            Status 200 with the answer; 400 for a malformed message.
+        """
+        now_s = asyncio.get_running_loop().time()
+        self.observe(now_s)
+        try:
+            if request.path == messages.REPORTS_PATH:
+                body = self._answer_report(
+                    messages.decode_report(request.body), now_s
+                )
+            else:
+                body = self._answer_release(
+                    messages.decode_release(request.body), now_s
+                )
+        except msgspec.DecodeError as error:
+            _logger.warning("could not decode a VM's message: {}", error)
+            return web_api.Response(400)
+        return web_api.Response(200, body, messages.CONTENT_TYPE)
+
+    def drop_idle(self, now_s: float) -> None:
+        """Drops the state of idle accounts and of VMs that are gone."""
+        accounts = self._board.get_accounts()
+        self._lending.drop_idle(
+            accounts.by_name if accounts else (),
+            self._board.bounds.account_limits.window_s,
+            now_s,
+        )
+        listed = self._lending.history.list_vms()
+        for vm in [each for each in self._addresses if each not in listed]:
+            del self._addresses[vm]
+
+    def list_owned(self) -> list[str]:
+        """Returns the accounts for which this VM holds a bucket."""
+        return self._lending.list_active()
+
+    def close(self) -> None:
+        """Stops all calls."""
+        for task in self._tasks.values():
+            task.cancel()
+
+    def _find_account(self, name: str) -> catalog.Account | None:
+        accounts = self._board.get_accounts()
+        return accounts.by_name.get(name) if accounts else None
+
+    def _answer_report(self, report: messages.Report, now_s: float) -> bytes:
+        """Decides on all accounts of a report."""
+        settlements: list[messages.Settlement] = []
+        for use in report.uses:
+            decision = self.decide(report.process, use, now_s)
+            settlements.append(
+                messages.Settlement(
+                    decision.state.value,
+                    decision.settled,
+                    _to_ms(decision.room_s),
+                    _to_ms(decision.return_s),
+                    _to_ms(decision.spacing_s),
+                )
+            )
+        return messages.encode(messages.ReportAnswer(tuple(settlements)))
+
+    def _answer_release(
+        self, request: messages.ReleaseRequest, now_s: float
+    ) -> bytes:
+        """Gives up the accounts that another VM takes over."""
+        buckets: list[messages.ReleasedBucket] = []
+        for name in request.accounts:
+            account = self._find_account(name)
+            if account is None or account.rate_per_s <= 0:
+                buckets.append(messages.ReleasedBucket(None, ""))
+                continue
+            released = self._lending.release(
+                name, self.get_budget(account), request.vm, now_s
+            )
+            buckets.append(
+                messages.ReleasedBucket(released.level, released.holder)
+            )
+        return messages.encode(messages.ReleaseAnswer(tuple(buckets)))
+
+    def _take_over(self, account: str, now_s: float) -> None:
+        """Asks the VMs that may hold an account to give it up."""
+        for vm in self._lending.find_holders(account, now_s):
+            if not self.get_address(vm):
+                continue
+            self._to_release.setdefault(vm, set()).add(account)
+            if vm not in self._tasks:
+                self._tasks[vm] = asyncio.create_task(self._request_release(vm))
+
+    async def _request_release(self, vm: str) -> None:
+        """Asks one VM for accounts; a failure is retried on demand."""
+        try:
+            while self._to_release.get(vm):
+                waiting = self._to_release[vm]
+                names = tuple(sorted(waiting)[:MAX_ACCOUNTS_PER_MESSAGE])
+                waiting.difference_update(names)
+                request = messages.ReleaseRequest(
+                    self._board.identity.vm, names
+                )
+                result = await self._client.call(
+                    self.get_address(vm),
+                    messages.RELEASES_PATH,
+                    messages.encode(request),
+                    account_limits.LEND_TIMEOUT_S,
+                )
+                if result.is_error():
+                    self._to_release.pop(vm, None)
+                    return
+                self._apply_release(vm, names, result.ok)
+        finally:
+            self._tasks.pop(vm, None)
+
+    def _apply_release(
+        self, vm: str, names: tuple[str, ...], body: bytes
+    ) -> None:
+        """Takes over the accounts that a VM has given up."""
+        try:
+            answer = messages.decode_release_answer(body)
+        except msgspec.DecodeError as error:
+            _logger.warning("could not decode a VM's answer: {}", error)
+            return
+        now_s = asyncio.get_running_loop().time()
+        self.observe(now_s)
+        for name, bucket in zip(names, answer.buckets, strict=False):
+            account = self._find_account(name)
+            if account is None or account.rate_per_s <= 0:
+                continue
+            self._lending.apply_release(
+                name,
+                self.get_budget(account),
+                vm,
+                account_lending.Released(bucket.level, bucket.holder),
+                now_s,
+            )
+
+
+def _to_ms(time_s: float) -> int:
+    """Converts a time to whole milliseconds, rounded up."""
+    return math.ceil(min(time_s * 1000, MAX_MS))
--- /dev/null
+++ b/src/azureramp/controllers/forwarding/account_uses.py
@@ -0,0 +1,150 @@
+"""What this VM knows of the use of each client account's limit."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import math
+
+from azureramp import catalog
+from azureramp.policy import account_credit, account_limits, window_counts
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AccountUse:
+    """One VM's view of an account, for operators.
+
+    Attributes:
+        account: The account's name.
+        rate_per_s: Its limit's rate.
+        burst: Its limit's burst.
+        owner: The VM that decides for it; empty if unknown.
+        owner_age_s: Time since that VM last answered about it, in seconds;
+            infinite if it has not.
+        credit: Requests that this VM may send without the deciding VM.
+        unsettled: Of these, those that are used.
+        uses: Requests admitted by this VM in the last window.
+        refusals: Requests refused by this VM in the last window.
+        last_refused_age_s: Time since the last refusal, in seconds; infinite
+            if there was none.
+    """
+
+    account: str
+    rate_per_s: float
+    burst: float
+    owner: str
+    owner_age_s: float
+    credit: float
+    unsettled: int
+    uses: int
+    refusals: int
+    last_refused_age_s: float
+
+
+class UseRecord:
+    """The state of one account on this VM.
+
+    Attributes:
+        account: The account as configured when it was last used.
+        budget: Its budget.
+        credit: This VM's credit.
+        waiters: The requests that wait for the deciding VM, oldest first.
+        uses: The requests that were admitted.
+        refusals: The requests that were refused.
+        room_s: Until when the deciding VM has no room.
+        next_return_s: The time at which the caller of the latest refusal may
+            return.
+        spacing_s: Time between two such times, in seconds.
+        decided_s: When the deciding VM last answered.
+        in_flight: Number of waiting requests in the report that is under way;
+            None if there is no such report.
+        limited_s: When the account reached its limit; None while it is within
+            it.
+    """
+
+    __slots__ = (
+        "account",
+        "budget",
+        "credit",
+        "decided_s",
+        "in_flight",
+        "limited_s",
+        "next_return_s",
+        "refusals",
+        "room_s",
+        "spacing_s",
+        "uses",
+        "waiters",
+    )
+
+    def __init__(
+        self,
+        account: catalog.Account,
+        tolerance: account_limits.Tolerance,
+        settled: int,
+    ) -> None:
+        """Creates the state of an account of which nothing is used.
+
+        Args:
+            account: The account.
+            tolerance: The tolerance of the limits.
+            settled: The first running total of the credit.
+        """
+        self.credit = account_credit.AccountCredit(settled)
+        self.waiters: collections.deque[asyncio.Future[bool]] = (
+            collections.deque()
+        )
+        self.uses = window_counts.WindowCount(tolerance.window_s)
+        self.refusals = window_counts.WindowCount(tolerance.window_s)
+        self.decided_s = -math.inf
+        self.in_flight: int | None = None
+        self.limited_s: float | None = None
+        self.configure(account, tolerance)
+
+    def configure(
+        self, account: catalog.Account, tolerance: account_limits.Tolerance
+    ) -> None:
+        """Applies a new limit; what was said of the old one no longer counts.
+
+        Args:
+            account: The account.
+            tolerance: The tolerance of the limits.
+        """
+        self.account = account
+        self.budget = account_limits.compute_budget(
+            account.rate_per_s, account.burst, tolerance
+        )
+        self.room_s = -math.inf
+        self.next_return_s = -math.inf
+        self.spacing_s = 0.0
+
+    def choose_return_s(self, now_s: float, horizon_s: float) -> float:
+        """Returns when a refused caller should return, and reserves the time.
+
+        Args:
+            now_s: The current time.
+            horizon_s: Maximum delay of a time that is reserved, in seconds.
+        """
+        slot_s = self.next_return_s + self.spacing_s
+        first_s = max(now_s, self.room_s)
+        if not first_s <= slot_s <= max(first_s, now_s + horizon_s):
+            slot_s = first_s
+        self.next_return_s = slot_s
+        return slot_s
+
+    def answer_next(self, granted: bool) -> None:
+        """Answers the request that has waited longest."""
+        waiter = self.waiters.popleft()
+        if not waiter.done():
+            waiter.set_result(granted)
+
+    def is_idle(self, now_s: float) -> bool:
+        """Returns True if nothing of the account's use matters any more."""
+        return not (
+            self.waiters
+            or self.in_flight is not None
+            or self.limited_s is not None
+            or self.uses.get(now_s)
+            or self.refusals.get(now_s)
+        )
--- a/src/azureramp/controllers/forwarding/request_handler.py
+++ b/src/azureramp/controllers/forwarding/request_handler.py
@@ -110,7 +110,9 @@
         if authorized.is_error():
             return self._refuse(request, route, authorized.error.kind)
         authorization = authorized.ok
-        failure = await self._account_limits.take(authorization.account)
+        failure = await self._account_limits.take(
+            authorization.account, route.target_latency_s
+        )
         if failure is not None:
             return self._write_refusal(request, route, failure, authorization)
         demand = admission.Demand(
--- a/src/azureramp/exposition.py
+++ b/src/azureramp/exposition.py
@@ -29,6 +29,7 @@
     metrics.Type.COUNTER: "counter",
     metrics.Type.GAUGE: "gauge",
     metrics.Type.TIMER: "histogram",
+    metrics.Type.ACCOUNT_COUNTER: "counter",
 }
 
 
@@ -52,6 +53,21 @@
                 if histogram is None
                 else _render_buckets(exposed_name, histogram)
             )
+        case metrics.Type.ACCOUNT_COUNTER:
+            return [
+                f"{exposed_name}{{account={_quote(account)},"
+                f"decision={_quote(kind)}}} {count}"
+                for (account, kind), count in sorted(
+                    values.accounts.counts.items()
+                )
+            ]
+
+
+def _quote(value: str) -> str:
+    """Returns the value of a label in quotes."""
+    for character, escaped in (("\\", "\\\\"), ('"', '\\"'), ("\n", "\\n")):
+        value = value.replace(character, escaped)
+    return f'"{value}"'
 
 
 def _render_buckets(
--- a/src/azureramp/metrics.py
+++ b/src/azureramp/metrics.py
@@ -12,6 +12,8 @@
 import enum
 from typing import Protocol
 
+from azureramp import account_metrics
+
 PREFIX = "azureramp"
 
 
@@ -21,6 +23,7 @@
     COUNTER = "counter"
     GAUGE = "gauge"
     TIMER = "timer"
+    ACCOUNT_COUNTER = "counter by account"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -96,6 +99,11 @@
         Metric("idempotency.records", Type.COUNTER, "Records claimed."),
         Metric("idempotency.segments", Type.COUNTER, "Grouped writes."),
         Metric("idempotency.replayed", Type.COUNTER, "Outcomes told again."),
+        Metric(
+            "account.requests",
+            Type.ACCOUNT_COUNTER,
+            "Requests of client accounts, by account and decision.",
+        ),
     )
 }
 
@@ -145,12 +153,13 @@
     """Keeps metrics in memory and sends them to statsd if there is a sender.
 
     Attributes:
+        accounts: The counts by client account since the start.
         counts: The counters' totals since the start.
         gauges: The current values of the gauges.
         histograms: The timers' durations since the start.
     """
 
-    __slots__ = ("_sender", "counts", "gauges", "histograms")
+    __slots__ = ("_sender", "accounts", "counts", "gauges", "histograms")
 
     def __init__(self, sender: StatsdClient | None = None) -> None:
         """Creates metrics without any values.
@@ -158,6 +167,7 @@
         Args:
             sender: The statsd client; None to keep the metrics in memory only.
         """
+        self.accounts = account_metrics.AccountCounts()
         self.counts: collections.Counter[str] = collections.Counter()
         self.gauges: dict[str, float] = {}
         self.histograms: dict[str, Histogram] = {}
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -43,6 +43,8 @@
 from azureramp.ports.rollouts import api as rollouts_api
 from azureramp.ports.rollouts import http as rollouts_http
 from azureramp.ports.store import counting
+from azureramp.ports.vms import account_messages
+from azureramp.ports.vms import http as vms_http
 from azureramp.ports.web import api as web_api
 from azureramp.ports.web import request_reader
 from azureramp.ports.web import server as web_server
@@ -58,6 +60,10 @@
 """File descriptors reserved for files and for connections to searchers, the
 store and peers; the rest may be used for callers' connections."""
 
+MAX_VMS = 64
+"""Maximum number of VMs with open connections for calls about client
+accounts."""
+
 LOOKUP_DRAIN_S = 0.5
 """How long a shutdown waits for running address lookups, in seconds."""
 
@@ -71,6 +77,7 @@
     """Wires the components of one process and runs them.
 
     Attributes:
+        account_limits: The client accounts' limits.
         board: The state of the process.
         rollouts: The roll-outs known to this process.
     """
@@ -96,6 +103,8 @@
         "_settings",
         "_store",
         "_tasks",
+        "_vms",
+        "account_limits",
         "board",
         "rollouts",
     )
@@ -224,13 +233,17 @@
             rng,
         )
         self._feed.on_became_relay = self._members.check_lease
+        self._vms = vms_http.HttpVmClient(MAX_VMS)
+        self.account_limits = account_limits.AccountLimits(
+            board, self._vms, process
+        )
         self._answers = answers.Answers(
             board,
             request_handler.RequestHandler(
                 board,
                 searcher_registry,
                 self._crashes,
-                account_limits.AccountLimits(board),
+                self.account_limits,
                 admission.Admission(board, searcher_registry),
             ),
             log_writer,
@@ -277,6 +290,8 @@
         """Handles a request from another VM."""
         if request.path == rollouts_api.REPORTS_PATH:
             return await self._grants.handle(request)
+        if request.path in account_messages.PATHS:
+            return await self.account_limits.handle(request)
         return await self._relay.handle(request)
 
     async def run(self) -> int:
@@ -313,6 +328,7 @@
                 "crashes": self._crashes.run,
                 "shares": self._searchers.limits.run,
                 "rollouts": self._claims.run,
+                "accounts": self.account_limits.run,
             }
         for name, run in loops.items():
             self._tasks.append(asyncio.create_task(_keep_running(name, run)))
@@ -360,6 +376,8 @@
         self._driver.close()
         self._reports.close()
         self._searchers.close()
+        self.account_limits.close()
+        await self._vms.close()
         await self._drivers.close()
         await self._relays.close()
         await self._store.close()
