--- a/src/azureramp/controllers/forwarding/account_decider.py
+++ b/src/azureramp/controllers/forwarding/account_decider.py
@@ -10,7 +10,11 @@
 
 from azureramp import catalog
 from azureramp.controllers.forwarding import board as board_module
-from azureramp.policy import account_lending, account_limits
+from azureramp.policy import (
+    account_buckets,
+    account_lending,
+    account_limits,
+)
 from azureramp.ports.vms import account_messages as messages
 from azureramp.ports.vms import api as vms_api
 from azureramp.ports.web import api as web_api
@@ -86,15 +90,15 @@
 
     def decide(
         self, process: str, use: messages.Use, now_s: float
-    ) -> account_lending.Decision:
+    ) -> account_buckets.Decision:
         """Decides on one account of a report; see `account_lending`."""
         account = self._find_account(use.account)
         if account is None:
             # This VM may not have received the newest configuration yet.
-            return account_lending.Decision(account_lending.State.OUT_OF_TOUCH)
+            return account_buckets.Decision(account_buckets.State.OUT_OF_TOUCH)
         if account.rate_per_s <= 0:
-            return account_lending.Decision(
-                account_lending.State.LENDING, use.asked
+            return account_buckets.Decision(
+                account_buckets.State.LENDING, use.asked
             )
         decision = self._lending.decide(
             use.account,
@@ -104,7 +108,7 @@
             use.settled,
             now_s,
         )
-        if decision.state is account_lending.State.TAKING_OVER:
+        if decision.state is account_buckets.State.TAKING_OVER:
             self._take_over(use.account, now_s)
         return decision
 
--- a/src/azureramp/controllers/forwarding/account_limits.py
+++ b/src/azureramp/controllers/forwarding/account_limits.py
@@ -14,7 +14,7 @@
     account_uses,
 )
 from azureramp.controllers.forwarding import board as board_module
-from azureramp.policy import account_lending, limit_shares
+from azureramp.policy import account_buckets, limit_shares
 from azureramp.ports.vms import api as vms_api
 from azureramp.ports.web import api as web_api
 
@@ -29,12 +29,10 @@
 """Share of a request's latency target that it may wait."""
 
 TICK_S = 0.1
-"""Time between two checks of the VMs, the accounts and the pending reports, in
-seconds."""
+"""Interval at which VMs and pending reports are checked, in seconds."""
 
 NEAR_LIMIT_SHARE = 0.7
-"""Share of an account's limit at one VM from which on it is named in the
-metrics."""
+"""Share of its limit from which on an account is named in the metrics."""
 
 _logger = logbook.Logger("azureramp.account_limits")
 
@@ -142,19 +140,11 @@
         now_s = asyncio.get_running_loop().time()
         window_s = self._board.bounds.account_limits.window_s
         return [
-            account_uses.AccountUse(
-                account=name,
-                rate_per_s=record.account.rate_per_s,
-                burst=record.account.burst,
-                owner=self._decider.get_owner(name),
-                owner_age_s=now_s - record.decided_s,
-                credit=record.budget.local * self._share.value,
-                unsettled=record.credit.count_unsettled(now_s, window_s),
-                uses=record.uses.get(now_s),
-                refusals=record.refusals.get(now_s),
-                last_refused_age_s=math.inf
-                if record.refusals.last_s is None
-                else now_s - record.refusals.last_s,
+            record.describe(
+                self._decider.get_owner(name),
+                self._share.value,
+                window_s,
+                now_s,
             )
             for name, record in sorted(self._records.items())
         ]
@@ -209,7 +199,7 @@
         return True
 
     def _may_ask(self, record: account_uses.UseRecord, now_s: float) -> bool:
-        """Returns True if the deciding VM can be expected to answer."""
+        """Returns True if the deciding VM should answer."""
         owner = self._decider.get_owner(record.account.name)
         return bool(owner) and not self._reporter.is_silent(owner, now_s)
 
@@ -265,7 +255,7 @@
         """Returns the failure of a request beyond the limit."""
         if now_s < record.room_s:
             return_s = record.choose_return_s(
-                now_s, account_lending.RETURN_HORIZON_S
+                now_s, account_buckets.RETURN_HORIZON_S
             )
             wait_s = return_s - now_s
         else:
@@ -282,22 +272,11 @@
 
     def _explain(self, record: account_uses.UseRecord, now_s: float) -> str:
         """Describes the inputs of a decision and their age."""
-        account = record.account
-        window_s = self._board.bounds.account_limits.window_s
-        owner = self._decider.get_owner(account.name)
-        if math.isinf(record.decided_s):
-            known = "has not decided yet"
-        else:
-            known = f"decided {now_s - record.decided_s:.2f} s ago"
-        if now_s < record.room_s:
-            known += f", room in {record.room_s - now_s:.2f} s"
-        unsettled = record.credit.count_unsettled(now_s, window_s)
-        credit = record.budget.local * self._share.value
-        return (
-            f"limit {account.rate_per_s:g}/s and {account.burst:g};"
-            f" {owner or 'no VM'} {known};"
-            f" {unsettled} of this VM's credit of {credit:.1f} not settled;"
-            f" {record.uses.get(now_s)} admitted here in {window_s:g} s"
+        return record.explain(
+            self._decider.get_owner(record.account.name),
+            self._share.value,
+            self._board.bounds.account_limits.window_s,
+            now_s,
         )
 
     def _check_records(self, now_s: float) -> None:
@@ -305,10 +284,12 @@
         window_s = self._board.bounds.account_limits.window_s
         for name, record in list(self._records.items()):
             unsettled = record.credit.count_unsettled(now_s, window_s)
-            if unsettled and now_s >= record.room_s:
-                owner = self._decider.get_owner(name)
-                if not self._reporter.is_silent(owner, now_s):
-                    self._reporter.schedule(record, urgent=False)
+            if (
+                unsettled
+                and now_s >= record.room_s
+                and self._may_ask(record, now_s)
+            ):
+                self._reporter.schedule(record, urgent=False)
             if record.limited_s is not None and not record.refusals.get(now_s):
                 _logger.info(
                     "account {} is within its limit again after {:.1f} s: {}",
--- a/src/azureramp/controllers/forwarding/account_reports.py
+++ b/src/azureramp/controllers/forwarding/account_reports.py
@@ -17,7 +17,7 @@
     account_uses,
 )
 from azureramp.controllers.forwarding import board as board_module
-from azureramp.policy import account_lending, account_limits
+from azureramp.policy import account_buckets, account_limits
 from azureramp.ports.vms import account_messages as messages
 from azureramp.ports.vms import api as vms_api
 
@@ -201,13 +201,13 @@
             record.in_flight = None
             if self._apply(record, decision, waiting, now_s):
                 link.records[record.account.name] = record
-                repeat |= decision.state is not account_lending.State.LENDING
+                repeat |= decision.state is not account_buckets.State.LENDING
                 link.urgent.set()
         return repeat
 
     async def _exchange(
         self, owner: str, uses: tuple[messages.Use, ...]
-    ) -> expression.Result[list[account_lending.Decision], errors.Failure]:
+    ) -> expression.Result[list[account_buckets.Decision], errors.Failure]:
         """Sends uses to a VM, or decides on them if it is this one."""
         now_s = asyncio.get_running_loop().time()
         if owner == self._board.identity.vm:
@@ -250,12 +250,12 @@
     def _apply(
         self,
         record: account_uses.UseRecord,
-        decision: account_lending.Decision,
+        decision: account_buckets.Decision,
         waiting: int,
         now_s: float,
     ) -> bool:
         """Applies a decision; returns True if requests still wait."""
-        if decision.state is account_lending.State.LENDING:
+        if decision.state is account_buckets.State.LENDING:
             record.decided_s = now_s
             spare = record.credit.settle(decision.settled)
             while spare and record.waiters:
@@ -272,21 +272,21 @@
             record.answer_next(True)
         if (
             now_s < record.room_s
-            or decision.state is account_lending.State.OUT_OF_TOUCH
+            or decision.state is account_buckets.State.OUT_OF_TOUCH
         ):
             while record.waiters:
                 record.answer_next(False)
         return bool(record.waiters)
 
 
-def _decode(settlement: messages.Settlement) -> account_lending.Decision:
+def _decode(settlement: messages.Settlement) -> account_buckets.Decision:
     """Decodes a decision.
 
     Raises:
         ValueError: Its state is unknown.
     """
-    return account_lending.Decision(
-        account_lending.State(settlement.state),
+    return account_buckets.Decision(
+        account_buckets.State(settlement.state),
         settlement.settled,
         settlement.room_ms / 1000,
         settlement.return_ms / 1000,
--- a/src/azureramp/controllers/forwarding/account_uses.py
+++ b/src/azureramp/controllers/forwarding/account_uses.py
@@ -139,6 +139,52 @@
         if not waiter.done():
             waiter.set_result(granted)
 
+    def describe(
+        self, owner: str, share: float, window_s: float, now_s: float
+    ) -> AccountUse:
+        """Describes the account for operators; see `explain`."""
+        refused_s = self.refusals.last_s
+        return AccountUse(
+            account=self.account.name,
+            rate_per_s=self.account.rate_per_s,
+            burst=self.account.burst,
+            owner=owner,
+            owner_age_s=now_s - self.decided_s,
+            credit=self.budget.local * share,
+            unsettled=self.credit.count_unsettled(now_s, window_s),
+            uses=self.uses.get(now_s),
+            refusals=self.refusals.get(now_s),
+            last_refused_age_s=math.inf
+            if refused_s is None
+            else now_s - refused_s,
+        )
+
+    def explain(
+        self, owner: str, share: float, window_s: float, now_s: float
+    ) -> str:
+        """Describes what is known of the account, and how old it is.
+
+        Args:
+            owner: The VM that decides for it; empty if unknown.
+            share: This VM's share of the credit of all VMs, 0 to 1.
+            window_s: The window of the limit, in seconds.
+            now_s: The current time.
+        """
+        if math.isinf(self.decided_s):
+            known = "has not decided yet"
+        else:
+            known = f"decided {now_s - self.decided_s:.2f} s ago"
+        if now_s < self.room_s:
+            known += f", room in {self.room_s - now_s:.2f} s"
+        unsettled = self.credit.count_unsettled(now_s, window_s)
+        return (
+            f"limit {self.account.rate_per_s:g}/s and {self.account.burst:g};"
+            f" {owner or 'no VM'} {known};"
+            f" {unsettled} of this VM's credit of"
+            f" {self.budget.local * share:.1f} not settled;"
+            f" {self.uses.get(now_s)} admitted here in {window_s:g} s"
+        )
+
     def is_idle(self, now_s: float) -> bool:
         """Returns True if nothing of the account's use matters any more."""
         return not (
--- a/src/azureramp/policy/account_lending.py
+++ b/src/azureramp/policy/account_lending.py
@@ -14,11 +14,11 @@
 from __future__ import annotations
 
 import dataclasses
-import enum
 import math
 from collections.abc import Container
 
 from azureramp.policy import (
+    account_buckets,
     account_limits,
     account_owners,
     limit_shares,
@@ -29,44 +29,6 @@
 """Maximum time between two observations, in seconds, after which the process
 counts as paused: it may have missed changes of the list."""
 
-MIN_ROOM_S = 0.1
-"""Minimum time for which a VM doesn't report again on an empty bucket, in
-seconds. It bounds the messages of an account that sends far too much."""
-
-RETURN_HORIZON_S = 10.0
-"""Maximum time for which callers that are refused are given different times to
-return, in seconds. Later ones share these times."""
-
-
-class State(enum.Enum):
-    """Whether a VM can decide on a report."""
-
-    LENDING = "lending"
-    TAKING_OVER = "taking over"
-    OUT_OF_TOUCH = "out of touch"
-    NOT_OWNER = "not the owner"
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Decision:
-    """The answer to a report on one account.
-
-    Attributes:
-        state: Whether this VM can decide.
-        settled: The running total that is settled; 0 unless lending.
-        room_s: Time until there is room for the next request, in seconds; 0 if
-            all that was asked is settled.
-        return_s: Time after which a caller of the reporting VM should return,
-            in seconds. It differs for each report.
-        spacing_s: Time between returns of further callers, in seconds.
-    """
-
-    state: State
-    settled: int = 0
-    room_s: float = 0.0
-    return_s: float = 0.0
-    spacing_s: float = 0.0
-
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Released:
@@ -81,54 +43,14 @@
     holder: str = ""
 
 
-@dataclasses.dataclass(slots=True)
-class _Reporter:
-    """What a process has reported.
-
-    Attributes:
-        settled: The running total that is settled.
-        seen_s: When it last reported.
-    """
-
-    settled: int
-    seen_s: float
-
-
-@dataclasses.dataclass(slots=True)
-class _Lender:
-    """An account's bucket.
-
-    Attributes:
-        bucket: The bucket.
-        active: False while this VM may not lend from it.
-        stopped_s: When this VM last stopped to lend from it.
-        interrupted: True if this VM was out of touch since it last lent.
-        reporters: The reporting processes by name.
-        next_return_s: The time of the latest return that was announced.
-    """
-
-    bucket: token_buckets.TokenBucket
-    active: bool
-    stopped_s: float
-    interrupted: bool = False
-    reporters: dict[str, _Reporter] = dataclasses.field(default_factory=dict)
-    next_return_s: float = -math.inf
-
-    def stop(self, now_s: float) -> None:
-        """Stops lending; the bucket doesn't refill until it is resumed."""
-        self.bucket.refill(now_s)
-        self.active = False
-        self.stopped_s = now_s
-
-
 class Lending:
     """The accounts for which one VM decides."""
 
     __slots__ = (
+        "_buckets",
         "_first_start",
         "_given_to",
         "_hold_until_s",
-        "_lenders",
         "_observed_s",
         "_released_by",
         "_started_s",
@@ -148,7 +70,7 @@
         self._started_s = started_s
         self._first_start = first_start
         self.history = account_owners.OwnerHistory(vm, started_s)
-        self._lenders: dict[str, _Lender] = {}
+        self._buckets: dict[str, account_buckets.AccountBucket] = {}
         # VMs that were given an account, and until when that matters.
         self._given_to: dict[str, dict[str, float]] = {}
         # VMs that gave up an account, and when.
@@ -177,15 +99,14 @@
         changed = self.history.update(advertised, now_s)
         if not out_of_touch and not changed:
             return
-        for account, lender in self._lenders.items():
-            if not lender.active:
+        for account, bucket in self._buckets.items():
+            if not bucket.active:
                 continue
             if out_of_touch:
-                # Another VM may have lent in the meantime.
-                lender.interrupted = True
-                lender.stop(now_s)
+                bucket.interrupted = True
+                bucket.stop(now_s)
             elif changed and not self._is_owner(account):
-                lender.stop(now_s)
+                bucket.stop(now_s)
 
     def decide(
         self,
@@ -195,7 +116,7 @@
         asked: int,
         settled: int,
         now_s: float,
-    ) -> Decision:
+    ) -> account_buckets.Decision:
         """Decides on a process's report.
 
         Args:
@@ -207,32 +128,10 @@
             settled: The total of which it knows that it is settled.
             now_s: The current time, in seconds.
         """
-        lender = self._get_lender(account, budget, now_s)
-        if isinstance(lender, State):
-            return Decision(lender)
-        lender.bucket.set_limit(budget.rate_per_s, budget.capacity, now_s)
-        reporter = lender.reporters.get(process)
-        if reporter is None:
-            reporter = lender.reporters[process] = _Reporter(settled, now_s)
-        reporter.seen_s = now_s
-        reporter.settled = max(reporter.settled, settled)
-        missing = asked - reporter.settled
-        reporter.settled += lender.bucket.take(missing, now_s)
-        if reporter.settled >= asked:
-            return Decision(State.LENDING, reporter.settled)
-        spacing_s = 1.0 / budget.rate_per_s
-        room_s = max(MIN_ROOM_S, lender.bucket.get_wait_s(now_s))
-        slot_s = lender.next_return_s + spacing_s
-        if not now_s + room_s <= slot_s <= now_s + RETURN_HORIZON_S:
-            slot_s = now_s + room_s
-        lender.next_return_s = slot_s
-        return Decision(
-            State.LENDING,
-            reporter.settled,
-            room_s,
-            slot_s - now_s,
-            spacing_s * len(lender.reporters),
-        )
+        bucket = self._get_bucket(account, budget, now_s)
+        if isinstance(bucket, account_buckets.State):
+            return account_buckets.Decision(bucket)
+        return bucket.settle(budget, process, asked, settled, now_s)
 
     def find_holders(self, account: str, now_s: float) -> frozenset[str]:
         """Returns the VMs that must give up an account before it is lent."""
@@ -264,15 +163,9 @@
             vm: The other VM.
             now_s: The current time, in seconds.
         """
-        self._get_lender(account, budget, now_s)
-        lender = self._lenders.pop(account, None)
-        level = None
-        if lender is not None:
-            if lender.active:
-                lender.bucket.refill(now_s)
-            level = lender.bucket.level
-            if lender.interrupted:
-                level = min(level, budget.start)
+        self._get_bucket(account, budget, now_s)
+        bucket = self._buckets.pop(account, None)
+        level = None if bucket is None else bucket.give_up(budget, now_s)
         given = self._given_to.setdefault(account, {})
         holder = next(
             (each for each in given if each != vm and given[each] > now_s), ""
@@ -307,21 +200,17 @@
             given[released.holder] = now_s + 2 * limit_shares.MAX_UPDATE_DELAY_S
         if released.level is None:
             return
-        lender = self._lenders.get(account)
         level = released.level
-        if lender is not None:
-            level = min(level, lender.bucket.level)
-        self._lenders[account] = _Lender(
-            token_buckets.TokenBucket(
-                budget.rate_per_s, budget.capacity, level, now_s
-            ),
-            active=False,
-            stopped_s=now_s,
+        if account in self._buckets:
+            level = min(level, self._buckets[account].tokens.level)
+        tokens = token_buckets.TokenBucket(
+            budget.rate_per_s, budget.capacity, level, now_s
         )
+        self._buckets[account] = account_buckets.AccountBucket(tokens, now_s)
 
     def list_active(self) -> list[str]:
         """Returns the accounts from whose bucket this VM lends."""
-        return [name for name, each in self._lenders.items() if each.active]
+        return [name for name, each in self._buckets.items() if each.active]
 
     def drop_idle(
         self, known: Container[str], window_s: float, now_s: float
@@ -334,20 +223,9 @@
             now_s: The current time, in seconds.
         """
         old_s = now_s - window_s - 2 * limit_shares.MAX_UPDATE_DELAY_S
-        for account, lender in list(self._lenders.items()):
-            for process, reporter in list(lender.reporters.items()):
-                if reporter.seen_s < now_s - account_owners.HISTORY_S:
-                    del lender.reporters[process]
-            idle = all(
-                each.seen_s < old_s for each in lender.reporters.values()
-            )
-            unused = (
-                lender.bucket.is_full(now_s) or account not in known
-                if lender.active
-                else lender.stopped_s < old_s
-            )
-            if idle and unused:
-                del self._lenders[account]
+        for account, bucket in list(self._buckets.items()):
+            if bucket.is_unused(account in known, old_s, now_s):
+                del self._buckets[account]
         for times in (self._given_to, self._released_by):
             for account, by_vm in list(times.items()):
                 if all(at_s < old_s for at_s in by_vm.values()):
@@ -356,34 +234,25 @@
     def _is_owner(self, account: str) -> bool:
         return self.history.get_owner(account) == self._vm
 
-    def _get_lender(
+    def _get_bucket(
         self, account: str, budget: account_limits.Budget, now_s: float
-    ) -> _Lender | State:
+    ) -> account_buckets.AccountBucket | account_buckets.State:
         """Returns an account's bucket if this VM may lend from it."""
         if not self._is_owner(account):
-            return State.NOT_OWNER
+            return account_buckets.State.NOT_OWNER
         if now_s < self._hold_until_s:
-            return State.OUT_OF_TOUCH
-        lender = self._lenders.get(account)
-        if lender is not None and lender.active:
-            return lender
+            return account_buckets.State.OUT_OF_TOUCH
+        bucket = self._buckets.get(account)
+        if bucket is not None and bucket.active:
+            return bucket
         if self.find_holders(account, now_s):
-            return State.TAKING_OVER
+            return account_buckets.State.TAKING_OVER
         since_s = self._get_sole_since_s(account, now_s)
-        if lender is None:
-            lender = self._make_lender(budget, since_s, now_s)
-            self._lenders[account] = lender
-        elif not lender.active:
-            # A bucket that another VM released has refilled since then.
-            lender.bucket.skip_to(
-                now_s if lender.interrupted else min(since_s, now_s)
-            )
-            if lender.interrupted:
-                level = min(lender.bucket.level, budget.start)
-                lender.bucket.level = level
-                lender.interrupted = False
-            lender.active = True
-        return lender
+        if bucket is None:
+            bucket = self._make_bucket(budget, since_s, now_s)
+            self._buckets[account] = bucket
+        bucket.resume(budget, since_s, now_s)
+        return bucket
 
     def _get_sole_since_s(self, account: str, now_s: float) -> float:
         """Returns since when no other VM can have lent, in seconds."""
@@ -395,17 +264,17 @@
         ]
         return min(now_s, max(times_s))
 
-    def _make_lender(
+    def _make_bucket(
         self, budget: account_limits.Budget, since_s: float, now_s: float
-    ) -> _Lender:
+    ) -> account_buckets.AccountBucket:
         """Creates a bucket whose predecessor's use is unknown."""
         level = budget.start
         if self._is_first_bucket(since_s, now_s):
             level = budget.capacity
-        bucket = token_buckets.TokenBucket(
+        tokens = token_buckets.TokenBucket(
             budget.rate_per_s, budget.capacity, level, since_s
         )
-        return _Lender(bucket, active=True, stopped_s=now_s)
+        return account_buckets.AccountBucket(tokens, now_s)
 
     def _is_first_bucket(self, since_s: float, now_s: float) -> bool:
         """Returns True if nothing can have been lent before this bucket."""
--- a/src/azureramp/ports/vms/account_messages.py
+++ b/src/azureramp/ports/vms/account_messages.py
@@ -42,7 +42,7 @@
 
 
 class Settlement(msgspec.Struct, frozen=True, array_like=True):
-    """The decision on one account; see `account_lending.Decision`.
+    """The decision on one account; see `account_buckets.Decision`.
 
     Attributes:
         state: The state's value.
--- a/tests/policy/account_model.py
+++ b/tests/policy/account_model.py
@@ -10,6 +10,7 @@
 import enum
 
 from azureramp.policy import (
+    account_buckets,
     account_credit,
     account_lending,
     account_limits,
@@ -166,12 +167,12 @@
             vm.credit.settled,
             self.now_s,
         )
-        if decision.state is account_lending.State.TAKING_OVER:
+        if decision.state is account_buckets.State.TAKING_OVER:
             self.take_over(owner)
         if fate is Fate.LATE:
             self.advance(account_limits.LEND_TIMEOUT_S - 0.01)
         if fate is Fate.ANSWER_LOST or (
-            decision.state is not account_lending.State.LENDING
+            decision.state is not account_buckets.State.LENDING
         ):
             vm.credit.skip(waiting)
             return 0
--- a/tests/policy/test_account_failures.py
+++ b/tests/policy/test_account_failures.py
@@ -92,11 +92,14 @@
 
 @before
 @both_limits
+@pytest.mark.parametrize("has_bucket", [True, False])
 def test_an_owner_that_was_replaced_and_is_the_owner_again_unawares(
-    limit: account_model.Limit, before_s: float
+    has_bucket: bool, limit: account_model.Limit, before_s: float
 ) -> None:
     """Guards against a bucket that filled while another VM lent."""
     model = start(limit=limit)
+    if has_bucket:
+        model.report(model.vms["vm-0"], 1)
     model.vms[OWNER].lag_s = 0.0
     model.vms[HEIR].lag_s = limit_shares.MAX_UPDATE_DELAY_S - 0.1
     model.vms[OWNER].paused = True
