--- a/src/azureramp/controllers/forwarding/request_handler.py
+++ b/src/azureramp/controllers/forwarding/request_handler.py
@@ -119,7 +119,9 @@
                 quarantine_s,
                 authorization,
             )
-        failure = await self._account_limits.take(authorization.account)
+        failure = await self._account_limits.take(
+            authorization.account, route.target_latency_s
+        )
         if failure is not None:
             return self._write_refusal(request, route, failure, authorization)
         demand = admission.Demand(
--- /dev/null
+++ b/src/azureramp/policy/account_lending.py
@@ -0,0 +1,285 @@
+"""The deciding VM's side of the client accounts' limits.
+
+The load: reports of all VMs on the accounts that this VM decides for, among
+them accounts that send many times their limit. Inputs are the reports'
+running totals, the lists of advertised VMs, and this VM's contact with the
+store. The outcome for each report is how much of it is settled, and if not all
+of it, when there will be room.
+
+Only one VM may hold an account's bucket. When an account's owner changes, the
+new one asks for the bucket (`release`). If the old one doesn't answer, the new
+one waits until it can't be lending any more and starts a bucket of its own.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from collections.abc import Container
+
+from azureramp.policy import (
+    account_buckets,
+    account_limits,
+    account_owners,
+    limit_shares,
+    token_buckets,
+)
+
+MAX_PAUSE_S = 1.0
+"""Maximum time between two observations, in seconds, after which the process
+counts as paused: it may have missed changes of the list."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Released:
+    """The answer of a VM that gives up an account.
+
+    Attributes:
+        level: The bucket's level; None if it had none.
+        holder: Another VM to which it had given the account; empty if none.
+    """
+
+    level: float | None
+    holder: str = ""
+
+
+class Lending:
+    """The accounts for which one VM decides."""
+
+    __slots__ = (
+        "_buckets",
+        "_first_start",
+        "_given_to",
+        "_hold_until_s",
+        "_observed_s",
+        "_released_by",
+        "_started_s",
+        "_vm",
+        "history",
+    )
+
+    def __init__(self, vm: str, started_s: float, first_start: bool) -> None:
+        """Creates the state of a process that has just started.
+
+        Args:
+            vm: This VM's name.
+            started_s: When the process started, in seconds.
+            first_start: True if the whole tier starts for the first time.
+        """
+        self._vm = vm
+        self._started_s = started_s
+        self._first_start = first_start
+        self.history = account_owners.OwnerHistory(vm, started_s)
+        self._buckets: dict[str, account_buckets.AccountBucket] = {}
+        # VMs that were given an account, and until when that matters.
+        self._given_to: dict[str, dict[str, float]] = {}
+        # VMs that gave up an account, and when.
+        self._released_by: dict[str, dict[str, float]] = {}
+        self._observed_s = started_s
+        self._hold_until_s = -math.inf
+
+    def observe(
+        self, advertised: frozenset[str], contact_age_s: float, now_s: float
+    ) -> None:
+        """Records the current list and the contact with the store.
+
+        Args:
+            advertised: The names of the advertised VMs.
+            contact_age_s: Time since the last contact with the store, in
+                seconds; infinite if there was none.
+            now_s: The current time, in seconds.
+        """
+        out_of_touch = (
+            limit_shares.STALE_CONTACT_S < contact_age_s < math.inf
+            or now_s - self._observed_s > MAX_PAUSE_S
+        )
+        if out_of_touch:
+            self._hold_until_s = now_s + limit_shares.MAX_UPDATE_DELAY_S
+        self._observed_s = now_s
+        changed = self.history.update(advertised, now_s)
+        if not out_of_touch and not changed:
+            return
+        for account, bucket in self._buckets.items():
+            if not bucket.active:
+                continue
+            if out_of_touch:
+                bucket.interrupted = True
+                bucket.stop(now_s)
+            elif changed and not self._is_owner(account):
+                bucket.stop(now_s)
+
+    def decide(
+        self,
+        account: str,
+        budget: account_limits.Budget,
+        process: str,
+        asked: int,
+        settled: int,
+        now_s: float,
+    ) -> account_buckets.Decision:
+        """Decides on a process's report.
+
+        Args:
+            account: The account's name.
+            budget: Its budget.
+            process: The reporting process, by a name that changes at each
+                start.
+            asked: Its running total of uses and waiting requests.
+            settled: The total of which it knows that it is settled.
+            now_s: The current time, in seconds.
+        """
+        bucket = self._get_bucket(account, budget, now_s)
+        if isinstance(bucket, account_buckets.State):
+            return account_buckets.Decision(bucket)
+        return bucket.settle(budget, process, asked, settled, now_s)
+
+    def find_holders(self, account: str, now_s: float) -> frozenset[str]:
+        """Returns the VMs that must give up an account before it is lent."""
+        released = self._released_by.get(account, {})
+        oldest_s = now_s - limit_shares.MAX_UPDATE_DELAY_S
+        rivals = {
+            vm
+            for vm in self.history.find_rivals(account, now_s)
+            if released.get(vm, -math.inf) < oldest_s
+        }
+        given = self._given_to.get(account, {})
+        return frozenset(rivals | {vm for vm in given if given[vm] > now_s})
+
+    def release(
+        self,
+        account: str,
+        budget: account_limits.Budget,
+        vm: str,
+        now_s: float,
+    ) -> Released:
+        """Gives up an account to another VM that takes itself for its owner.
+
+        This VM gives it up even if it takes itself for the owner. It doesn't
+        lend again before it has got the account back.
+
+        Args:
+            account: The account's name.
+            budget: Its budget.
+            vm: The other VM.
+            now_s: The current time, in seconds.
+        """
+        self._get_bucket(account, budget, now_s)
+        bucket = self._buckets.pop(account, None)
+        level = None if bucket is None else bucket.give_up(budget, now_s)
+        given = self._given_to.setdefault(account, {})
+        holder = next(
+            (each for each in given if each != vm and given[each] > now_s), ""
+        )
+        given.clear()
+        # This VM may lag behind the other one, and that one behind a third.
+        given[vm] = now_s + 2 * limit_shares.MAX_UPDATE_DELAY_S
+        self._released_by.pop(account, None)
+        return Released(level, holder)
+
+    def apply_release(
+        self,
+        account: str,
+        budget: account_limits.Budget,
+        vm: str,
+        released: Released,
+        now_s: float,
+    ) -> None:
+        """Takes over an account from a VM that gave it up.
+
+        Args:
+            account: The account's name.
+            budget: Its budget.
+            vm: The VM.
+            released: Its answer.
+            now_s: The current time, in seconds.
+        """
+        self._released_by.setdefault(account, {})[vm] = now_s
+        given = self._given_to.setdefault(account, {})
+        given.pop(vm, None)
+        if released.holder and released.holder != self._vm:
+            given[released.holder] = now_s + 2 * limit_shares.MAX_UPDATE_DELAY_S
+        if released.level is None:
+            return
+        level = released.level
+        if account in self._buckets:
+            level = min(level, self._buckets[account].tokens.level)
+        tokens = token_buckets.TokenBucket(
+            budget.rate_per_s, budget.capacity, level, now_s
+        )
+        self._buckets[account] = account_buckets.AccountBucket(tokens, now_s)
+
+    def list_active(self) -> list[str]:
+        """Returns the accounts from whose bucket this VM lends."""
+        return [name for name, each in self._buckets.items() if each.active]
+
+    def drop_idle(
+        self, known: Container[str], window_s: float, now_s: float
+    ) -> None:
+        """Drops what is no longer needed.
+
+        Args:
+            known: The names of the accounts of the configuration.
+            window_s: The window of the limits, in seconds.
+            now_s: The current time, in seconds.
+        """
+        old_s = now_s - window_s - 2 * limit_shares.MAX_UPDATE_DELAY_S
+        for account, bucket in list(self._buckets.items()):
+            if bucket.is_unused(account in known, old_s, now_s):
+                del self._buckets[account]
+        for times in (self._given_to, self._released_by):
+            for account, by_vm in list(times.items()):
+                if all(at_s < old_s for at_s in by_vm.values()):
+                    del times[account]
+
+    def _is_owner(self, account: str) -> bool:
+        return self.history.get_owner(account) == self._vm
+
+    def _get_bucket(
+        self, account: str, budget: account_limits.Budget, now_s: float
+    ) -> account_buckets.AccountBucket | account_buckets.State:
+        """Returns an account's bucket if this VM may lend from it."""
+        if not self._is_owner(account):
+            return account_buckets.State.NOT_OWNER
+        if now_s < self._hold_until_s:
+            return account_buckets.State.OUT_OF_TOUCH
+        bucket = self._buckets.get(account)
+        if bucket is not None and bucket.active:
+            return bucket
+        if self.find_holders(account, now_s):
+            return account_buckets.State.TAKING_OVER
+        since_s = self._get_sole_since_s(account, now_s)
+        if bucket is None:
+            bucket = self._make_bucket(budget, since_s, now_s)
+            self._buckets[account] = bucket
+        bucket.resume(budget, since_s, now_s)
+        return bucket
+
+    def _get_sole_since_s(self, account: str, now_s: float) -> float:
+        """Returns since when no other VM can have lent, in seconds."""
+        times_s = [
+            self.history.get_sole_since_s(account),
+            self._hold_until_s,
+            *self._given_to.get(account, {}).values(),
+            *self._released_by.get(account, {}).values(),
+        ]
+        return min(now_s, max(times_s))
+
+    def _make_bucket(
+        self, budget: account_limits.Budget, since_s: float, now_s: float
+    ) -> account_buckets.AccountBucket:
+        """Creates a bucket whose predecessor's use is unknown."""
+        level = budget.start
+        if self._is_first_bucket(since_s, now_s):
+            level = budget.capacity
+        tokens = token_buckets.TokenBucket(
+            budget.rate_per_s, budget.capacity, level, since_s
+        )
+        return account_buckets.AccountBucket(tokens, now_s)
+
+    def _is_first_bucket(self, since_s: float, now_s: float) -> bool:
+        """Returns True if nothing can have been lent before this bucket."""
+        return (
+            self._first_start
+            and since_s <= self._started_s
+            and now_s >= self._started_s + limit_shares.MAX_UPDATE_DELAY_S
+        )
