--- a/src/azureramp/cli/main.py
+++ b/src/azureramp/cli/main.py
@@ -8,6 +8,7 @@
 import click
 
 from azureramp.cli import (
+    accounts,
     apply,
     delete,
     drain_zone,
@@ -45,6 +46,7 @@
     explain,
     losses,
     searchers,
+    accounts,
     rollouts,
 ):
     options.set_variable_names(_module.command)
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -40,14 +40,13 @@
     board as board_module,
 )
 from azureramp.platform import answers, decoding, headers, settings, store
-from azureramp.policy import advertising
 from azureramp.policy import store_copy as store_copy_module
 from azureramp.ports.relays import http as relays_http
 from azureramp.ports.rollouts import api as rollouts_api
 from azureramp.ports.rollouts import http as rollouts_http
 from azureramp.ports.store import counting
+from azureramp.ports.vms import account_messages, slowness
 from azureramp.ports.vms import http as vms_http
-from azureramp.ports.vms import slowness
 from azureramp.ports.web import api as web_api
 from azureramp.ports.web import request_reader
 from azureramp.ports.web import server as web_server
@@ -63,6 +62,10 @@
 """File descriptors reserved for files and for connections to searchers, the
 store and peers; the rest may be used for callers' connections."""
 
+MAX_VMS = 64
+"""Maximum number of VMs with open connections for calls about client accounts
+and slow searchers."""
+
 LOOKUP_DRAIN_S = 0.5
 """How long a shutdown waits for running address lookups, in seconds."""
 
@@ -76,6 +79,7 @@
     """Wires the components of one process and runs them.
 
     Attributes:
+        account_limits: The client accounts' limits.
         board: The state of the process.
         rollouts: The roll-outs known to this process.
         slowness_exchange: Exchanges reports on slow searchers with other VMs.
@@ -103,6 +107,7 @@
         "_store",
         "_tasks",
         "_vms",
+        "account_limits",
         "board",
         "rollouts",
         "slowness_exchange",
@@ -150,7 +155,7 @@
         searcher_registry = searchers.Searchers(
             board, headers.Codec(), rng, log, self.rollouts
         )
-        self._vms = vms_http.HttpVmClient(advertising.MAX_ADVERTISED)
+        self._vms = vms_http.HttpVmClient(MAX_VMS)
         self.slowness_exchange = slowness_exchange.SlownessExchange(
             board, self._vms, searcher_registry.load_reports
         )
@@ -236,13 +241,16 @@
             rng,
         )
         self._feed.on_became_relay = self._members.check_lease
+        self.account_limits = account_limits.AccountLimits(
+            board, self._vms, process
+        )
         self._answers = answers.Answers(
             board,
             request_handler.RequestHandler(
                 board,
                 searcher_registry,
                 self._crashes,
-                account_limits.AccountLimits(board),
+                self.account_limits,
                 admission.Admission(board, searcher_registry),
             ),
             log_writer,
@@ -291,6 +299,8 @@
             return await self._grants.handle(request)
         if request.path == slowness.PATH:
             return await self.slowness_exchange.handle(request)
+        if request.path in account_messages.PATHS:
+            return await self.account_limits.handle(request)
         return await self._relay.handle(request)
 
     async def run(self) -> int:
@@ -329,6 +339,7 @@
                 "slowness": self.slowness_exchange.run,
                 "slow searchers": lambda: slow_searchers.run(self.board),
                 "rollouts": self._claims.run,
+                "accounts": self.account_limits.run,
             }
         for name, run in loops.items():
             self._tasks.append(asyncio.create_task(_keep_running(name, run)))
@@ -377,6 +388,7 @@
         self._reports.close()
         self._searchers.close()
         self.slowness_exchange.close()
+        self.account_limits.close()
         await self._vms.close()
         await self._drivers.close()
         await self._relays.close()
