--- a/src/azureramp/controllers/admission_control.py
+++ b/src/azureramp/controllers/admission_control.py
@@ -17,6 +17,7 @@
     identity,
     outcomes,
     snapshots,
+    waits,
 )
 
 
@@ -157,7 +158,7 @@
         drain_ms = admission.estimate_drain_ms(
             snapshot.shard_map.shards, self._dispatcher.viewer.get().states
         )
-        retry_ms = admission.compute_retry_ms(drain_ms, measured.rng.random())
+        retry_ms = waits.compute_retry_ms(drain_ms, measured.rng.random())
         return errors.Failure(kind, retry_after_ms=retry_ms)
 
     def observe(
--- a/src/azureramp/controllers/dispatch_rules.py
+++ b/src/azureramp/controllers/dispatch_rules.py
@@ -11,7 +11,7 @@
     owned_searcher,
     poison_detection,
 )
-from azureramp.policy import queues
+from azureramp.policy import waits
 
 LEASE_MARGIN_S = 0.05
 """A call to a cold searcher ends this long before the lease does, in
@@ -108,7 +108,7 @@
 
     def estimate_wait_ms(self, owned: OwnedSearcher, before: int) -> float:
         """Estimates the wait behind `before` others, in milliseconds."""
-        return queues.estimate_wait_ms(
+        return waits.estimate_wait_ms(
             before,
             owned.count_in_use(_now_s()),
             owned.ramp.limit,
--- a/src/azureramp/policy/admission.py
+++ b/src/azureramp/policy/admission.py
@@ -53,9 +53,6 @@
 new wait is measured, so the rejections must end without a new measurement.
 """
 
-MIN_RETRY_MS = 200
-MAX_RETRY_MS = 30_000
-
 
 class Level:
     """The admission level: how many priorities are accepted, urgent first.
@@ -234,18 +231,6 @@
     return None
 
 
-def compute_retry_ms(drain_ms: float, draw: float) -> int:
-    """Computes the retry delay, in milliseconds, from the queues' drain time.
-
-    Args:
-        drain_ms: The drain time, in milliseconds.
-        draw: A uniform random number from 0 to 1; adds jitter, so that callers
-            rejected at the same time do not retry at the same time.
-    """
-    jittered_ms = drain_ms * (1.0 + draw / 2)
-    return int(min(MAX_RETRY_MS, max(MIN_RETRY_MS, jittered_ms)))
-
-
 def compute_wait_ratio(
     wait_ms: float, allowed_ms: float, queue_ms: float
 ) -> float:
--- a/src/azureramp/policy/queues.py
+++ b/src/azureramp/policy/queues.py
@@ -137,21 +137,3 @@
             heapq.heapify(self._heap)
         removed.sort(key=lambda entry: entry[:2])
         return [entry[2] for entry in removed]
-
-
-def estimate_wait_ms(
-    before: int, in_use: int, limit: int, service_ms: float
-) -> float:
-    """Estimates how long a new item waits for a slot.
-
-    Args:
-        before: Number of queued items that are dispatched before it.
-        in_use: Number of slots in use.
-        limit: Number of slots that may be in use.
-        service_ms: The usual service time, in milliseconds; 0 if unknown.
-
-    Returns:
-        The waiting time, in milliseconds.
-    """
-    rounds = max(0, before + in_use - limit + 1) / max(1, limit)
-    return rounds * service_ms
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from azureramp import errors, resources
-from azureramp.policy import admission, assembly, outcomes
+from azureramp.policy import admission, assembly, outcomes, waits
 from tests.policy import query_parts
 
 SETTINGS = settings(derandomize=True, database=None, deadline=None)
@@ -179,7 +179,7 @@
     drain_ms = admission.estimate_drain_ms(shard_map.shards, states)
 
     assert drain_ms == 500.0
-    assert admission.compute_retry_ms(drain_ms, 0.0) == 500
-    assert admission.compute_retry_ms(drain_ms, 1.0) == 750
-    assert admission.compute_retry_ms(0.0, 0.0) == admission.MIN_RETRY_MS
-    assert admission.compute_retry_ms(1e9, 1.0) == admission.MAX_RETRY_MS
+    assert waits.compute_retry_ms(drain_ms, 0.0) == 500
+    assert waits.compute_retry_ms(drain_ms, 1.0) == 750
+    assert waits.compute_retry_ms(0.0, 0.0) == waits.MIN_RETRY_MS
+    assert waits.compute_retry_ms(1e9, 1.0) == waits.MAX_RETRY_MS
