--- a/src/azureramp/controllers/forwarding/admission.py
+++ b/src/azureramp/controllers/forwarding/admission.py
@@ -99,7 +99,6 @@
         "_admitted",
         "_board",
         "_configuration",
-        "_gates",
         "_groups",
         "_mean_rate_per_s",
         "_rng",
@@ -125,7 +124,6 @@
         self._rng = rng
         self._configuration: catalog.Configuration | None = None
         self._groups: dict[competition.Services, str] = {}
-        self._gates: dict[str, admission_gate.Gate] = {}
         self._mean_rate_per_s = 0.0
         self._admitted: dict[int, _Admitted] = {}
         self._turns: dict[fair_queue.Ticket, asyncio.Future[None]] = {}
@@ -287,7 +285,7 @@
             now_s = asyncio.get_running_loop().time()
             decision = gate.refuse(ticket, now_s)
         if isinstance(decision, admission_gate.Refused):
-            over = gate.shares.is_over(demand.account, now_s)
+            over = gate.shares.asks_for_more(demand.account)
             reason = "refused_over" if over else "refused_turn"
             self._count_refusal(f"admission.{reason}", demand)
             return errors.Failure(
@@ -330,11 +328,12 @@
         self, gate: admission_gate.Gate, outcome: congestion.Outcome | None
     ) -> None:
         """Logs that a set of searchers is limited now, or no longer."""
-        limits = [each.limit.value for each in self._gates.values()]
+        limits = [each.limit.value for each in self._board.gates.values()]
         limited = sum(map(math.isfinite, limits))
         self._board.metrics.set_gauge("admission.limited", limited)
         name = next(
-            (name for name, each in self._gates.items() if each is gate), ""
+            (name for name, each in self._board.gates.items() if each is gate),
+            "",
         )
         if math.isinf(gate.limit.value):
             _logger.info("requests to {} are no longer limited", name)
@@ -356,9 +355,9 @@
     def _get_gate(self, demand: Demand) -> admission_gate.Gate:
         """Returns the gate of the searchers that a request needs."""
         name = self._groups[demand.services]
-        gate = self._gates.get(name)
+        gate = self._board.gates.get(name)
         if gate is None:
-            gate = self._gates[name] = admission_gate.Gate()
+            gate = self._board.gates[name] = admission_gate.Gate()
         return gate
 
     def _get_weight(self, account: str) -> float:
@@ -380,8 +379,10 @@
             configuration.routes, accounts is not None
         )
         names = set(self._groups.values())
-        self._gates = {
-            name: gate for name, gate in self._gates.items() if name in names
+        self._board.gates = {
+            name: gate
+            for name, gate in self._board.gates.items()
+            if name in names
         }
         rates = [
             each.rate_per_s
--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -13,6 +13,7 @@
 from azureramp import catalog, metrics
 from azureramp.policy import (
     account_limits,
+    admission_gate,
     allowances,
     exposure,
     routing,
@@ -166,6 +167,8 @@
         pause: The last pause of the process. Written by the shared bounds
             controller.
         running: Number of callers' requests that are running now.
+        gates: What limits the requests to sets of searchers for which requests
+            compete, by the set's name. Written by the admission controller.
     """
 
     __slots__ = (
@@ -177,6 +180,7 @@
         "configuration",
         "contact",
         "evacuated_zones",
+        "gates",
         "identity",
         "is_relay",
         "last_announced_s",
@@ -221,6 +225,7 @@
         self.leaving = False
         self.pause = Pause()
         self.running = 0
+        self.gates: dict[str, admission_gate.Gate] = {}
 
     def is_ready(self) -> bool:
         """Returns True if callers may be sent to this VM."""
--- a/src/azureramp/policy/admission_gate.py
+++ b/src/azureramp/policy/admission_gate.py
@@ -37,8 +37,8 @@
 
 STANDING_S = 0.1
 """Time after which a queue that did not become empty is a standing one, in
-seconds. It only adds a delay to all requests, so the patience with it is
-`STANDING_PATIENCE_S`."""
+seconds. It only adds a delay, so the accounts that have requests in it must be
+more patient no longer than `STANDING_PATIENCE_S`, as in CoDel."""
 
 STANDING_PATIENCE_S = 0.005
 
@@ -123,7 +123,10 @@
             self._admit(ticket, now_s)
             return Admitted()
         patience_s = ticket.patience_s
-        if now_s - self._standing_since_s > STANDING_S:
+        if (
+            now_s - self._standing_since_s > STANDING_S
+            and self.queue.has_others(ticket)
+        ):
             patience_s = min(patience_s, STANDING_PATIENCE_S)
         if (
             not self._is_over_share(ticket, now_s)
@@ -187,10 +190,11 @@
         self.running -= 1
         if outcome is not None:
             evidence = self._detector.record(outcome)
-            took_s = now_s - started_s
-            if not self._mean_s:
-                self._mean_s = took_s
-            self._mean_s += SMOOTHING * (took_s - self._mean_s)
+            if not outcome.is_lost():
+                took_s = now_s - started_s
+                if not self._mean_s:
+                    self._mean_s = took_s
+                self._mean_s += SMOOTHING * (took_s - self._mean_s)
             self.limit.record_end(evidence, started_s, running, now_s)
         return self._admit_waiting(now_s)
 
@@ -238,7 +242,7 @@
         if math.isinf(limit):
             return limit
         reserved = PRIORITY_RESERVE * self._get_rank(ticket, now_s)
-        if self._is_over_share(ticket, now_s):
+        if self.shares.asks_for_more(ticket.account):
             reserved += self.shares.reserved
         return limit * (1.0 - min(MAX_RESERVED, reserved))
 
@@ -250,14 +254,20 @@
         )
 
     def _is_over_share(self, ticket: fair_queue.Ticket, now_s: float) -> bool:
-        """Returns True if the account has had its share."""
-        return self.shares.is_over(ticket.account, now_s)
+        """Returns True if the account has had its share and others ask less."""
+        return (
+            self.shares.reserved > 0
+            and self.shares.get_excess(ticket.account, now_s) >= 1.0
+        )
 
     def _update_shares(self, now_s: float) -> None:
         """Updates the shares for what can be served."""
         if self._mean_s > 0:
             # By Little's law, the limit is the rate times the duration.
-            self.shares.update(self.limit.value / self._mean_s, now_s)
+            per_s = self.limit.value / self._mean_s
+            # While requests show congestion, that rate is more than is served.
+            served_share = 1.0 - self._detector.congested_share
+            self.shares.update(per_s * served_share, now_s)
 
     def _estimate_wait_s(
         self, ticket: fair_queue.Ticket, before: int, now_s: float
--- a/src/azureramp/policy/concurrency_limit.py
+++ b/src/azureramp/policy/concurrency_limit.py
@@ -23,7 +23,7 @@
 
 DECREASE_FACTOR = 0.9
 INCREASE_SHARE = 0.1
-MIN_INCREASE = 1.0
+MIN_INCREASE = 0.5
 """The limit rises in each window without congestion by this number of requests,
 or by `INCREASE_SHARE` of itself if that is more."""
 
--- a/src/azureramp/policy/congestion.py
+++ b/src/azureramp/policy/congestion.py
@@ -62,27 +62,35 @@
     queued: int
     slow: int
 
+    def is_lost(self) -> bool:
+        """Returns True if full shards kept it from being answered."""
+        return self.full > self.shards - self.needed
+
 
 class CongestionDetector:
-    """Follows the outcomes of the requests to one set of searchers."""
+    """Follows the outcomes of the requests to one set of searchers.
+
+    Attributes:
+        congested_share: Share of the latest requests that met full searchers,
+            or mostly queued ones.
+    """
 
-    __slots__ = ("_full", "_slow")
+    __slots__ = ("_slow", "congested_share")
 
     def __init__(self) -> None:
         """Creates a detector without evidence."""
-        self._full = 0.0
         self._slow = 0.0
+        self.congested_share = 0.0
 
     def record(self, outcome: Outcome) -> Evidence:
         """Records a request and returns what the latest ones show."""
         weight = min(1.0, outcome.shards / MIN_CALLS)
         half = MAJORITY * outcome.shards
-        full = outcome.full > outcome.shards - outcome.needed
-        full = full or outcome.queued > half
-        slow = full or outcome.slow > half
-        self._full += weight * (full - self._full)
-        self._slow += weight * (slow - self._slow)
-        if self._full > MAJORITY:
+        lost = outcome.is_lost()
+        congested = lost or outcome.queued > half
+        self.congested_share += weight * (congested - self.congested_share)
+        self._slow += weight * ((outcome.slow > half) - self._slow)
+        if lost or self.congested_share > MAJORITY:
             return Evidence.FULL
         return Evidence.SLOW if self._slow > MAJORITY else Evidence.NONE
 
--- a/src/azureramp/policy/fair_queue.py
+++ b/src/azureramp/policy/fair_queue.py
@@ -88,6 +88,10 @@
             del self._by_priority[ticket.priority]
         return True
 
+    def has_others(self, ticket: Ticket) -> bool:
+        """Returns True if others of a ticket's account and priority wait."""
+        return ticket.account in self._by_priority.get(ticket.priority, {})
+
     def count_before(self, ticket: Ticket) -> int:
         """Counts the tickets that are served before a new one."""
         before = 0
--- a/src/azureramp/policy/fair_shares.py
+++ b/src/azureramp/policy/fair_shares.py
@@ -116,9 +116,10 @@
             )
             self.reserved = min(MAX_RESERVED, satisfied / max(1e-9, capacity))
 
-    def is_over(self, account: str, now_s: float) -> bool:
-        """Returns True if an account has had its share and others ask less."""
-        return self.reserved > 0 and self.get_excess(account, now_s) >= 1.0
+    def asks_for_more(self, account: str) -> bool:
+        """Returns True if an account asks for more than its share."""
+        use = self._uses.get(account)
+        return use is not None and use.asked > self.level * use.weight
 
     def get_excess(self, account: str, now_s: float) -> float:
         """Returns what an account was granted, relative to its share.
