--- a/src/azureramp/controllers/forwarding/request_handler.py
+++ b/src/azureramp/controllers/forwarding/request_handler.py
@@ -10,6 +10,7 @@
     admission,
     authentication,
     crashes,
+    demands,
     fan_out,
     request_log,
     requests,
@@ -129,7 +130,7 @@
         route: catalog.Route,
         answer_by_s: float,
         authorization: authentication.Authorization,
-    ) -> admission.Demand:
+    ) -> demands.Demand:
         """Describes what a request needs."""
         timings = self._timings.get(route)
         waited_s = 0.0
@@ -137,7 +138,7 @@
             waited_s = timings.caller_delay.estimate_wait_s(
                 request.deadline_s, route.timeout_s
             )
-        return admission.Demand(
+        return demands.Demand(
             route=route,
             services=competition.list_services(route.destination),
             account=authorization.get_account_name(),
@@ -151,7 +152,7 @@
     async def _execute(
         self,
         request: requests.IncomingRequest,
-        demand: admission.Demand,
+        demand: demands.Demand,
         authorization: authentication.Authorization,
     ) -> requests.Answer:
         """Sends an admitted request and returns its answer."""
@@ -182,7 +183,7 @@
     def _make_execution(
         self,
         request: requests.IncomingRequest,
-        demand: admission.Demand,
+        demand: demands.Demand,
         authorization: authentication.Authorization,
     ) -> fan_out.FanOutRequest | single.SingleRequest:
         """Creates the request's execution for its route's destination."""
--- a/src/azureramp/policy/service_forecast.py
+++ b/src/azureramp/policy/service_forecast.py
@@ -82,16 +82,20 @@
     """
     earliest_s: list[float] = []
     oldest_s = now_s
+    least_s = CERTAIN_SHARE * usual_s
     for searchers in services:
         if not searchers:
             continue
-        times_s = [_bound_call_s(each, usual_s, now_s) for each in searchers]
-        quickest_s = min(times_s)
-        earliest_s.append(quickest_s)
-        if quickest_s > 0:
+        quickest_s = math.inf
+        for each in searchers:
+            quickest_s = min(quickest_s, _bound_call_s(each, usual_s, now_s))
+            if quickest_s <= least_s:
+                break
+        else:
             oldest_s = min(
                 oldest_s, *(_get_known_s(each) for each in searchers)
             )
+        earliest_s.append(quickest_s)
     earliest_s.sort()
     reached = len(earliest_s) >= needed
     return Forecast(
