Judge how much of the limit is used by the last second, not since the start

The largest number that ever ran set the first limit, so that a VM which had a burst hours ago would have come down to what the searchers take in many steps.

--- a/src/azureramp/policy/concurrency_limit.py
+++ b/src/azureramp/policy/concurrency_limit.py
@@ -45,14 +45,14 @@
             no limit.
     """
 
-    __slots__ = ("_changed_s", "_congested_s", "_peak", "value")
+    __slots__ = ("_changed_s", "_congested_s", "_last_peak", "_peak", "value")
 
     def __init__(self) -> None:
         """Creates an instance that limits nothing."""
         self.value = math.inf
         self._changed_s = -math.inf
         self._congested_s = -math.inf
-        self._peak = 0
+        self._last_peak = self._peak = 0
 
     def record_running(self, running: int, now_s: float) -> None:
         """Records how many requests are running when another one arrives.
@@ -61,8 +61,8 @@
             running: The number of requests running, including the new one.
             now_s: The current time, in seconds.
         """
-        self._peak = max(self._peak, running)
         self.update(now_s)
+        self._peak = max(self._peak, running)
 
     def record_end(
         self,
@@ -87,16 +87,15 @@
         if started_s < self._congested_s:
             return
         self._congested_s = self._changed_s = now_s
-        used = min(self.value, max(running, self._peak))
+        used = min(self.value, max(running, self._peak, self._last_peak))
         self.value = min(self.value, max(least, used * DECREASE_FACTOR))
-        self._peak = running
+        self._last_peak = self._peak = running
 
     def update(self, now_s: float) -> None:
         """Raises or lifts the limit as time without congestion passes."""
-        if math.isinf(self.value):
-            return
-        windows = math.floor((now_s - self._changed_s) / WINDOW_S)
-        if windows < 1:
+        unlimited = math.isinf(self.value)
+        window_s = LIFT_AFTER_S if unlimited else WINDOW_S
+        if now_s - self._changed_s < window_s:
             return
         self._changed_s = now_s
         idle = self._peak <= LIFT_SHARE * self.value
@@ -105,4 +104,4 @@
         elif not idle:
             # A limit that isn't in use says nothing about a higher one.
             self.value += max(MIN_INCREASE, INCREASE_SHARE * self.value)
-        self._peak = 0
+        self._last_peak, self._peak = self._peak, 0
