--- a/src/azureramp/controllers/forwarding/turns.py
+++ b/src/azureramp/controllers/forwarding/turns.py
@@ -40,6 +40,7 @@
         "_board",
         "_configuration",
         "_groups",
+        "_limited",
         "_mean_rate_per_s",
         "_rng",
         "_waiting",
@@ -56,6 +57,7 @@
         self._rng = rng
         self._configuration: catalog.Configuration | None = None
         self._groups: dict[competition.Services, str] = {}
+        self._limited: set[admission_gate.Gate] = set()
         self._mean_rate_per_s = 0.0
         self._waiting: dict[fair_queue.Ticket, asyncio.Future[None]] = {}
 
@@ -83,6 +85,7 @@
         if ticket.returning:
             self._board.metrics.count("admission.returned")
         decision = gate.arrive(ticket, now_s)
+        self._log_change(gate, None)
         if isinstance(decision, admission_gate.Queued):
             turn = asyncio.get_running_loop().create_future()
             self._waiting[ticket] = turn
@@ -140,13 +143,11 @@
             outcome: What its calls met; None if that shows nothing.
         """
         now_s = asyncio.get_running_loop().time()
-        limited = math.isfinite(gate.limit.value)
         for ticket in gate.end(admitted_s, outcome, now_s):
             turn = self._waiting.get(ticket)
             if turn is not None and not turn.done():
                 turn.set_result(None)
-        if limited != math.isfinite(gate.limit.value):
-            self._log_change(gate, outcome)
+        self._log_change(gate, outcome)
 
     def count_refusal(self, reason: str, demand: demands.Demand) -> None:
         """Counts a refusal by its reason and its priority."""
@@ -166,15 +167,17 @@
     def _log_change(
         self, gate: admission_gate.Gate, outcome: congestion.Outcome | None
     ) -> None:
-        """Logs that a set of searchers is limited now, or no longer."""
-        limits = [each.limit.value for each in self._board.gates.values()]
-        limited = sum(map(math.isfinite, limits))
-        self._board.metrics.set_gauge("admission.limited", limited)
+        """Logs once that a set of searchers is limited now, or no longer."""
         name = next(
             (name for name, each in self._board.gates.items() if each is gate),
             "",
         )
-        if math.isinf(gate.limit.value):
+        limited = math.isfinite(gate.limit.value)
+        if not name or limited == (gate in self._limited):
+            return
+        self._limited ^= {gate}
+        self._board.metrics.set_gauge("admission.limited", len(self._limited))
+        if not limited:
             _logger.info("requests to {} are no longer limited", name)
         else:
             _logger.info(
@@ -208,6 +211,7 @@
             for name, gate in self._board.gates.items()
             if name in names
         }
+        self._limited &= set(self._board.gates.values())
         rates = [
             each.rate_per_s
             for each in (accounts.by_name.values() if accounts else ())
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -218,5 +218,6 @@
         )
         assert small / 80 > 1.25 * flood / 1600
         assert small + flood > 0.8 * 800
+        assert scene.daemons["vm-0"].board.metrics.gauges["admission.limited"]
 
     scenes.run(scenario)
