--- a/src/azureramp/controllers/forwarding/turns.py
+++ b/src/azureramp/controllers/forwarding/turns.py
@@ -168,12 +168,14 @@
         self, gate: admission_gate.Gate, outcome: congestion.Outcome | None
     ) -> None:
         """Logs once that a set of searchers is limited now, or no longer."""
+        limited = math.isfinite(gate.limit.value)
+        if limited == (gate in self._limited):
+            return
         name = next(
             (name for name, each in self._board.gates.items() if each is gate),
             "",
         )
-        limited = math.isfinite(gate.limit.value)
-        if not name or limited == (gate in self._limited):
+        if not name:
             return
         self._limited ^= {gate}
         self._board.metrics.set_gauge("admission.limited", len(self._limited))
