--- a/src/azureramp/policy/admission_gate.py
+++ b/src/azureramp/policy/admission_gate.py
@@ -153,7 +153,8 @@
         if excess > 1.0 and self._is_over_share(ticket, now_s):
             drain_s += fair_shares.HALF_LIFE_S * math.log2(excess)
         detail = (
-            f"{self.running} running of {self.limit.value:.1f}, "
+            f"{self.running} running of {self.limit.value:.1f}, congested "
+            f"{now_s - self.limit.congested_s:.1f} s ago, "
             f"{len(self.queue)} waiting, {before} before; "
             f"account at {excess:.2f} of its share"
         )
--- a/src/azureramp/policy/concurrency_limit.py
+++ b/src/azureramp/policy/concurrency_limit.py
@@ -43,15 +43,16 @@
     Attributes:
         value: The number of requests that may run at once; infinite if there is
             no limit.
+        congested_s: When a request last showed congestion, in seconds.
     """
 
-    __slots__ = ("_changed_s", "_congested_s", "_last_peak", "_peak", "value")
+    __slots__ = ("_changed_s", "_last_peak", "_peak", "congested_s", "value")
 
     def __init__(self) -> None:
         """Creates an instance that limits nothing."""
         self.value = math.inf
         self._changed_s = -math.inf
-        self._congested_s = -math.inf
+        self.congested_s = -math.inf
         self._last_peak = self._peak = 0
 
     def record_running(self, running: int, now_s: float) -> None:
@@ -84,9 +85,9 @@
         if least is None:
             self.update(now_s)
             return
-        if started_s < self._congested_s:
+        if started_s < self.congested_s:
             return
-        self._congested_s = self._changed_s = now_s
+        self.congested_s = self._changed_s = now_s
         used = min(self.value, max(running, self._peak, self._last_peak))
         self.value = min(self.value, max(least, used * DECREASE_FACTOR))
         self._last_peak = self._peak = running
@@ -99,7 +100,7 @@
             return
         self._changed_s = now_s
         idle = self._peak <= LIFT_SHARE * self.value
-        if idle and now_s - self._congested_s >= LIFT_AFTER_S:
+        if idle and now_s - self.congested_s >= LIFT_AFTER_S:
             self.value = math.inf
         elif not idle:
             # A limit that isn't in use says nothing about a higher one.
