Let owners of accounts go on while the store is down

Before, every owner stopped 3 s into an outage of the store and all limited requests then depended on the VMs' small credits. An owner without contact now goes on for up to 20 s while most VMs on its list have the same list, and another VM takes over without its word only once most have another.

--- a/src/azureramp/controllers/forwarding/account_decider.py
+++ b/src/azureramp/controllers/forwarding/account_decider.py
@@ -14,6 +14,7 @@
     account_buckets,
     account_lending,
     account_limits,
+    account_owners,
 )
 from azureramp.ports.vms import account_messages as messages
 from azureramp.ports.vms import api as vms_api
@@ -21,6 +22,9 @@
 
 MAX_ACCOUNTS_PER_MESSAGE = 200
 
+COMPARISON_INTERVAL_S = 0.3
+"""Time between two questions for a VM's list, in seconds."""
+
 MAX_MS = 3_600_000
 """Upper limit of the times in messages, in milliseconds."""
 
@@ -35,6 +39,7 @@
         "_advertised",
         "_board",
         "_client",
+        "_comparisons",
         "_lending",
         "_seen",
         "_tasks",
@@ -61,6 +66,7 @@
         self._addresses: dict[str, str] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._to_release: dict[str, set[str]] = {}
+        self._comparisons: dict[str, asyncio.Task[None]] = {}
 
     def observe(self, now_s: float) -> None:
         """Records the VMs and the contact with the store; call it often."""
@@ -71,8 +77,9 @@
             for vm, member in board.advertised.items():
                 self._addresses[vm] = member.peer_address
         if self._advertised:
-            age_s = now_s - board.contact.last_answer_s
-            self._lending.observe(self._advertised, age_s, now_s)
+            self._lending.observe(
+                self._advertised, self._get_contact_age_s(now_s), now_s
+            )
 
     def get_owner(self, account: str) -> str:
         """Returns the VM that decides for an account; empty if unknown."""
@@ -125,6 +132,9 @@
                 body = self._answer_report(
                     messages.decode_report(request.body), now_s
                 )
+            elif request.path == messages.LISTS_PATH:
+                list_id = account_owners.compute_list_id(self._advertised)
+                body = messages.encode(messages.ListAnswer(list_id))
             else:
                 body = self._answer_release(
                     messages.decode_release(request.body), now_s
@@ -134,6 +144,19 @@
             return web_api.Response(400)
         return web_api.Response(200, body, messages.CONTENT_TYPE)
 
+    def compare_lists(self, now_s: float) -> None:
+        """Asks other VMs for their lists if that matters now."""
+        if self._board.get_accounts() is None:
+            return
+        if self._board.identity.vm not in self._advertised:
+            return
+        unheard = self._lending.find_unheard(self._get_contact_age_s(now_s))
+        for vm in unheard:
+            if self.get_address(vm) and vm not in self._comparisons:
+                self._comparisons[vm] = asyncio.create_task(
+                    self._compare_list(vm)
+                )
+
     def drop_idle(self, now_s: float) -> None:
         """Drops the state of idle accounts and of VMs that are gone."""
         accounts = self._board.get_accounts()
@@ -152,9 +175,12 @@
 
     def close(self) -> None:
         """Stops all calls."""
-        for task in self._tasks.values():
+        for task in (*self._tasks.values(), *self._comparisons.values()):
             task.cancel()
 
+    def _get_contact_age_s(self, now_s: float) -> float:
+        return now_s - self._board.contact.last_answer_s
+
     def _find_account(self, name: str) -> catalog.Account | None:
         accounts = self._board.get_accounts()
         return accounts.by_name.get(name) if accounts else None
@@ -225,6 +251,28 @@
         finally:
             self._tasks.pop(vm, None)
 
+    async def _compare_list(self, vm: str) -> None:
+        """Asks a VM for its list, and waits until it may be asked again."""
+        loop = asyncio.get_running_loop()
+        sent_s = loop.time()
+        try:
+            result = await self._client.call(
+                self.get_address(vm),
+                messages.LISTS_PATH,
+                b"",
+                account_limits.LEND_TIMEOUT_S,
+            )
+            if result.is_ok():
+                answer = messages.decode_list_answer(result.ok)
+                self._lending.record_list(
+                    vm, answer.list_id, sent_s, loop.time()
+                )
+            await asyncio.sleep(COMPARISON_INTERVAL_S)
+        except msgspec.DecodeError as error:
+            _logger.warning("could not decode a VM's answer: {}", error)
+        finally:
+            self._comparisons.pop(vm, None)
+
     def _apply_release(
         self, vm: str, names: tuple[str, ...], body: bytes
     ) -> None:
--- a/src/azureramp/controllers/forwarding/account_limits.py
+++ b/src/azureramp/controllers/forwarding/account_limits.py
@@ -126,6 +126,7 @@
             now_s = asyncio.get_running_loop().time()
             self._observe(now_s)
             self._check_records(now_s)
+            self._decider.compare_lists(now_s)
             self._decider.drop_idle(now_s)
             self._reporter.drop_idle(now_s)
             await asyncio.sleep(TICK_S)
--- a/src/azureramp/policy/account_lending.py
+++ b/src/azureramp/policy/account_lending.py
@@ -30,6 +30,12 @@
 counts as paused: it may have missed changes of the list."""
 
 
+GIVEN_S = account_owners.OUTAGE_S + 2 * limit_shares.MAX_UPDATE_DELAY_S
+"""How long a VM to which an account was given may hold it without this VM
+learning of a list that says otherwise, in seconds. This VM may lag behind the
+other one, and that one behind a third."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Released:
     """The answer of a VM that gives up an account.
@@ -48,6 +54,7 @@
 
     __slots__ = (
         "_buckets",
+        "_confirmed_s",
         "_first_start",
         "_given_to",
         "_hold_until_s",
@@ -77,9 +84,14 @@
         self._released_by: dict[str, dict[str, float]] = {}
         self._observed_s = started_s
         self._hold_until_s = -math.inf
+        # When VMs that had this VM's list were asked for it.
+        self._confirmed_s: dict[str, float] = {}
 
     def observe(
-        self, advertised: frozenset[str], contact_age_s: float, now_s: float
+        self,
+        advertised: frozenset[str],
+        contact_age_s: float,
+        now_s: float,
     ) -> None:
         """Records the current list and the contact with the store.
 
@@ -91,8 +103,8 @@
         """
         out_of_touch = (
             limit_shares.STALE_CONTACT_S < contact_age_s < math.inf
-            or now_s - self._observed_s > MAX_PAUSE_S
-        )
+            and not self._is_confirmed(contact_age_s, now_s)
+        ) or now_s - self._observed_s > MAX_PAUSE_S
         if out_of_touch:
             self._hold_until_s = now_s + limit_shares.MAX_UPDATE_DELAY_S
         self._observed_s = now_s
@@ -108,6 +120,35 @@
             elif changed and not self._is_owner(account):
                 bucket.stop(now_s)
 
+    def record_list(
+        self, vm: str, list_id: int, sent_s: float, now_s: float
+    ) -> None:
+        """Records which list another VM has.
+
+        Args:
+            vm: The VM.
+            list_id: Identifies its list.
+            sent_s: When it was asked, in seconds.
+            now_s: The current time, in seconds.
+        """
+        self.history.record_list(vm, list_id, now_s)
+        if list_id == account_owners.compute_list_id(self.history.current):
+            self._confirmed_s[vm] = sent_s
+        else:
+            self._confirmed_s.pop(vm, None)
+
+    def find_unheard(self, contact_age_s: float) -> set[str]:
+        """Returns the VMs that should be asked which list they have.
+
+        Args:
+            contact_age_s: Time since the last contact with the store, in
+                seconds.
+        """
+        vms = self.history.find_unheard()
+        if contact_age_s > limit_shares.STALE_CONTACT_S / 2:
+            vms |= self.history.current - {self._vm}
+        return vms
+
     def decide(
         self,
         account: str,
@@ -136,11 +177,10 @@
     def find_holders(self, account: str, now_s: float) -> frozenset[str]:
         """Returns the VMs that must give up an account before it is lent."""
         released = self._released_by.get(account, {})
-        oldest_s = now_s - limit_shares.MAX_UPDATE_DELAY_S
         rivals = {
             vm
-            for vm in self.history.find_rivals(account, now_s)
-            if released.get(vm, -math.inf) < oldest_s
+            for vm, ended_s in self.history.find_rivals(account).items()
+            if released.get(vm, -math.inf) < ended_s
         }
         given = self._given_to.get(account, {})
         return frozenset(rivals | {vm for vm in given if given[vm] > now_s})
@@ -171,8 +211,7 @@
             (each for each in given if each != vm and given[each] > now_s), ""
         )
         given.clear()
-        # This VM may lag behind the other one, and that one behind a third.
-        given[vm] = now_s + 2 * limit_shares.MAX_UPDATE_DELAY_S
+        given[vm] = now_s + GIVEN_S
         self._released_by.pop(account, None)
         return Released(level, holder)
 
@@ -222,7 +261,7 @@
             window_s: The window of the limits, in seconds.
             now_s: The current time, in seconds.
         """
-        old_s = now_s - window_s - 2 * limit_shares.MAX_UPDATE_DELAY_S
+        old_s = now_s - window_s - GIVEN_S
         for account, bucket in list(self._buckets.items()):
             if bucket.is_unused(account in known, old_s, now_s):
                 del self._buckets[account]
@@ -231,6 +270,17 @@
                 if all(at_s < old_s for at_s in by_vm.values()):
                     del times[account]
 
+    def _is_confirmed(self, contact_age_s: float, now_s: float) -> bool:
+        """Returns True if most VMs have the same list, in an outage."""
+        current = self.history.current
+        if contact_age_s > account_owners.OUTAGE_S or self._vm not in current:
+            return False
+        oldest_s = now_s - account_owners.CONFIRMED_S
+        same = sum(
+            self._confirmed_s.get(vm, -math.inf) >= oldest_s for vm in current
+        )
+        return same + 1 >= account_owners.get_majority(current)
+
     def _is_owner(self, account: str) -> bool:
         return self.history.get_owner(account) == self._vm
 
--- a/src/azureramp/ports/vms/account_messages.py
+++ b/src/azureramp/ports/vms/account_messages.py
@@ -10,7 +10,10 @@
 RELEASES_PATH = "/v1/accounts/releases"
 """Path at which a VM accepts requests to give up accounts."""
 
-PATHS = frozenset((REPORTS_PATH, RELEASES_PATH))
+LISTS_PATH = "/v1/accounts/lists"
+"""Path at which a VM tells which list of advertised VMs it has."""
+
+PATHS = frozenset((REPORTS_PATH, RELEASES_PATH, LISTS_PATH))
 
 CONTENT_TYPE = "application/msgpack"
 
@@ -90,8 +93,22 @@
     buckets: tuple[ReleasedBucket, ...]
 
 
+class ListAnswer(msgspec.Struct, frozen=True):
+    """The list of advertised VMs that a VM has.
+
+    Attributes:
+        list_id: Identifies the list.
+    """
+
+    list_id: int
+
+
 def encode(
-    message: Report | ReportAnswer | ReleaseRequest | ReleaseAnswer,
+    message: ListAnswer
+    | Report
+    | ReportAnswer
+    | ReleaseRequest
+    | ReleaseAnswer,
 ) -> bytes:
     """Encodes a message."""
     return msgspec.msgpack.encode(message)
@@ -99,6 +116,7 @@
 
 _report_decoder = msgspec.msgpack.Decoder(Report)
 _report_answer_decoder = msgspec.msgpack.Decoder(ReportAnswer)
+_list_answer_decoder = msgspec.msgpack.Decoder(ListAnswer)
 _release_decoder = msgspec.msgpack.Decoder(ReleaseRequest)
 _release_answer_decoder = msgspec.msgpack.Decoder(ReleaseAnswer)
 
@@ -137,3 +155,12 @@
         DecodeError: The data is malformed.
     """
     return _release_answer_decoder.decode(data)
+
+
+def decode_list_answer(data: bytes) -> ListAnswer:
+    """Decodes the answer to a question for a VM's list.
+
+    Raises:
+        DecodeError: The data is malformed.
+    """
+    return _list_answer_decoder.decode(data)
--- a/tests/policy/account_model.py
+++ b/tests/policy/account_model.py
@@ -14,6 +14,7 @@
     account_credit,
     account_lending,
     account_limits,
+    account_owners,
     limit_shares,
 )
 
@@ -109,6 +110,17 @@
         while self.now_s < until_s - 1e-9:
             self.now_s = min(until_s, self.now_s + STEP_S)
             self._update_all()
+            for vm in self.vms.values():
+                if not vm.paused and vm.name in vm.view[0]:
+                    self._compare_lists(vm)
+
+    def _compare_lists(self, vm: Vm) -> None:
+        for name in vm.lending.find_unheard(self.now_s - vm.contact_s):
+            other = self.vms[name]
+            self.messages += 1
+            if not other.paused and not self._is_cut(vm, other):
+                list_id = account_owners.compute_list_id(other.view[0])
+                vm.lending.record_list(name, list_id, self.now_s, self.now_s)
 
     def _update_all(self) -> None:
         for vm in self.vms.values():
--- a/tests/policy/test_account_failures.py
+++ b/tests/policy/test_account_failures.py
@@ -22,7 +22,7 @@
 seconds: their burst was just used, or long ago."""
 
 TIGHT = account_limits.Tolerance(account_model.WINDOW_S, 0.1, 4.0)
-LONG_S = 30.0
+LONG_S = 60.0
 
 
 def start(
@@ -131,6 +131,53 @@
     flood(model, 10.0)
 
 
+@both_limits
+def test_an_outage_of_the_store_leaves_owners_as_they_are(
+    limit: account_model.Limit,
+) -> None:
+    """Guards against refusals because no VM knows who decides."""
+    model = start(limit=limit)
+    for vm in model.vms.values():
+        vm.cut = True
+    flood(model, 6.0)
+    assert flood(model, 6.0) >= 0.9 * 6.0 * limit[0]
+    for vm in model.vms.values():
+        vm.cut = False
+    assert flood(model, 6.0) >= 0.9 * 6.0 * limit[0]
+
+
+@before
+@both_limits
+def test_the_store_turns_some_vms_away(
+    limit: account_model.Limit, before_s: float
+) -> None:
+    """Guards against a former owner that goes on beside the new one."""
+    model = start(limit=limit)
+    for name in (OWNER, "vm-5"):
+        model.vms[name].cut = True
+    model.advance(3.0)
+    flood(model, before_s)
+    model.change(SECOND, None)
+    flood(model, 8.0)
+    assert flood(model, 4.0) >= 0.9 * 4.0 * limit[0]
+
+
+@both_limits
+def test_most_vms_are_cut_from_the_store_and_from_the_new_owner(
+    limit: account_model.Limit,
+) -> None:
+    """Guards against two VMs that decide on both sides of a partition."""
+    model = start(limit=limit)
+    for name in FIRST - {HEIR}:
+        model.vms[name].cut = True
+        model.cut_links.add(frozenset((HEIR, name)))
+    model.advance(3.0)
+    model.change(SECOND, None)
+    flood(model, 0.5)
+    model.advance(5.0)
+    flood(model, 30.0)
+
+
 @before
 @both_limits
 def test_all_vms_restart_together(
