--- a/src/azureramp/policy/account_lending.py
+++ b/src/azureramp/policy/account_lending.py
@@ -19,6 +19,7 @@
 
 from azureramp.policy import (
     account_buckets,
+    account_handovers,
     account_limits,
     account_owners,
     limit_shares,
@@ -30,12 +31,6 @@
 counts as paused: it may have missed changes of the list."""
 
 
-GIVEN_S = account_owners.OUTAGE_S + 2 * limit_shares.MAX_UPDATE_DELAY_S
-"""How long a VM to which an account was given may hold it without this VM
-learning of a list that says otherwise, in seconds. This VM may lag behind the
-other one, and that one behind a third."""
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class Released:
     """The answer of a VM that gives up an account.
@@ -56,10 +51,9 @@
         "_buckets",
         "_confirmed_s",
         "_first_start",
-        "_given_to",
+        "_handovers",
         "_hold_until_s",
         "_observed_s",
-        "_released_by",
         "_started_s",
         "_vm",
         "history",
@@ -78,10 +72,7 @@
         self._first_start = first_start
         self.history = account_owners.OwnerHistory(vm, started_s)
         self._buckets: dict[str, account_buckets.AccountBucket] = {}
-        # VMs that were given an account, and until when that matters.
-        self._given_to: dict[str, dict[str, float]] = {}
-        # VMs that gave up an account, and when.
-        self._released_by: dict[str, dict[str, float]] = {}
+        self._handovers = account_handovers.Handovers()
         self._observed_s = started_s
         self._hold_until_s = -math.inf
         # When VMs that had this VM's list were asked for it.
@@ -176,14 +167,8 @@
 
     def find_holders(self, account: str, now_s: float) -> frozenset[str]:
         """Returns the VMs that must give up an account before it is lent."""
-        released = self._released_by.get(account, {})
-        rivals = {
-            vm
-            for vm, ended_s in self.history.find_rivals(account).items()
-            if released.get(vm, -math.inf) < ended_s
-        }
-        given = self._given_to.get(account, {})
-        return frozenset(rivals | {vm for vm in given if given[vm] > now_s})
+        rivals = self.history.find_rivals(account)
+        return self._handovers.find_holders(account, rivals, now_s)
 
     def release(
         self,
@@ -206,13 +191,7 @@
         self._get_bucket(account, budget, now_s)
         bucket = self._buckets.pop(account, None)
         level = None if bucket is None else bucket.give_up(budget, now_s)
-        given = self._given_to.setdefault(account, {})
-        holder = next(
-            (each for each in given if each != vm and given[each] > now_s), ""
-        )
-        given.clear()
-        given[vm] = now_s + GIVEN_S
-        self._released_by.pop(account, None)
+        holder = self._handovers.give(account, vm, now_s)
         return Released(level, holder)
 
     def apply_release(
@@ -232,11 +211,8 @@
             released: Its answer.
             now_s: The current time, in seconds.
         """
-        self._released_by.setdefault(account, {})[vm] = now_s
-        given = self._given_to.setdefault(account, {})
-        given.pop(vm, None)
-        if released.holder and released.holder != self._vm:
-            given[released.holder] = now_s + 2 * limit_shares.MAX_UPDATE_DELAY_S
+        holder = "" if released.holder == self._vm else released.holder
+        self._handovers.receive(account, vm, holder, now_s)
         if released.level is None:
             return
         level = released.level
@@ -261,14 +237,11 @@
             window_s: The window of the limits, in seconds.
             now_s: The current time, in seconds.
         """
-        old_s = now_s - window_s - GIVEN_S
+        old_s = now_s - window_s - account_handovers.GIVEN_S
         for account, bucket in list(self._buckets.items()):
             if bucket.is_unused(account in known, old_s, now_s):
                 del self._buckets[account]
-        for times in (self._given_to, self._released_by):
-            for account, by_vm in list(times.items()):
-                if all(at_s < old_s for at_s in by_vm.values()):
-                    del times[account]
+        self._handovers.drop_old(old_s)
 
     def _is_confirmed(self, contact_age_s: float, now_s: float) -> bool:
         """Returns True if most VMs have the same list, in an outage."""
@@ -306,12 +279,11 @@
 
     def _get_sole_since_s(self, account: str, now_s: float) -> float:
         """Returns since when no other VM can have lent, in seconds."""
-        times_s = [
+        times_s = (
             self.history.get_sole_since_s(account),
             self._hold_until_s,
-            *self._given_to.get(account, {}).values(),
-            *self._released_by.get(account, {}).values(),
-        ]
+            self._handovers.get_latest_s(account),
+        )
         return min(now_s, max(times_s))
 
     def _make_bucket(
--- a/src/azureramp/policy/account_owners.py
+++ b/src/azureramp/policy/account_owners.py
@@ -14,11 +14,10 @@
 
 import collections
 import dataclasses
+import hashlib
 import math
 from collections.abc import Iterable
 
-import xxhash
-
 from azureramp.policy import limit_shares
 
 HISTORY_S = 60.0
@@ -68,7 +67,7 @@
 
 def compute_list_id(vms: Iterable[str]) -> int:
     """Returns a number that identifies a list."""
-    return xxhash.xxh3_64_intdigest("\0".join(sorted(vms)).encode()) >> 1
+    return _hash("\0".join(sorted(vms)))
 
 
 def choose_owner(account: str, vms: Iterable[str]) -> str:
@@ -80,10 +79,7 @@
     """
     return max(
         vms,
-        key=lambda vm: (
-            xxhash.xxh3_64_intdigest(f"{account}\0{vm}".encode()),
-            vm,
-        ),
+        key=lambda vm: (_hash(f"{account}\0{vm}"), vm),
         default="",
     )
 
@@ -189,3 +185,9 @@
             if choose_owner(account, past.vms) != self._vm:
                 return past.over_s
         return self._since_s
+
+
+def _hash(text: str) -> int:
+    """Returns a number of 63 bits, with a hash of the standard library."""
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") >> 1
