--- a/src/azureramp/controllers/forwarding/account_decider.py
+++ b/src/azureramp/controllers/forwarding/account_decider.py
@@ -197,6 +197,7 @@
                     _to_ms(decision.room_s),
                     _to_ms(decision.return_s),
                     _to_ms(decision.spacing_s),
+                    decision.owner,
                 )
             )
         return messages.encode(messages.ReportAnswer(tuple(settlements)))
--- a/src/azureramp/controllers/forwarding/account_reports.py
+++ b/src/azureramp/controllers/forwarding/account_reports.py
@@ -29,6 +29,10 @@
 """Time after which a VM that is taking over an account is asked again while
 requests wait, in seconds."""
 
+REDIRECT_S = 0.5
+"""How long reports go to the VM that an owner named instead of itself, in
+seconds. By then this VM should have the same list."""
+
 SILENCE_S = 0.5
 """Time for which no request waits for a VM that didn't answer, in seconds."""
 
@@ -109,7 +113,7 @@
             urgent: True if a request waits for the answer.
         """
         name = record.account.name
-        owner = self._decider.get_owner(name)
+        owner = self._get_owner(record)
         if not owner:
             return
         link = self._links.get(owner)
@@ -133,6 +137,12 @@
             if link.task is not None:
                 link.task.cancel()
 
+    def _get_owner(self, record: account_uses.UseRecord) -> str:
+        """Returns the VM to report to; empty if unknown."""
+        if asyncio.get_running_loop().time() < record.redirect_until_s:
+            return record.redirect
+        return self._decider.get_owner(record.account.name)
+
     async def _run_link(self, owner: str, link: _Link) -> None:
         """Sends reports to a VM until there is nothing to report."""
         try:
@@ -160,7 +170,7 @@
             if record.in_flight is not None:
                 # Its former owner has not answered yet.
                 continue
-            if self._decider.get_owner(record.account.name) != owner:
+            if self._get_owner(record) != owner:
                 self.schedule(record, bool(record.waiters))
                 continue
             record.in_flight = len(record.waiters)
@@ -268,6 +278,11 @@
                 record.spacing_s = decision.spacing_s
         else:
             record.credit.skip(waiting)
+            was_redirected = now_s < record.redirect_until_s
+            record.redirect_until_s = -math.inf
+            if not was_redirected and self._decider.get_address(decision.owner):
+                record.redirect = decision.owner
+                record.redirect_until_s = now_s + REDIRECT_S
         while record.waiters and self._use(record, now_s):
             record.answer_next(True)
         if (
@@ -291,4 +306,5 @@
         settlement.room_ms / 1000,
         settlement.return_ms / 1000,
         settlement.spacing_ms / 1000,
+        settlement.owner,
     )
--- a/src/azureramp/controllers/forwarding/account_uses.py
+++ b/src/azureramp/controllers/forwarding/account_uses.py
@@ -59,6 +59,9 @@
         decided_s: When the deciding VM last answered.
         in_flight: Number of waiting requests in the report that is under way;
             None if there is no such report.
+        redirect: A VM to report to instead of the owner by this VM's list,
+            which the owner named; empty if there is none.
+        redirect_until_s: Until when that holds.
         limited_s: When the account reached its limit; None while it is within
             it.
     """
@@ -71,6 +74,8 @@
         "in_flight",
         "limited_s",
         "next_return_s",
+        "redirect",
+        "redirect_until_s",
         "refusals",
         "room_s",
         "spacing_s",
@@ -100,6 +105,8 @@
         self.decided_s = -math.inf
         self.in_flight: int | None = None
         self.limited_s: float | None = None
+        self.redirect = ""
+        self.redirect_until_s = -math.inf
         self.configure(account, tolerance)
 
     def configure(
--- a/src/azureramp/policy/account_buckets.py
+++ b/src/azureramp/policy/account_buckets.py
@@ -45,6 +45,7 @@
         return_s: Time after which a caller of the reporting VM should return,
             in seconds. It differs for each report.
         spacing_s: Time between returns of further callers, in seconds.
+        owner: The VM that this one takes for the owner, if it is another one.
     """
 
     state: State
@@ -52,6 +53,7 @@
     room_s: float = 0.0
     return_s: float = 0.0
     spacing_s: float = 0.0
+    owner: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/azureramp/policy/account_lending.py
+++ b/src/azureramp/policy/account_lending.py
@@ -162,7 +162,10 @@
         """
         bucket = self._get_bucket(account, budget, now_s)
         if isinstance(bucket, account_buckets.State):
-            return account_buckets.Decision(bucket)
+            owner = self.history.get_owner(account)
+            return account_buckets.Decision(
+                bucket, owner="" if owner == self._vm else owner
+            )
         return bucket.settle(budget, process, asked, settled, now_s)
 
     def find_holders(self, account: str, now_s: float) -> frozenset[str]:
--- a/src/azureramp/ports/vms/account_messages.py
+++ b/src/azureramp/ports/vms/account_messages.py
@@ -53,6 +53,8 @@
         room_ms: Time until there is room, in milliseconds.
         return_ms: Time after which a caller should return, in milliseconds.
         spacing_ms: Time between the returns of callers, in milliseconds.
+        owner: The VM that the answering one takes for the owner; empty if that
+            is itself.
     """
 
     state: str
@@ -60,6 +62,7 @@
     room_ms: int
     return_ms: int
     spacing_ms: int
+    owner: str = ""
 
 
 class ReportAnswer(msgspec.Struct, frozen=True):
--- a/tests/policy/account_model.py
+++ b/tests/policy/account_model.py
@@ -164,9 +164,16 @@
         self.sent_s.append(self.now_s)
         return True
 
-    def report(self, vm: Vm, waiting: int, fate: Fate = Fate.ANSWERED) -> int:
+    def report(
+        self,
+        vm: Vm,
+        waiting: int,
+        fate: Fate = Fate.ANSWERED,
+        redirect: str = "",
+    ) -> int:
         """Reports to the owner; returns how many waiting requests are sent."""
-        owner = self.vms[vm.lending.history.get_owner(ACCOUNT)]
+        name = redirect or vm.lending.history.get_owner(ACCOUNT)
+        owner = self.vms[name]
         if vm.paused:
             return 0
         self.messages += vm is not owner
@@ -191,6 +198,8 @@
             decision.state is not account_buckets.State.LENDING
         ):
             vm.credit.skip(waiting)
+            if fate is Fate.ANSWERED and decision.owner and not redirect:
+                return self.report(vm, waiting, fate, decision.owner)
             return 0
         granted = min(waiting, vm.credit.settle(decision.settled))
         self.sent_s += [self.now_s] * granted
