--- a/src/azureramp/controllers/forwarding/account_decider.py
+++ b/src/azureramp/controllers/forwarding/account_decider.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import math
 
 import logbook
 import msgspec
 
 from azureramp import catalog
+from azureramp.controllers.forwarding import account_encoding
 from azureramp.controllers.forwarding import board as board_module
 from azureramp.policy import (
     account_buckets,
+    account_handovers,
     account_lending,
     account_limits,
     account_owners,
@@ -25,9 +26,6 @@
 COMPARISON_INTERVAL_S = 0.3
 """Time between two questions for a VM's list, in seconds."""
 
-MAX_MS = 3_600_000
-"""Upper limit of the times in messages, in milliseconds."""
-
 _logger = logbook.Logger("azureramp.account_decider")
 
 
@@ -169,10 +167,6 @@
         for vm in [each for each in self._addresses if each not in listed]:
             del self._addresses[vm]
 
-    def list_owned(self) -> list[str]:
-        """Returns the accounts for which this VM holds a bucket."""
-        return self._lending.list_active()
-
     def close(self) -> None:
         """Stops all calls."""
         for task in (*self._tasks.values(), *self._comparisons.values()):
@@ -190,16 +184,7 @@
         settlements: list[messages.Settlement] = []
         for use in report.uses:
             decision = self.decide(report.process, use, now_s)
-            settlements.append(
-                messages.Settlement(
-                    decision.state.value,
-                    decision.settled,
-                    _to_ms(decision.room_s),
-                    _to_ms(decision.return_s),
-                    _to_ms(decision.spacing_s),
-                    decision.owner,
-                )
-            )
+            settlements.append(account_encoding.encode_decision(decision))
         return messages.encode(messages.ReportAnswer(tuple(settlements)))
 
     def _answer_release(
@@ -293,11 +278,6 @@
                 name,
                 self.get_budget(account),
                 vm,
-                account_lending.Released(bucket.level, bucket.holder),
+                account_handovers.Released(bucket.level, bucket.holder),
                 now_s,
             )
-
-
-def _to_ms(time_s: float) -> int:
-    """Converts a time to whole milliseconds, rounded up."""
-    return math.ceil(min(time_s * 1000, MAX_MS))
--- a/src/azureramp/controllers/forwarding/account_limits.py
+++ b/src/azureramp/controllers/forwarding/account_limits.py
@@ -14,7 +14,7 @@
     account_uses,
 )
 from azureramp.controllers.forwarding import board as board_module
-from azureramp.policy import account_buckets, limit_shares
+from azureramp.policy import limit_shares
 from azureramp.ports.vms import api as vms_api
 from azureramp.ports.web import api as web_api
 
@@ -113,7 +113,7 @@
     def give_back(self, account: catalog.Account | None) -> None:
         """Returns the use of a request that was not sent to any searcher."""
         record = self._records.get(account.name) if account else None
-        if record is not None and record.in_flight is None:
+        if record and record.in_flight is None:
             record.credit.give_back()
 
     async def handle(self, request: web_api.Request) -> web_api.Response:
@@ -138,15 +138,11 @@
 
     def describe(self) -> list[account_uses.AccountUse]:
         """Describes the accounts that were used lately, ordered by name."""
-        now_s = asyncio.get_running_loop().time()
         window_s = self._board.bounds.account_limits.window_s
+        now_s = asyncio.get_running_loop().time()
+        owner = self._decider.get_owner
         return [
-            record.describe(
-                self._decider.get_owner(name),
-                self._share.value,
-                window_s,
-                now_s,
-            )
+            record.describe(owner(name), self._share.value, window_s, now_s)
             for name, record in sorted(self._records.items())
         ]
 
@@ -254,17 +250,13 @@
         self, record: account_uses.UseRecord, now_s: float
     ) -> errors.Failure:
         """Returns the failure of a request beyond the limit."""
+        window_s = self._board.bounds.account_limits.window_s
+        wait_s = min(
+            account_reports.SILENCE_S,
+            record.credit.get_wait_s(now_s, window_s),
+        )
         if now_s < record.room_s:
-            return_s = record.choose_return_s(
-                now_s, account_buckets.RETURN_HORIZON_S
-            )
-            wait_s = return_s - now_s
-        else:
-            window_s = self._board.bounds.account_limits.window_s
-            wait_s = min(
-                account_reports.SILENCE_S,
-                record.credit.get_wait_s(now_s, window_s),
-            )
+            wait_s = record.choose_return_s(now_s) - now_s
         return errors.Failure(
             errors.Kind.ACCOUNT_LIMIT,
             f"account {record.account.name}: {self._explain(record, now_s)}",
--- a/src/azureramp/controllers/forwarding/account_reports.py
+++ b/src/azureramp/controllers/forwarding/account_reports.py
@@ -9,11 +9,11 @@
 
 import expression
 import logbook
-import msgspec
 
 from azureramp import errors
 from azureramp.controllers.forwarding import (
     account_decider,
+    account_encoding,
     account_uses,
 )
 from azureramp.controllers.forwarding import board as board_module
@@ -236,19 +236,7 @@
         )
         if result.is_error():
             return expression.Error(result.error)
-        try:
-            answer = messages.decode_report_answer(result.ok)
-            decisions = [_decode(each) for each in answer.settlements]
-        except (msgspec.DecodeError, ValueError) as error:
-            return expression.Error(
-                errors.Failure(errors.Kind.CONNECTION_LOST, str(error))
-            )
-        if len(decisions) != len(uses):
-            detail = "the answer is incomplete"
-            return expression.Error(
-                errors.Failure(errors.Kind.CONNECTION_LOST, detail)
-            )
-        return expression.Ok(decisions)
+        return account_encoding.decode_decisions(result.ok, len(uses))
 
     def _fail(self, record: account_uses.UseRecord) -> None:
         """Handles a report without an answer."""
@@ -292,19 +280,3 @@
             while record.waiters:
                 record.answer_next(False)
         return bool(record.waiters)
-
-
-def _decode(settlement: messages.Settlement) -> account_buckets.Decision:
-    """Decodes a decision.
-
-    Raises:
-        ValueError: Its state is unknown.
-    """
-    return account_buckets.Decision(
-        account_buckets.State(settlement.state),
-        settlement.settled,
-        settlement.room_ms / 1000,
-        settlement.return_ms / 1000,
-        settlement.spacing_ms / 1000,
-        settlement.owner,
-    )
--- a/src/azureramp/controllers/forwarding/account_uses.py
+++ b/src/azureramp/controllers/forwarding/account_uses.py
@@ -8,7 +8,12 @@
 import math
 
 from azureramp import catalog
-from azureramp.policy import account_credit, account_limits, window_counts
+from azureramp.policy import (
+    account_buckets,
+    account_credit,
+    account_limits,
+    window_counts,
+)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -126,13 +131,13 @@
         self.next_return_s = -math.inf
         self.spacing_s = 0.0
 
-    def choose_return_s(self, now_s: float, horizon_s: float) -> float:
+    def choose_return_s(self, now_s: float) -> float:
         """Returns when a refused caller should return, and reserves the time.
 
         Args:
             now_s: The current time.
-            horizon_s: Maximum delay of a time that is reserved, in seconds.
         """
+        horizon_s = account_buckets.RETURN_HORIZON_S
         slot_s = self.next_return_s + self.spacing_s
         first_s = max(now_s, self.room_s)
         if not first_s <= slot_s <= max(first_s, now_s + horizon_s):
--- a/src/azureramp/policy/account_handovers.py
+++ b/src/azureramp/policy/account_handovers.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 from collections.abc import Mapping
 
@@ -18,6 +19,19 @@
 other one, and that one behind a third."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Released:
+    """The answer of a VM that gives up an account.
+
+    Attributes:
+        level: The bucket's level; None if it had none.
+        holder: Another VM to which it had given the account; empty if none.
+    """
+
+    level: float | None
+    holder: str = ""
+
+
 class Handovers:
     """The accounts that one VM gave to others, or got from them."""
 
--- a/src/azureramp/policy/account_lending.py
+++ b/src/azureramp/policy/account_lending.py
@@ -13,7 +13,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 from collections.abc import Container
 
@@ -31,19 +30,6 @@
 counts as paused: it may have missed changes of the list."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Released:
-    """The answer of a VM that gives up an account.
-
-    Attributes:
-        level: The bucket's level; None if it had none.
-        holder: Another VM to which it had given the account; empty if none.
-    """
-
-    level: float | None
-    holder: str = ""
-
-
 class Lending:
     """The accounts for which one VM decides."""
 
@@ -179,7 +165,7 @@
         budget: account_limits.Budget,
         vm: str,
         now_s: float,
-    ) -> Released:
+    ) -> account_handovers.Released:
         """Gives up an account to another VM that takes itself for its owner.
 
         This VM gives it up even if it takes itself for the owner. It doesn't
@@ -195,14 +181,14 @@
         bucket = self._buckets.pop(account, None)
         level = None if bucket is None else bucket.give_up(budget, now_s)
         holder = self._handovers.give(account, vm, now_s)
-        return Released(level, holder)
+        return account_handovers.Released(level, holder)
 
     def apply_release(
         self,
         account: str,
         budget: account_limits.Budget,
         vm: str,
-        released: Released,
+        released: account_handovers.Released,
         now_s: float,
     ) -> None:
         """Takes over an account from a VM that gave it up.
