--- a/src/azureramp/controllers/forwarding/account_decider.py
+++ b/src/azureramp/controllers/forwarding/account_decider.py
@@ -66,10 +66,15 @@
         self._to_release: dict[str, set[str]] = {}
         self._comparisons: dict[str, asyncio.Task[None]] = {}
 
-    def observe(self, now_s: float) -> None:
-        """Records the VMs and the contact with the store; call it often."""
+    def observe(self, now_s: float) -> bool:
+        """Records the VMs and the contact with the store; call it often.
+
+        Returns:
+            True if the advertised VMs have changed.
+        """
         board = self._board
-        if board.advertised is not self._seen:
+        changed = board.advertised is not self._seen
+        if changed:
             self._seen = board.advertised
             self._advertised = frozenset(board.advertised)
             for vm, member in board.advertised.items():
@@ -78,6 +83,7 @@
             self._lending.observe(
                 self._advertised, self._get_contact_age_s(now_s), now_s
             )
+        return changed
 
     def get_owner(self, account: str) -> str:
         """Returns the VM that decides for an account; empty if unknown."""
--- a/src/azureramp/controllers/forwarding/account_limits.py
+++ b/src/azureramp/controllers/forwarding/account_limits.py
@@ -31,9 +31,6 @@
 TICK_S = 0.1
 """Interval at which VMs and pending reports are checked, in seconds."""
 
-NEAR_LIMIT_SHARE = 0.7
-"""Share of its limit from which on an account is named in the metrics."""
-
 _logger = logbook.Logger("azureramp.account_limits")
 
 
@@ -125,6 +122,7 @@
         while True:
             now_s = asyncio.get_running_loop().time()
             self._observe(now_s)
+            self._update_share(now_s)
             self._check_records(now_s)
             self._decider.compare_lists(now_s)
             self._decider.drop_idle(now_s)
@@ -147,23 +145,27 @@
         ]
 
     def _observe(self, now_s: float) -> None:
-        """Updates this VM's share and its view of the other VMs."""
-        board = self._board
+        """Notices a pause of the process and changes of the other VMs."""
         if now_s - self._observed_s > limit_shares.STALE_CONTACT_S:
             # The other VMs may have divided this VM's share among them.
             self._share = limit_shares.LimitShare(
-                board.bounds.account_limits.window_s, now_s, first_start=False
+                self._board.bounds.account_limits.window_s,
+                now_s,
+                first_start=False,
             )
         self._observed_s = now_s
-        self._decider.observe(now_s)
-        vm = board.identity.vm
-        others = board.members.keys() - board.advertised.keys() - {vm}
-        is_advertised = vm in board.advertised
+        if self._decider.observe(now_s):
+            self._update_share(now_s)
+
+    def _update_share(self, now_s: float) -> None:
+        """Updates this VM's share of the credit of all VMs."""
+        board = self._board
+        members = board.members.keys() | {board.identity.vm}
         self._share.update(
             limit_shares.compute_share(
                 len(board.advertised),
-                len(others) + (not is_advertised),
-                is_advertised,
+                len(members - board.advertised.keys()),
+                board.identity.vm in board.advertised,
                 now_s - board.contact.last_answer_s
                 > limit_shares.STALE_CONTACT_S,
             ),
@@ -229,11 +231,10 @@
         """Counts a decision, and logs when the account reaches its limit."""
         account = record.account
         window_s = self._board.bounds.account_limits.window_s
-        limit = account.rate_per_s * window_s + account.burst
         self._board.metrics.accounts.count(
             account.name,
             "admitted" if granted else "refused",
-            not granted or record.uses.get(now_s) > NEAR_LIMIT_SHARE * limit,
+            not granted or record.is_near_limit(window_s, now_s),
         )
         if granted:
             return
--- a/src/azureramp/controllers/forwarding/account_uses.py
+++ b/src/azureramp/controllers/forwarding/account_uses.py
@@ -15,6 +15,9 @@
     window_counts,
 )
 
+NEAR_LIMIT_SHARE = 0.7
+"""Share of its limit from which on an account is named in the metrics."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class AccountUse:
@@ -197,6 +200,11 @@
             f" {self.uses.get(now_s)} admitted here in {window_s:g} s"
         )
 
+    def is_near_limit(self, window_s: float, now_s: float) -> bool:
+        """Returns True if the uses at this VM are most of the limit."""
+        limit = self.account.rate_per_s * window_s + self.account.burst
+        return self.uses.get(now_s) > NEAR_LIMIT_SHARE * limit
+
     def is_idle(self, now_s: float) -> bool:
         """Returns True if nothing of the account's use matters any more."""
         return not (
