--- a/src/azureramp/controllers/forwarding/account_decider.py
+++ b/src/azureramp/controllers/forwarding/account_decider.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import math
 
 import logbook
 import msgspec
 
 from azureramp import catalog
+from azureramp.controllers.forwarding import account_encoding
 from azureramp.controllers.forwarding import board as board_module
 from azureramp.policy import (
     account_buckets,
+    account_handovers,
     account_lending,
     account_limits,
+    account_owners,
 )
 from azureramp.ports.vms import account_messages as messages
 from azureramp.ports.vms import api as vms_api
@@ -21,8 +23,8 @@
 
 MAX_ACCOUNTS_PER_MESSAGE = 200
 
-MAX_MS = 3_600_000
-"""Upper limit of the times in messages, in milliseconds."""
+COMPARISON_INTERVAL_S = 0.3
+"""Time between two questions for a VM's list, in seconds."""
 
 _logger = logbook.Logger("azureramp.account_decider")
 
@@ -35,6 +37,7 @@
         "_advertised",
         "_board",
         "_client",
+        "_comparisons",
         "_lending",
         "_seen",
         "_tasks",
@@ -61,18 +64,26 @@
         self._addresses: dict[str, str] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._to_release: dict[str, set[str]] = {}
+        self._comparisons: dict[str, asyncio.Task[None]] = {}
 
-    def observe(self, now_s: float) -> None:
-        """Records the VMs and the contact with the store; call it often."""
+    def observe(self, now_s: float) -> bool:
+        """Records the VMs and the contact with the store; call it often.
+
+        Returns:
+            True if the advertised VMs have changed.
+        """
         board = self._board
-        if board.advertised is not self._seen:
+        changed = board.advertised is not self._seen
+        if changed:
             self._seen = board.advertised
             self._advertised = frozenset(board.advertised)
             for vm, member in board.advertised.items():
                 self._addresses[vm] = member.peer_address
         if self._advertised:
-            age_s = now_s - board.contact.last_answer_s
-            self._lending.observe(self._advertised, age_s, now_s)
+            self._lending.observe(
+                self._advertised, self._get_contact_age_s(now_s), now_s
+            )
+        return changed
 
     def get_owner(self, account: str) -> str:
         """Returns the VM that decides for an account; empty if unknown."""
@@ -125,6 +136,9 @@
                 body = self._answer_report(
                     messages.decode_report(request.body), now_s
                 )
+            elif request.path == messages.LISTS_PATH:
+                list_id = account_owners.compute_list_id(self._advertised)
+                body = messages.encode(messages.ListAnswer(list_id))
             else:
                 body = self._answer_release(
                     messages.decode_release(request.body), now_s
@@ -134,6 +148,19 @@
             return web_api.Response(400)
         return web_api.Response(200, body, messages.CONTENT_TYPE)
 
+    def compare_lists(self, now_s: float) -> None:
+        """Asks other VMs for their lists if that matters now."""
+        if self._board.get_accounts() is None:
+            return
+        if self._board.identity.vm not in self._advertised:
+            return
+        unheard = self._lending.find_unheard(self._get_contact_age_s(now_s))
+        for vm in unheard:
+            if self.get_address(vm) and vm not in self._comparisons:
+                self._comparisons[vm] = asyncio.create_task(
+                    self._compare_list(vm)
+                )
+
     def drop_idle(self, now_s: float) -> None:
         """Drops the state of idle accounts and of VMs that are gone."""
         accounts = self._board.get_accounts()
@@ -146,15 +173,14 @@
         for vm in [each for each in self._addresses if each not in listed]:
             del self._addresses[vm]
 
-    def list_owned(self) -> list[str]:
-        """Returns the accounts for which this VM holds a bucket."""
-        return self._lending.list_active()
-
     def close(self) -> None:
         """Stops all calls."""
-        for task in self._tasks.values():
+        for task in (*self._tasks.values(), *self._comparisons.values()):
             task.cancel()
 
+    def _get_contact_age_s(self, now_s: float) -> float:
+        return now_s - self._board.contact.last_answer_s
+
     def _find_account(self, name: str) -> catalog.Account | None:
         accounts = self._board.get_accounts()
         return accounts.by_name.get(name) if accounts else None
@@ -164,15 +190,7 @@
         settlements: list[messages.Settlement] = []
         for use in report.uses:
             decision = self.decide(report.process, use, now_s)
-            settlements.append(
-                messages.Settlement(
-                    decision.state.value,
-                    decision.settled,
-                    _to_ms(decision.room_s),
-                    _to_ms(decision.return_s),
-                    _to_ms(decision.spacing_s),
-                )
-            )
+            settlements.append(account_encoding.encode_decision(decision))
         return messages.encode(messages.ReportAnswer(tuple(settlements)))
 
     def _answer_release(
@@ -225,6 +243,28 @@
         finally:
             self._tasks.pop(vm, None)
 
+    async def _compare_list(self, vm: str) -> None:
+        """Asks a VM for its list, and waits until it may be asked again."""
+        loop = asyncio.get_running_loop()
+        sent_s = loop.time()
+        try:
+            result = await self._client.call(
+                self.get_address(vm),
+                messages.LISTS_PATH,
+                b"",
+                account_limits.LEND_TIMEOUT_S,
+            )
+            if result.is_ok():
+                answer = messages.decode_list_answer(result.ok)
+                self._lending.record_list(
+                    vm, answer.list_id, sent_s, loop.time()
+                )
+            await asyncio.sleep(COMPARISON_INTERVAL_S)
+        except msgspec.DecodeError as error:
+            _logger.warning("could not decode a VM's answer: {}", error)
+        finally:
+            self._comparisons.pop(vm, None)
+
     def _apply_release(
         self, vm: str, names: tuple[str, ...], body: bytes
     ) -> None:
@@ -244,11 +284,6 @@
                 name,
                 self.get_budget(account),
                 vm,
-                account_lending.Released(bucket.level, bucket.holder),
+                account_handovers.Released(bucket.level, bucket.holder),
                 now_s,
             )
-
-
-def _to_ms(time_s: float) -> int:
-    """Converts a time to whole milliseconds, rounded up."""
-    return math.ceil(min(time_s * 1000, MAX_MS))
--- a/src/azureramp/controllers/forwarding/account_limits.py
+++ b/src/azureramp/controllers/forwarding/account_limits.py
@@ -14,7 +14,7 @@
     account_uses,
 )
 from azureramp.controllers.forwarding import board as board_module
-from azureramp.policy import account_buckets, limit_shares
+from azureramp.policy import limit_shares
 from azureramp.ports.vms import api as vms_api
 from azureramp.ports.web import api as web_api
 
@@ -31,9 +31,6 @@
 TICK_S = 0.1
 """Interval at which VMs and pending reports are checked, in seconds."""
 
-NEAR_LIMIT_SHARE = 0.7
-"""Share of its limit from which on an account is named in the metrics."""
-
 _logger = logbook.Logger("azureramp.account_limits")
 
 
@@ -113,7 +110,7 @@
     def give_back(self, account: catalog.Account | None) -> None:
         """Returns the use of a request that was not sent to any searcher."""
         record = self._records.get(account.name) if account else None
-        if record is not None and record.in_flight is None:
+        if record and record.in_flight is None:
             record.credit.give_back()
 
     async def handle(self, request: web_api.Request) -> web_api.Response:
@@ -125,7 +122,9 @@
         while True:
             now_s = asyncio.get_running_loop().time()
             self._observe(now_s)
+            self._update_share(now_s)
             self._check_records(now_s)
+            self._decider.compare_lists(now_s)
             self._decider.drop_idle(now_s)
             self._reporter.drop_idle(now_s)
             await asyncio.sleep(TICK_S)
@@ -137,36 +136,36 @@
 
     def describe(self) -> list[account_uses.AccountUse]:
         """Describes the accounts that were used lately, ordered by name."""
-        now_s = asyncio.get_running_loop().time()
         window_s = self._board.bounds.account_limits.window_s
+        now_s = asyncio.get_running_loop().time()
+        owner = self._decider.get_owner
         return [
-            record.describe(
-                self._decider.get_owner(name),
-                self._share.value,
-                window_s,
-                now_s,
-            )
+            record.describe(owner(name), self._share.value, window_s, now_s)
             for name, record in sorted(self._records.items())
         ]
 
     def _observe(self, now_s: float) -> None:
-        """Updates this VM's share and its view of the other VMs."""
-        board = self._board
+        """Notices a pause of the process and changes of the other VMs."""
         if now_s - self._observed_s > limit_shares.STALE_CONTACT_S:
             # The other VMs may have divided this VM's share among them.
             self._share = limit_shares.LimitShare(
-                board.bounds.account_limits.window_s, now_s, first_start=False
+                self._board.bounds.account_limits.window_s,
+                now_s,
+                first_start=False,
             )
         self._observed_s = now_s
-        self._decider.observe(now_s)
-        vm = board.identity.vm
-        others = board.members.keys() - board.advertised.keys() - {vm}
-        is_advertised = vm in board.advertised
+        if self._decider.observe(now_s):
+            self._update_share(now_s)
+
+    def _update_share(self, now_s: float) -> None:
+        """Updates this VM's share of the credit of all VMs."""
+        board = self._board
+        members = board.members.keys() | {board.identity.vm}
         self._share.update(
             limit_shares.compute_share(
                 len(board.advertised),
-                len(others) + (not is_advertised),
-                is_advertised,
+                len(members - board.advertised.keys()),
+                board.identity.vm in board.advertised,
                 now_s - board.contact.last_answer_s
                 > limit_shares.STALE_CONTACT_S,
             ),
@@ -232,11 +231,10 @@
         """Counts a decision, and logs when the account reaches its limit."""
         account = record.account
         window_s = self._board.bounds.account_limits.window_s
-        limit = account.rate_per_s * window_s + account.burst
         self._board.metrics.accounts.count(
             account.name,
             "admitted" if granted else "refused",
-            not granted or record.uses.get(now_s) > NEAR_LIMIT_SHARE * limit,
+            not granted or record.is_near_limit(window_s, now_s),
         )
         if granted:
             return
@@ -253,17 +251,13 @@
         self, record: account_uses.UseRecord, now_s: float
     ) -> errors.Failure:
         """Returns the failure of a request beyond the limit."""
+        window_s = self._board.bounds.account_limits.window_s
+        wait_s = min(
+            account_reports.SILENCE_S,
+            record.credit.get_wait_s(now_s, window_s),
+        )
         if now_s < record.room_s:
-            return_s = record.choose_return_s(
-                now_s, account_buckets.RETURN_HORIZON_S
-            )
-            wait_s = return_s - now_s
-        else:
-            window_s = self._board.bounds.account_limits.window_s
-            wait_s = min(
-                account_reports.SILENCE_S,
-                record.credit.get_wait_s(now_s, window_s),
-            )
+            wait_s = record.choose_return_s(now_s) - now_s
         return errors.Failure(
             errors.Kind.ACCOUNT_LIMIT,
             f"account {record.account.name}: {self._explain(record, now_s)}",
--- a/tests/policy/account_model.py
+++ b/tests/policy/account_model.py
@@ -14,6 +14,7 @@
     account_credit,
     account_lending,
     account_limits,
+    account_owners,
     limit_shares,
 )
 
@@ -21,6 +22,7 @@
 TOLERANCE = account_limits.Tolerance(5.0, 0.1, 20.0)
 WINDOW_S = TOLERANCE.window_s
 STEP_S = 0.1
+COMPARISON_INTERVAL_S = 0.3
 
 Limit = tuple[float, float]
 
@@ -48,6 +50,7 @@
         default_factory=account_credit.AccountCredit
     )
     contact_s: float = 0.0
+    compared_s: float = 0.0
     cut: bool = False
     paused: bool = False
 
@@ -62,7 +65,10 @@
         limit: Limit,
         first: bool = True,
         tolerance: account_limits.Tolerance = TOLERANCE,
+        account: str = ACCOUNT,
+        max_lag_s: float = limit_shares.MAX_UPDATE_DELAY_S,
     ) -> None:
+        self.account = account
         self.tolerance = tolerance
         self.now_s = 100.0
         names = [f"vm-{number}" for number in range(vms)]
@@ -74,7 +80,7 @@
         self._starts = 0
         self.vms: dict[str, Vm] = {}
         for number, name in enumerate(names):
-            self._start(name, (number * 0.7) % 2.8, first)
+            self._start(name, number % 4 / 4 * max_lag_s, first)
         self._update_all()
 
     def _start(self, name: str, lag_s: float, first: bool) -> None:
@@ -109,6 +115,19 @@
         while self.now_s < until_s - 1e-9:
             self.now_s = min(until_s, self.now_s + STEP_S)
             self._update_all()
+            for vm in self.vms.values():
+                due = self.now_s >= vm.compared_s + COMPARISON_INTERVAL_S
+                if due and not vm.paused and vm.name in vm.view[0]:
+                    vm.compared_s = self.now_s
+                    self._compare_lists(vm)
+
+    def _compare_lists(self, vm: Vm) -> None:
+        for name in vm.lending.find_unheard(self.now_s - vm.contact_s):
+            other = self.vms[name]
+            self.messages += 1
+            if not other.paused and not self._is_cut(vm, other):
+                list_id = account_owners.compute_list_id(other.view[0])
+                vm.lending.record_list(name, list_id, self.now_s, self.now_s)
 
     def _update_all(self) -> None:
         for vm in self.vms.values():
@@ -148,9 +167,16 @@
         self.sent_s.append(self.now_s)
         return True
 
-    def report(self, vm: Vm, waiting: int, fate: Fate = Fate.ANSWERED) -> int:
+    def report(
+        self,
+        vm: Vm,
+        waiting: int,
+        fate: Fate = Fate.ANSWERED,
+        redirect: str = "",
+    ) -> int:
         """Reports to the owner; returns how many waiting requests are sent."""
-        owner = self.vms[vm.lending.history.get_owner(ACCOUNT)]
+        name = redirect or vm.lending.history.get_owner(self.account)
+        owner = self.vms[name]
         if vm.paused:
             return 0
         self.messages += vm is not owner
@@ -160,7 +186,7 @@
             return 0
         self._observe(owner)
         decision = owner.lending.decide(
-            ACCOUNT,
+            self.account,
             self.get_budget(owner),
             vm.process,
             vm.credit.get_asked(waiting),
@@ -175,6 +201,8 @@
             decision.state is not account_buckets.State.LENDING
         ):
             vm.credit.skip(waiting)
+            if fate is Fate.ANSWERED and decision.owner and not redirect:
+                return self.report(vm, waiting, fate, decision.owner)
             return 0
         granted = min(waiting, vm.credit.settle(decision.settled))
         self.sent_s += [self.now_s] * granted
@@ -182,17 +210,17 @@
 
     def take_over(self, vm: Vm) -> None:
         """Asks the VMs that may hold the account for it."""
-        for name in vm.lending.find_holders(ACCOUNT, self.now_s):
+        for name in vm.lending.find_holders(self.account, self.now_s):
             other = self.vms[name]
             self.messages += 1
             if other.paused or self._is_cut(vm, other):
                 continue
             self._observe(other)
             released = other.lending.release(
-                ACCOUNT, self.get_budget(other), vm.name, self.now_s
+                self.account, self.get_budget(other), vm.name, self.now_s
             )
             vm.lending.apply_release(
-                ACCOUNT, self.get_budget(vm), name, released, self.now_s
+                self.account, self.get_budget(vm), name, released, self.now_s
             )
 
     def ask(self, vm: Vm) -> bool:
