Teach the soak client accounts, their keys and their limits

Cause: the soak declared no accounts, so nothing checked from outside that keys stay on the VM, take effect and lose it in time, and that limits hold over all VMs.

New checks: told, held, limit, revoked, known; a 401 for a key that was valid all the time stays a fault of `allowed`.

--- a/src/azureramp_standins/soak/checks.py
+++ b/src/azureramp_standins/soak/checks.py
@@ -4,7 +4,13 @@
 
 from collections.abc import Callable, Iterator
 
-from azureramp_standins.soak import answers, bounds, history, indexed_history
+from azureramp_standins.soak import (
+    answers,
+    bounds,
+    history,
+    indexed_history,
+    keys,
+)
 
 Check = Callable[
     [indexed_history.IndexedHistory], Iterator[indexed_history.Violation]
@@ -18,6 +24,9 @@
     answers.check_attempts,
     answers.check_deadline,
     answers.check_stops,
+    keys.check_told,
+    keys.check_held,
+    keys.check_limit,
 )
 
 TIMED: tuple[Check, ...] = (
@@ -27,6 +36,8 @@
     bounds.check_configured,
     bounds.check_named,
     bounds.check_recovered,
+    keys.check_revoked,
+    keys.check_known,
 )
 
 
--- a/src/azureramp_standins/soak/daemons.py
+++ b/src/azureramp_standins/soak/daemons.py
@@ -10,6 +10,9 @@
 
 PROGRAM = pathlib.Path("src/azurerampd_platform.py")
 
+PEER_LISTENER_VARIABLE = "AZURERAMP_SOAK_PEER_LISTENER"
+"""The address on which a daemon behind a proxy listens for other daemons."""
+
 RESTART_POLL_S = 0.2
 """How often a delayed restart checks if the run has ended, in seconds."""
 
@@ -34,6 +37,9 @@
 ColdOverage = {cold_overage}
 ColdSlack = {cold_slack}
 GraceS = {grace_s}
+QuotaWindowS = {account_window_s}
+QuotaOverage = {account_overage}
+QuotaSlack = {account_slack}
 ttl_max_s = 2
 [platform]
 Address = "{store}"
@@ -60,6 +66,7 @@
         settings: str,
         folder: pathlib.Path,
         mutant: str,
+        peer_listener: str = "",
     ) -> None:
         """Writes the settings of a daemon; `start` runs it.
 
@@ -69,6 +76,8 @@
             settings: The settings as TOML.
             folder: Where the settings and the log are written.
             mutant: The name of a mutant to run; empty for the real daemon.
+            peer_listener: The `IP:port` that it listens on for other daemons;
+                empty for the one that it announces to them.
         """
         self.name = name
         self.front = addresses["front"]
@@ -77,6 +86,7 @@
         self.end_times: list[float] = []
         self.restart_delay_s = 0.0
         self._mutant = mutant
+        self._peer_listener = peer_listener
         self._path = folder / f"{name}.toml"
         self._path.write_text(settings, "utf-8")
         self._log = folder / f"{name}.log"
@@ -105,10 +115,12 @@
         """Runs one process after another until `end` is called."""
         loop = asyncio.get_running_loop()
         command = [str(PROGRAM)]
-        if self._mutant:
-            command = ["-m", "azureramp_standins.soak.mutants", self._mutant]
+        if self._mutant or self._peer_listener:
+            module = "azureramp_standins.soak.mutants"
+            command = ["-m", module, self._mutant]
         environment = os.environ | {
             "AZURERAMP_CONFIG": str(self._path),
+            PEER_LISTENER_VARIABLE: self._peer_listener,
             "PYTHONPATH": "src",
         }
         while not self._ending:
--- a/src/azureramp_standins/soak/declared.py
+++ b/src/azureramp_standins/soak/declared.py
@@ -36,6 +36,18 @@
 GRACE_S = 5.0
 """The bounds that operators set; see the daemon's settings."""
 
+ACCOUNT_PER_S = 60.0
+ACCOUNT_BURST = 20.0
+"""The limited account's requests per second, and those beyond at once."""
+
+ACCOUNT_WINDOW_S = 2.0
+ACCOUNT_OVERAGE = 0.1
+ACCOUNT_SLACK = 10.0
+"""How far the limit may be exceeded in any window of this length."""
+
+CONFIGURATION_BOUND_S = 3.0
+"""Longest time until a written configuration is in force, in seconds."""
+
 DRAIN_BOUND_S = 3.0
 EVACUATION_BOUND_S = 5.0
 """Longest time until a draining searcher or an evacuated zone gets no more
@@ -48,12 +60,16 @@
     return seed.digest()
 
 
-def make_configuration(version: int, service: str) -> dict[str, Any]:
+def make_configuration(
+    version: int, service: str, accounts: list[dict[str, Any]] | None
+) -> dict[str, Any]:
     """Makes a version of the configuration.
 
     Args:
         version: The version number.
         service: The target service of the `/move/` route.
+        accounts: The client accounts' entries; None for a configuration
+            without accounts.
     """
     routes: list[dict[str, Any]] = [
         {
@@ -70,6 +86,15 @@
         },
         {"Prefix": "/move/", "Backend": service},
     ]
+    extra: dict[str, Any] = {}
+    if accounts is not None:
+        open_route = {
+            "Prefix": "/open/",
+            "Backend": PLAIN_SERVICE,
+            "Public": True,
+        }
+        routes.append(open_route)
+        extra["Tenants"] = accounts
     common = {
         "Hostname": deployment.HOST,
         "RouteType": "idempotent",
@@ -100,4 +125,4 @@
             "HeaderTimeoutMs": 3000,
             "IdleTimeoutMs": 15000,
         },
-    }
+    } | extra
--- a/src/azureramp_standins/soak/indexed_history.py
+++ b/src/azureramp_standins/soak/indexed_history.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import math
 
 from azureramp_standins.soak import history
 
@@ -58,9 +59,35 @@
             self.arrivals_by_id[arrival.id].append(arrival)
             self.arrivals_by_service[arrival.service].append(arrival)
 
+    def get_account(self, request: history.CallerRequest) -> str:
+        """Returns the account that holds a request's key; empty if none."""
+        span = self.history.keys.get(request.key)
+        return "" if span is None else span.account
+
+    def has_valid_key(self, request: history.CallerRequest) -> bool:
+        """Returns True if a request's key was valid, or not needed."""
+        if not self.history.keys or request.is_public():
+            return True
+        span = self.history.keys.get(request.key)
+        return span is not None and request.ended_s < span.until_s
+
+    def may_be_refused(self, request: history.CallerRequest) -> bool:
+        """Returns True if a request's key need not be in force everywhere.
+
+        This holds for keys that were never valid, were revoked before the
+        answer, or were added during the run.
+        """
+        if not self.has_valid_key(request):
+            return True
+        span = self.history.keys.get(request.key)
+        return span is not None and span.from_s > -math.inf
+
     def is_undisturbed(self, vm: str, from_s: float, to_s: float) -> bool:
         """Returns True if no fault hit a VM or the store in a span of time.
 
+        VMs receive the store's changes from each other, so a fault of a link
+        between daemons disturbs all of them.
+
         Args:
             vm: The VM's name.
             from_s: The start of the span. Faults that ended less than
@@ -72,6 +99,10 @@
             span.began_s <= to_s
             and span.ended_s >= from_s - UNDISTURBED_S
             and span.how != "reload"
-            and (span.kind == "store" or span.name in (vm, link))
+            and (
+                span.kind == "store"
+                or span.name in (vm, link)
+                or span.name.startswith("peer-")
+            )
             for span in self.history.fault_spans
         )
--- a/src/azureramp_standins/soak/plan.py
+++ b/src/azureramp_standins/soak/plan.py
@@ -37,7 +37,8 @@
     """A fault of a daemon's link to the store or of the link to a searcher.
 
     Attributes:
-        link: `store` or `searcher`.
+        link: `store`, `searcher`, or `peer` for the link of other daemons to a
+            daemon.
         number: The daemon's or the searcher's number.
         how: `delay`, `reset`, `up` or `down` (no bytes in that direction),
             `silent` (open connections lose all further bytes, new ones work).
@@ -84,7 +85,28 @@
     how: str
 
 
-Fault = DaemonSignal | LinkFault | StoreFault | SearcherFault | OperatorAction
+@dataclasses.dataclass(slots=True, frozen=True)
+class AccountAction:
+    """An operator's change of an account's keys, or a flood of its callers.
+
+    Attributes:
+        account: The account's number; a flood is always the limited account's.
+        how: `add`, `rotate` (add a key and later revoke the old one), `revoke`
+            or `flood`.
+    """
+
+    account: int
+    how: str
+
+
+Fault = (
+    DaemonSignal
+    | LinkFault
+    | StoreFault
+    | SearcherFault
+    | OperatorAction
+    | AccountAction
+)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -107,6 +129,21 @@
 """Probability that a seed uses a group of faults. Guarantees with a time bound
 apply to undisturbed VMs only, and with all groups there would be hardly any."""
 
+FIRST_SEED_WITH_ACCOUNTS = 1000
+ACCOUNTS_CHANCE = 0.5
+"""Probability that a seed from there on declares client accounts."""
+
+ACCOUNT_GAP_S = 1.5
+"""Mean time between the starts of two account actions or faults of the links
+between daemons, in seconds."""
+
+ACCOUNT_ACTIONS = ("add", "rotate", "revoke", "flood")
+PEER_FAULTS_CHANCE = 0.4
+"""Probability that a seed with accounts has faults of links between daemons."""
+
+PEER_FAULT_SHARE = 0.4
+"""Share of these faults, in such a seed, among the account actions."""
+
 LINK_FAULTS = ("delay", "reset", "up", "down", "silent")
 DAEMON_FAULTS = ("kill", "stop", "reload", "pause")
 STORE_FAULTS = ("busy", "silent", "slow", "lost", "compact")
@@ -165,3 +202,40 @@
         case "searcher":
             return SearcherFault(searcher, rng.choice(SEARCHER_FAULTS))
     return OperatorAction(rng.choice(("configure", "evacuate")))
+
+
+def has_accounts(seed: int) -> bool:
+    """Returns True if a seed's deployment declares client accounts."""
+    if seed < FIRST_SEED_WITH_ACCOUNTS:
+        return False
+    return random.Random(f"accounts/{seed}").random() < ACCOUNTS_CHANCE
+
+
+def draw_account_faults(
+    seed: int, seconds: float, vms: int, accounts: int
+) -> tuple[ScheduledFault, ...]:
+    """Draws the account actions and the faults of links between daemons.
+
+    Their random draws are separate, so that they change no seed's other faults.
+
+    Args:
+        seed: The run's seed; equal seeds give equal plans.
+        seconds: The time after the run's start in which faults may begin.
+        vms: The number of daemons.
+        accounts: The number of accounts; 0 if the seed has none.
+    """
+    rng = random.Random(f"account faults/{seed}")
+    peer_share = PEER_FAULT_SHARE if rng.random() < PEER_FAULTS_CHANCE else 0.0
+    planned: list[ScheduledFault] = []
+    at_s = FIRST_FAULT_S
+    while accounts and at_s < seconds:
+        for_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
+        fault: Fault = AccountAction(
+            rng.randrange(accounts), rng.choice(ACCOUNT_ACTIONS)
+        )
+        if rng.random() < peer_share:
+            how = rng.choice(LINK_FAULTS)
+            fault = LinkFault("peer", rng.randrange(vms), how)
+        planned.append(ScheduledFault(at_s, for_s, fault))
+        at_s += rng.expovariate(1 / ACCOUNT_GAP_S)
+    return tuple(planned)
