--- a/src/azureramp/ports/web/connection.py
+++ b/src/azureramp/ports/web/connection.py
@@ -294,7 +294,7 @@
         async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(host, port)
     except (OSError, TimeoutError) as error:
-        detail = f"connect to {address}: {error or 'timeout'}"
+        detail = f"connect to {address}: {str(error) or 'timeout'}"
         return expression.Error(
             errors.Failure(errors.Kind.CONNECTION_LOST, detail)
         )
