--- a/src/azureramp/controllers/forwarding/account_uses.py
+++ b/src/azureramp/controllers/forwarding/account_uses.py
@@ -8,7 +8,15 @@
 import math
 
 from azureramp import catalog
-from azureramp.policy import account_credit, account_limits, window_counts
+from azureramp.policy import (
+    account_buckets,
+    account_credit,
+    account_limits,
+    window_counts,
+)
+
+NEAR_LIMIT_SHARE = 0.7
+"""Share of its limit from which on an account is named in the metrics."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -59,6 +67,9 @@
         decided_s: When the deciding VM last answered.
         in_flight: Number of waiting requests in the report that is under way;
             None if there is no such report.
+        redirect: A VM to report to instead of the owner by this VM's list,
+            which the owner named; empty if there is none.
+        redirect_until_s: Until when that holds.
         limited_s: When the account reached its limit; None while it is within
             it.
     """
@@ -71,6 +82,8 @@
         "in_flight",
         "limited_s",
         "next_return_s",
+        "redirect",
+        "redirect_until_s",
         "refusals",
         "room_s",
         "spacing_s",
@@ -100,6 +113,8 @@
         self.decided_s = -math.inf
         self.in_flight: int | None = None
         self.limited_s: float | None = None
+        self.redirect = ""
+        self.redirect_until_s = -math.inf
         self.configure(account, tolerance)
 
     def configure(
@@ -119,13 +134,13 @@
         self.next_return_s = -math.inf
         self.spacing_s = 0.0
 
-    def choose_return_s(self, now_s: float, horizon_s: float) -> float:
+    def choose_return_s(self, now_s: float) -> float:
         """Returns when a refused caller should return, and reserves the time.
 
         Args:
             now_s: The current time.
-            horizon_s: Maximum delay of a time that is reserved, in seconds.
         """
+        horizon_s = account_buckets.RETURN_HORIZON_S
         slot_s = self.next_return_s + self.spacing_s
         first_s = max(now_s, self.room_s)
         if not first_s <= slot_s <= max(first_s, now_s + horizon_s):
@@ -185,6 +200,11 @@
             f" {self.uses.get(now_s)} admitted here in {window_s:g} s"
         )
 
+    def is_near_limit(self, window_s: float, now_s: float) -> bool:
+        """Returns True if the uses at this VM are most of the limit."""
+        limit = self.account.rate_per_s * window_s + self.account.burst
+        return self.uses.get(now_s) > NEAR_LIMIT_SHARE * limit
+
     def is_idle(self, now_s: float) -> bool:
         """Returns True if nothing of the account's use matters any more."""
         return not (
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -251,7 +251,9 @@
                 searcher_registry,
                 self._crashes,
                 self.account_limits,
-                admission.Admission(board, searcher_registry),
+                admission.Admission(
+                    board, searcher_registry, random.Random(f"turns/{start}")
+                ),
             ),
             log_writer,
         )
--- a/src/azureramp/policy/account_lending.py
+++ b/src/azureramp/policy/account_lending.py
@@ -13,12 +13,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 from collections.abc import Container
 
 from azureramp.policy import (
     account_buckets,
+    account_handovers,
     account_limits,
     account_owners,
     limit_shares,
@@ -30,29 +30,16 @@
 counts as paused: it may have missed changes of the list."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Released:
-    """The answer of a VM that gives up an account.
-
-    Attributes:
-        level: The bucket's level; None if it had none.
-        holder: Another VM to which it had given the account; empty if none.
-    """
-
-    level: float | None
-    holder: str = ""
-
-
 class Lending:
     """The accounts for which one VM decides."""
 
     __slots__ = (
         "_buckets",
+        "_confirmed_s",
         "_first_start",
-        "_given_to",
+        "_handovers",
         "_hold_until_s",
         "_observed_s",
-        "_released_by",
         "_started_s",
         "_vm",
         "history",
@@ -71,15 +58,17 @@
         self._first_start = first_start
         self.history = account_owners.OwnerHistory(vm, started_s)
         self._buckets: dict[str, account_buckets.AccountBucket] = {}
-        # VMs that were given an account, and until when that matters.
-        self._given_to: dict[str, dict[str, float]] = {}
-        # VMs that gave up an account, and when.
-        self._released_by: dict[str, dict[str, float]] = {}
+        self._handovers = account_handovers.Handovers()
         self._observed_s = started_s
         self._hold_until_s = -math.inf
+        # When VMs that had this VM's list were asked for it.
+        self._confirmed_s: dict[str, float] = {}
 
     def observe(
-        self, advertised: frozenset[str], contact_age_s: float, now_s: float
+        self,
+        advertised: frozenset[str],
+        contact_age_s: float,
+        now_s: float,
     ) -> None:
         """Records the current list and the contact with the store.
 
@@ -91,8 +80,8 @@
         """
         out_of_touch = (
             limit_shares.STALE_CONTACT_S < contact_age_s < math.inf
-            or now_s - self._observed_s > MAX_PAUSE_S
-        )
+            and not self._is_confirmed(contact_age_s, now_s)
+        ) or now_s - self._observed_s > MAX_PAUSE_S
         if out_of_touch:
             self._hold_until_s = now_s + limit_shares.MAX_UPDATE_DELAY_S
         self._observed_s = now_s
@@ -108,6 +97,35 @@
             elif changed and not self._is_owner(account):
                 bucket.stop(now_s)
 
+    def record_list(
+        self, vm: str, list_id: int, sent_s: float, now_s: float
+    ) -> None:
+        """Records which list another VM has.
+
+        Args:
+            vm: The VM.
+            list_id: Identifies its list.
+            sent_s: When it was asked, in seconds.
+            now_s: The current time, in seconds.
+        """
+        self.history.record_list(vm, list_id, now_s)
+        if list_id == account_owners.compute_list_id(self.history.current):
+            self._confirmed_s[vm] = sent_s
+        else:
+            self._confirmed_s.pop(vm, None)
+
+    def find_unheard(self, contact_age_s: float) -> set[str]:
+        """Returns the VMs that should be asked which list they have.
+
+        Args:
+            contact_age_s: Time since the last contact with the store, in
+                seconds.
+        """
+        vms = self.history.find_unheard()
+        if contact_age_s > limit_shares.STALE_CONTACT_S / 2:
+            vms |= self.history.current - {self._vm}
+        return vms
+
     def decide(
         self,
         account: str,
@@ -130,20 +148,16 @@
         """
         bucket = self._get_bucket(account, budget, now_s)
         if isinstance(bucket, account_buckets.State):
-            return account_buckets.Decision(bucket)
+            owner = self.history.get_owner(account)
+            return account_buckets.Decision(
+                bucket, owner="" if owner == self._vm else owner
+            )
         return bucket.settle(budget, process, asked, settled, now_s)
 
     def find_holders(self, account: str, now_s: float) -> frozenset[str]:
         """Returns the VMs that must give up an account before it is lent."""
-        released = self._released_by.get(account, {})
-        oldest_s = now_s - limit_shares.MAX_UPDATE_DELAY_S
-        rivals = {
-            vm
-            for vm in self.history.find_rivals(account, now_s)
-            if released.get(vm, -math.inf) < oldest_s
-        }
-        given = self._given_to.get(account, {})
-        return frozenset(rivals | {vm for vm in given if given[vm] > now_s})
+        rivals = self.history.find_rivals(account)
+        return self._handovers.find_holders(account, rivals, now_s)
 
     def release(
         self,
@@ -151,7 +165,7 @@
         budget: account_limits.Budget,
         vm: str,
         now_s: float,
-    ) -> Released:
+    ) -> account_handovers.Released:
         """Gives up an account to another VM that takes itself for its owner.
 
         This VM gives it up even if it takes itself for the owner. It doesn't
@@ -166,22 +180,15 @@
         self._get_bucket(account, budget, now_s)
         bucket = self._buckets.pop(account, None)
         level = None if bucket is None else bucket.give_up(budget, now_s)
-        given = self._given_to.setdefault(account, {})
-        holder = next(
-            (each for each in given if each != vm and given[each] > now_s), ""
-        )
-        given.clear()
-        # This VM may lag behind the other one, and that one behind a third.
-        given[vm] = now_s + 2 * limit_shares.MAX_UPDATE_DELAY_S
-        self._released_by.pop(account, None)
-        return Released(level, holder)
+        holder = self._handovers.give(account, vm, now_s)
+        return account_handovers.Released(level, holder)
 
     def apply_release(
         self,
         account: str,
         budget: account_limits.Budget,
         vm: str,
-        released: Released,
+        released: account_handovers.Released,
         now_s: float,
     ) -> None:
         """Takes over an account from a VM that gave it up.
@@ -193,11 +200,8 @@
             released: Its answer.
             now_s: The current time, in seconds.
         """
-        self._released_by.setdefault(account, {})[vm] = now_s
-        given = self._given_to.setdefault(account, {})
-        given.pop(vm, None)
-        if released.holder and released.holder != self._vm:
-            given[released.holder] = now_s + 2 * limit_shares.MAX_UPDATE_DELAY_S
+        holder = "" if released.holder == self._vm else released.holder
+        self._handovers.receive(account, vm, holder, now_s)
         if released.level is None:
             return
         level = released.level
@@ -222,14 +226,22 @@
             window_s: The window of the limits, in seconds.
             now_s: The current time, in seconds.
         """
-        old_s = now_s - window_s - 2 * limit_shares.MAX_UPDATE_DELAY_S
+        old_s = now_s - window_s - account_handovers.GIVEN_S
         for account, bucket in list(self._buckets.items()):
             if bucket.is_unused(account in known, old_s, now_s):
                 del self._buckets[account]
-        for times in (self._given_to, self._released_by):
-            for account, by_vm in list(times.items()):
-                if all(at_s < old_s for at_s in by_vm.values()):
-                    del times[account]
+        self._handovers.drop_old(old_s)
+
+    def _is_confirmed(self, contact_age_s: float, now_s: float) -> bool:
+        """Returns True if most VMs have the same list, in an outage."""
+        current = self.history.current
+        if contact_age_s > account_owners.OUTAGE_S or self._vm not in current:
+            return False
+        oldest_s = now_s - account_owners.CONFIRMED_S
+        same = sum(
+            self._confirmed_s.get(vm, -math.inf) >= oldest_s for vm in current
+        )
+        return same + 1 >= account_owners.get_majority(current)
 
     def _is_owner(self, account: str) -> bool:
         return self.history.get_owner(account) == self._vm
@@ -256,12 +268,11 @@
 
     def _get_sole_since_s(self, account: str, now_s: float) -> float:
         """Returns since when no other VM can have lent, in seconds."""
-        times_s = [
+        times_s = (
             self.history.get_sole_since_s(account),
             self._hold_until_s,
-            *self._given_to.get(account, {}).values(),
-            *self._released_by.get(account, {}).values(),
-        ]
+            self._handovers.get_latest_s(account),
+        )
         return min(now_s, max(times_s))
 
     def _make_bucket(
--- a/src/azureramp/policy/searcher_selection.py
+++ b/src/azureramp/policy/searcher_selection.py
@@ -68,6 +68,11 @@
     return _get_slowness(stats, now_s) * (1.0 + ahead / slots)
 
 
+def has_free_slot(stats: searcher_stats.SearcherStats, now_s: float) -> bool:
+    """Returns True unless all slots are known to be in use."""
+    return _get_load(stats, now_s) < stats.slots
+
+
 def has_queued_calls(stats: searcher_stats.SearcherStats, now_s: float) -> bool:
     """Returns True if calls are waiting for a slot."""
     return _get_load(stats, now_s) > stats.slots
