--- a/tests/policy/test_advertising.py
+++ b/tests/policy/test_advertising.py
@@ -86,7 +86,7 @@
     """Guards against other VMs for deployments whose links don't differ."""
     zones = {"a": 16, "b": 16}
     members = [
-        dataclasses.replace(member, cores=2.0 if index % 4 == 0 else 0.9)
+        dataclasses.replace(member, cores=2.0 if index % 16 == 0 else 0.9)
         for index, member in enumerate(make_members(zones))
     ]
     usual = {each.vm for each in advertising.choose_members(members, {}, 54)}
--- a/tests/policy/test_server_slowness.py
+++ b/tests/policy/test_server_slowness.py
@@ -183,6 +183,15 @@
     assert chosen == ["near", "far"]
 
 
+def test_the_target_does_not_matter_with_three_figures() -> None:
+    """Guards against changes for searchers that don't report slowness."""
+    near = make_stats(same_zone=True)
+    near.relative_time = 3.5
+    assert searcher_selection.compute_cost(
+        near, 0.0, searcher_selection.MAX_SAME_ZONE_TOLERANCE
+    ) == searcher_selection.compute_cost(near, 0.0)
+
+
 def test_work_leaves_a_zone_by_what_it_has_too_much() -> None:
     """Guards against a zone that is left, or returned to, at once.
 
