Leave a hedge out only if it is hopeless

The expectation is a mean, and durations vary.

Change: where searchers report how slow they are, a hedge is left out only if it is expected to take four times as long. The limit on extra calls stays.

--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -340,11 +340,9 @@
             stats, now_s
         ):
             return False
-        expected_s = (
-            self._timings.get_usual_s()
-            * searcher_selection.estimate_relative_time(stats, now_s)
+        return not stats.overdue and searcher_selection.may_answer_within(
+            stats, self._timings.get_usual_s(), within_s, now_s
         )
-        return not stats.overdue and expected_s <= within_s
 
     def _cancel_unsent(
         self, attempt: attempt_module.Attempt, now_s: float
--- a/src/azureramp/policy/searcher_selection.py
+++ b/src/azureramp/policy/searcher_selection.py
@@ -38,6 +38,10 @@
 """Upper limit of the tolerance derived from the target: slower searchers soon
 have a queue."""
 
+HOPELESS_FACTOR = 4.0
+"""How many times as long as useful a hedge may be expected to take, if the
+searcher reports how slow it is."""
+
 OVERDUE_COST = 4.0
 """Extra cost per overdue call, as a multiple of a usual call: a searcher that
 pauses delays all calls in flight on it."""
@@ -68,6 +72,30 @@
     return _get_slowness(stats, now_s) * (1.0 + ahead / slots)
 
 
+def may_answer_within(
+    stats: searcher_stats.SearcherStats,
+    usual_s: float,
+    within_s: float,
+    now_s: float,
+) -> bool:
+    """Returns True if a hedge may be answered in time.
+
+    Where the searcher reports how slow it is, a hedge is left out only if it
+    is known to be hopeless: durations vary, and a call that is seldom in time
+    still saves some answers.
+
+    Args:
+        stats: The searcher's statistics.
+        usual_s: The usual duration of the route's calls, in seconds.
+        within_s: The time within which the answer is useful, in seconds.
+        now_s: The current time, in seconds.
+    """
+    expected_s = usual_s * estimate_relative_time(stats, now_s)
+    if stats.server.is_known():
+        expected_s /= HOPELESS_FACTOR
+    return expected_s <= within_s
+
+
 def has_free_slot(stats: searcher_stats.SearcherStats, now_s: float) -> bool:
     """Returns True unless all slots are known to be in use."""
     return _get_load(stats, now_s) < stats.slots
--- a/tests/policy/test_server_slowness.py
+++ b/tests/policy/test_server_slowness.py
@@ -213,3 +213,21 @@
     assert counts[-1] >= 3
     for less, more in itertools.pairwise(counts):
         assert 0 <= more - less <= 1
+
+
+def test_only_a_hopeless_hedge_is_left_out() -> None:
+    """Guards against shards that are missing because nobody else was asked.
+
+    An urgent request has 12 ms left and its calls take 8. The other searcher is
+    expected to take 16, and may still be in time.
+    """
+    slow, hopeless, silent = make_stats(), make_stats(), make_stats()
+    slow.server.record(2.0, 1.0)
+    hopeless.server.record(8.5, 1.0)
+    silent.relative_time, silent.updated_s = 2.0, 1.0
+    expected = {"slow": True, "hopeless": False, "silent": False}
+    records = {"slow": slow, "hopeless": hopeless, "silent": silent}
+    assert expected == {
+        name: searcher_selection.may_answer_within(stats, 0.008, 0.012, 1.0)
+        for name, stats in records.items()
+    }
