Give the credit of accounts to the advertised VMs alone

Of a slack of 20 requests, 10 advertised VMs had one each and 14 none; a credit below one request is no credit, and a busy owner's answer may come late. Now the advertised VMs have 0.7 of the tolerance among them.

--- a/src/azureramp/controllers/forwarding/account_limits.py
+++ b/src/azureramp/controllers/forwarding/account_limits.py
@@ -14,14 +14,14 @@
     account_uses,
 )
 from azureramp.controllers.forwarding import board as board_module
-from azureramp.policy import limit_shares
+from azureramp.policy import account_limits, limit_shares
 from azureramp.ports.vms import api as vms_api
 from azureramp.ports.web import api as web_api
 
 MAX_WAIT_S = 0.05
 """Maximum time that a request waits for the deciding VM, in seconds."""
 
-MIN_WAIT_S = 0.015
+MIN_WAIT_S = 0.025
 """The same for a request that has little time, in seconds: a few round trips
 between availability zones."""
 
@@ -160,11 +160,9 @@
     def _update_share(self, now_s: float) -> None:
         """Updates this VM's share of the credit of all VMs."""
         board = self._board
-        members = board.members.keys() | {board.identity.vm}
         self._share.update(
-            limit_shares.compute_share(
+            account_limits.compute_credit_share(
                 len(board.advertised),
-                len(members - board.advertised.keys()),
                 board.identity.vm in board.advertised,
                 now_s - board.contact.last_answer_s
                 > limit_shares.STALE_CONTACT_S,
--- a/src/azureramp/policy/account_limits.py
+++ b/src/azureramp/policy/account_limits.py
@@ -17,14 +17,16 @@
 
 import dataclasses
 
+from azureramp.policy import limit_shares
+
 LEND_TIMEOUT_S = 0.25
 """Maximum time from a VM's report until it may use the tokens of the answer, in
 seconds. The bucket may refill for this time beyond a window."""
 
-LOCAL_SHARE = 0.6
+LOCAL_SHARE = 0.7
 """Share of the tolerance that the VMs may use without the deciding VM."""
 
-START_SHARE = 0.2
+START_SHARE = 0.15
 """Share of the tolerance that a bucket starts with whose predecessor's use is
 unknown, so that small accounts don't wait for it to refill. The rest of the
 tolerance increases the bucket's capacity."""
@@ -65,6 +67,24 @@
     local: float
 
 
+def compute_credit_share(
+    advertised: int, is_advertised: bool, stale: bool
+) -> float:
+    """Returns a VM's share of the credit of all VMs, 0 to 1.
+
+    The other VMs have none: divided among them, it would be less than one
+    request each.
+
+    Args:
+        advertised: Number of VMs that are advertised to callers.
+        is_advertised: True if this VM is advertised.
+        stale: True if this VM has lost contact with the store.
+    """
+    if not is_advertised:
+        return 0.0
+    return (limit_shares.STALE_FACTOR if stale else 1.0) / advertised
+
+
 def compute_bound(
     rate_per_s: float, burst: float, tolerance: Tolerance
 ) -> float:
--- a/tests/policy/account_model.py
+++ b/tests/policy/account_model.py
@@ -146,14 +146,12 @@
     def _observe(self, vm: Vm) -> None:
         age_s = self.now_s - vm.contact_s
         vm.lending.observe(vm.view[0], age_s, self.now_s)
-        vm.share.update(
-            limit_shares.compute_share(
-                len(vm.view[0]),
-                len(self.vms) - len(vm.view[0]),
-                vm.name in vm.view[0],
-                age_s > limit_shares.STALE_CONTACT_S,
-            ),
-            self.now_s,
+        stale = age_s > limit_shares.STALE_CONTACT_S
+        vm.share.update(self.compute_share(vm, stale), self.now_s)
+
+    def compute_share(self, vm: Vm, stale: bool) -> float:
+        return account_limits.compute_credit_share(
+            len(vm.view[0]), vm.name in vm.view[0], stale
         )
 
     def get_budget(self, vm: Vm) -> account_limits.Budget:
--- a/tests/policy/test_account_ways.py
+++ b/tests/policy/test_account_ways.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from azureramp.policy import account_limits, account_owners
+from azureramp.policy import account_limits, account_owners, limit_shares
 from tests.policy import account_model
 
 VMS = 87
@@ -35,6 +35,12 @@
         )
         super().__init__(*args, **fields)
 
+    def compute_share(self, vm: account_model.Vm, stale: bool) -> float:
+        listed = vm.view[0]
+        return limit_shares.compute_share(
+            len(listed), len(self.vms) - len(listed), vm.name in listed, stale
+        )
+
     def ask(self, vm: account_model.Vm) -> bool:
         sent_s = self.sent_by[vm.name]
         while sent_s and sent_s[0] < self.now_s - account_model.WINDOW_S:
