--- a/src/azureramp/controllers/forwarding/account_limits.py
+++ b/src/azureramp/controllers/forwarding/account_limits.py
@@ -177,10 +177,7 @@
         if record is None:
             record = account_uses.UseRecord(account, tolerance, self._floor)
             self._records[account.name] = record
-        elif (record.account.rate_per_s, record.account.burst) != (
-            account.rate_per_s,
-            account.burst,
-        ):
+        elif not record.is_configured(account, tolerance):
             record.configure(account, tolerance)
         return record
 
--- a/src/azureramp/controllers/forwarding/account_reports.py
+++ b/src/azureramp/controllers/forwarding/account_reports.py
@@ -188,32 +188,27 @@
         )
         try:
             result = await self._exchange(owner, uses)
-        except BaseException:
-            for record in batch:
+            now_s = loop.time()
+            late = now_s - sent_s > account_limits.LEND_TIMEOUT_S
+            if result.is_error() or late:
+                detail = "late" if result.is_ok() else result.error.detail
+                _logger.info("no answer on accounts from {}: {}", owner, detail)
+                link.silent_until_s = now_s + SILENCE_S
+                return False
+            repeat = False
+            for record, decision in zip(batch, result.ok, strict=True):
+                waiting = record.in_flight or 0
                 record.in_flight = None
-            raise
-        now_s = loop.time()
-        if result.is_ok() and now_s - sent_s > account_limits.LEND_TIMEOUT_S:
-            result = expression.Error(
-                errors.Failure(errors.Kind.CONNECTION_LOST, "answered too late")
-            )
-        if result.is_error():
-            link.silent_until_s = now_s + SILENCE_S
-            _logger.info(
-                "{} doesn't decide for accounts: {}", owner, result.error.detail
-            )
+                if self._apply(record, decision, waiting, now_s):
+                    self.schedule(record, urgent=True)
+                    repeat |= (
+                        decision.state is not account_buckets.State.LENDING
+                    )
+            return repeat
+        finally:
             for record in batch:
-                self._fail(record)
-            return False
-        repeat = False
-        for record, decision in zip(batch, result.ok, strict=True):
-            waiting = record.in_flight or 0
-            record.in_flight = None
-            if self._apply(record, decision, waiting, now_s):
-                link.records[record.account.name] = record
-                repeat |= decision.state is not account_buckets.State.LENDING
-                link.urgent.set()
-        return repeat
+                if record.in_flight is not None:
+                    self._fail(record)
 
     async def _exchange(
         self, owner: str, uses: tuple[messages.Use, ...]
--- a/src/azureramp/controllers/forwarding/account_uses.py
+++ b/src/azureramp/controllers/forwarding/account_uses.py
@@ -55,6 +55,7 @@
 
     Attributes:
         account: The account as configured when it was last used.
+        tolerance: The tolerance of its limit.
         budget: Its budget.
         credit: This VM's credit.
         waiters: The requests that wait for the deciding VM, oldest first.
@@ -87,6 +88,7 @@
         "refusals",
         "room_s",
         "spacing_s",
+        "tolerance",
         "uses",
         "waiters",
     )
@@ -117,6 +119,16 @@
         self.redirect_until_s = -math.inf
         self.configure(account, tolerance)
 
+    def is_configured(
+        self, account: catalog.Account, tolerance: account_limits.Tolerance
+    ) -> bool:
+        """Returns True if the limit is the same as before."""
+        return (
+            self.account.rate_per_s == account.rate_per_s
+            and self.account.burst == account.burst
+            and self.tolerance == tolerance
+        )
+
     def configure(
         self, account: catalog.Account, tolerance: account_limits.Tolerance
     ) -> None:
@@ -127,6 +139,7 @@
             tolerance: The tolerance of the limits.
         """
         self.account = account
+        self.tolerance = tolerance
         self.budget = account_limits.compute_budget(
             account.rate_per_s, account.burst, tolerance
         )
