--- a/src/azureramp/controllers/forwarding/account_limits.py
+++ b/src/azureramp/controllers/forwarding/account_limits.py
@@ -14,17 +14,20 @@
     account_uses,
 )
 from azureramp.controllers.forwarding import board as board_module
-from azureramp.policy import limit_shares
+from azureramp.policy import account_limits, limit_shares
 from azureramp.ports.vms import api as vms_api
 from azureramp.ports.web import api as web_api
 
 MAX_WAIT_S = 0.05
 """Maximum time that a request waits for the deciding VM, in seconds."""
 
-MIN_WAIT_S = 0.015
+MIN_WAIT_S = 0.025
 """The same for a request that has little time, in seconds: a few round trips
 between availability zones."""
 
+LATE_S = 0.005
+"""Delay of a timer from which on the event loop was busy, in seconds."""
+
 WAIT_SHARE = 0.25
 """Share of a request's latency target that it may wait."""
 
@@ -160,11 +163,9 @@
     def _update_share(self, now_s: float) -> None:
         """Updates this VM's share of the credit of all VMs."""
         board = self._board
-        members = board.members.keys() | {board.identity.vm}
         self._share.update(
-            limit_shares.compute_share(
+            account_limits.compute_credit_share(
                 len(board.advertised),
-                len(members - board.advertised.keys()),
                 board.identity.vm in board.advertised,
                 now_s - board.contact.last_answer_s
                 > limit_shares.STALE_CONTACT_S,
@@ -179,10 +180,7 @@
         if record is None:
             record = account_uses.UseRecord(account, tolerance, self._floor)
             self._records[account.name] = record
-        elif (record.account.rate_per_s, record.account.burst) != (
-            account.rate_per_s,
-            account.burst,
-        ):
+        elif not record.is_configured(account, tolerance):
             record.configure(account, tolerance)
         return record
 
@@ -211,16 +209,17 @@
             record: The account's state.
             wait_s: Maximum time to wait, in seconds.
         """
-        waiter: asyncio.Future[bool] = (
-            asyncio.get_running_loop().create_future()
-        )
+        loop = asyncio.get_running_loop()
+        waiter: asyncio.Future[bool] = loop.create_future()
         record.waiters.append(waiter)
         self._reporter.schedule(record, urgent=True)
+        until_s = loop.time() + wait_s
         try:
-            async with asyncio.timeout(wait_s):
-                return await waiter
-        except TimeoutError:
-            return waiter.done() and not waiter.cancelled() and waiter.result()
+            await asyncio.wait((waiter,), timeout=wait_s)
+            if not waiter.done() and loop.time() - until_s > LATE_S:
+                # The answer may have come while the event loop was busy.
+                await asyncio.wait((waiter,), timeout=MIN_WAIT_S)
+            return waiter.done() and waiter.result()
         finally:
             if waiter in record.waiters:
                 record.waiters.remove(waiter)
