--- a/src/azureramp/policy/admission_gate.py
+++ b/src/azureramp/policy/admission_gate.py
@@ -217,7 +217,8 @@
     def _find_next(self, now_s: float) -> fair_queue.Ticket | None:
         """Returns the next waiting request for which there is room."""
         for ticket in self.queue.list_next():
-            if self._has_room(ticket, now_s):
+            # While none runs, no end of a request would admit it later.
+            if not self.running or self._has_room(ticket, now_s):
                 return ticket
         return None
 
@@ -243,9 +244,11 @@
         if math.isinf(limit):
             return limit
         reserved = PRIORITY_RESERVE * self._get_rank(ticket, now_s)
+        excess = 1.0
         if self.shares.asks_for_more(ticket.account):
             reserved += self.shares.reserved
-        return limit * (1.0 - min(MAX_RESERVED, reserved))
+            excess = max(1.0, self.shares.get_excess(ticket.account, now_s))
+        return limit * (1.0 - min(MAX_RESERVED, reserved)) / excess
 
     def _get_rank(self, ticket: fair_queue.Ticket, now_s: float) -> int:
         """Returns how many more urgent priorities compete."""
--- a/src/azureramp/policy/fair_shares.py
+++ b/src/azureramp/policy/fair_shares.py
@@ -61,12 +61,13 @@
             ask for less than their share, 0 to `MAX_RESERVED`.
     """
 
-    __slots__ = ("_computed_s", "_uses", "level", "reserved")
+    __slots__ = ("_computed_s", "_granted_level", "_uses", "level", "reserved")
 
     def __init__(self) -> None:
         """Creates an instance that knows no accounts."""
         self._uses: dict[str, _Use] = {}
         self._computed_s = -math.inf
+        self._granted_level = math.inf
         self.level = math.inf
         self.reserved = 0.0
 
@@ -108,13 +109,23 @@
             [(use.asked, use.weight) for use in self._uses.values()], capacity
         )
         self.reserved = 0.0
-        if not math.isinf(self.level):
-            satisfied = sum(
-                use.asked
-                for use in self._uses.values()
-                if use.asked <= self.level * use.weight
-            )
-            self.reserved = min(MAX_RESERVED, satisfied / max(1e-9, capacity))
+        self._granted_level = math.inf
+        if math.isinf(self.level):
+            return
+        satisfied = 0.0
+        granted: list[float] = []
+        for use in self._uses.values():
+            if use.asked <= self.level * use.weight:
+                satisfied += use.asked
+            else:
+                granted.append(use.granted / use.weight)
+        self.reserved = min(MAX_RESERVED, satisfied / max(1e-9, capacity))
+        if len(granted) > 1:
+            # What they got is surer than what can be served.
+            mean = sum(granted) / len(granted)
+            self._granted_level = min(self.level, mean)
+        elif satisfied > 0:
+            self._granted_level = self.level
 
     def asks_for_more(self, account: str) -> bool:
         """Returns True if an account asks for more than its share."""
@@ -127,10 +138,10 @@
         Above 1 it has had more than its share while others asked.
         """
         use = self._uses.get(account)
-        if use is None or math.isinf(self.level):
+        if use is None or math.isinf(self._granted_level):
             return 0.0
         use.decay(now_s)
-        return use.granted / max(1e-9, self.level * use.weight)
+        return use.granted / max(1e-9, self._granted_level * use.weight)
 
 
 def compute_level(asked: list[tuple[float, float]], capacity: float) -> float:
