--- a/tests/policy/queueing_model.py
+++ b/tests/policy/queueing_model.py
@@ -70,6 +70,7 @@
         while self._events:
             self.now_s, _, act = heapq.heappop(self._events)
             act()
+        assert not any(each.running or each.queue for each in self.gates)
 
     def get_share(self, *accounts: str) -> float:
         served = sum(self.served[each] for each in accounts)
