--- a/src/azureramp_standins/soak/mutants.py
+++ b/src/azureramp_standins/soak/mutants.py
@@ -208,7 +208,7 @@
 def admit_all() -> None:
     """Admits requests beyond an account's limit."""
 
-    async def take(self: Any, account: Any) -> None:
+    async def take(self: Any, *details: Any) -> None:
         return None
 
     patch(account_limits.AccountLimits, "take", take)
