--- a/src/azureramp/cli/main.py
+++ b/src/azureramp/cli/main.py
@@ -19,6 +19,7 @@
     options,
     restore_zone,
     rollouts,
+    searchers,
     status,
     timeline,
     watch,
@@ -44,6 +45,7 @@
     timeline,
     explain,
     losses,
+    searchers,
     accounts,
     rollouts,
 ):
--- a/src/azureramp/policy/service_forecast.py
+++ b/src/azureramp/policy/service_forecast.py
@@ -16,7 +16,7 @@
 from collections.abc import Iterable, Sequence
 
 from azureramp import errors
-from azureramp.policy import searcher_selection
+from azureramp.policy import searcher_selection, searcher_stats
 
 CERTAIN_SHARE = 0.5
 """Share of the estimated duration of a call that it certainly takes: those that
@@ -65,7 +65,7 @@
 
 
 def make_forecast(
-    services: Iterable[Sequence[searcher_selection.SearcherStats]],
+    services: Iterable[Sequence[searcher_stats.SearcherStats]],
     needed: int,
     usual_s: float,
     now_s: float,
@@ -134,13 +134,13 @@
     return ranked[missing - 1]
 
 
-def _get_known_s(stats: searcher_selection.SearcherStats) -> float:
+def _get_known_s(stats: searcher_stats.SearcherStats) -> float:
     """Returns when a searcher was last measured or reported its load."""
     return max(stats.updated_s, stats.reported_s)
 
 
 def _bound_call_s(
-    stats: searcher_selection.SearcherStats, usual_s: float, now_s: float
+    stats: searcher_stats.SearcherStats, usual_s: float, now_s: float
 ) -> float:
     """Returns a lower bound of a call's duration, in seconds."""
     if now_s - _get_known_s(stats) > MAX_KNOWLEDGE_AGE_S:
--- a/tests/policy/test_service_forecast.py
+++ b/tests/policy/test_service_forecast.py
@@ -10,12 +10,12 @@
 from azureramp import catalog, errors
 from azureramp.policy import (
     competition,
-    searcher_selection,
+    searcher_stats,
     service_forecast,
 )
 
 NOW_S = 100.0
-FREE = searcher_selection.SearcherStats(2, True, updated_s=NOW_S)
+FREE = searcher_stats.SearcherStats(2, True, updated_s=NOW_S)
 FULL = dataclasses.replace(
     FREE, reported_load=14.0, reported_s=NOW_S, relative_time=11.0
 )
@@ -43,7 +43,7 @@
     ],
 )
 def test_only_what_certainly_fails_is_refused(
-    shards: list[list[searcher_selection.SearcherStats]],
+    shards: list[list[searcher_stats.SearcherStats]],
     usual_s: float,
     left_s: float,
     kind: errors.Kind | None,
