--- a/tests/forwarding/test_account_limits.py
+++ b/tests/forwarding/test_account_limits.py
@@ -235,3 +235,18 @@
         assert (await send(scene, "k-yard", 5.0, 1.0)) == {401: 5}
 
     scenes.run(run, vms=VMS, searchers=4)
+
+
+@pytest.mark.parametrize("fault", ["silent", "busy"])
+def test_the_store_is_down(fault: str) -> None:
+    """Guards against refusals because the owners have lost the store."""
+
+    async def run(scene: deployment.Deployment) -> None:
+        await declare_accounts(scene)
+        setattr(scene.store.faults, fault, True)
+        statuses = await send(scene, "k-yard", 0.6 * RATE_PER_S, 12.0)
+        setattr(scene.store.faults, fault, False)
+        statuses += await send(scene, "k-yard", 0.6 * RATE_PER_S, 10.0)
+        assert statuses[200] >= 0.99 * statuses.total()
+
+    scenes.run(run, vms=VMS, searchers=4)
