--- a/tests/forwarding/test_account_limits.py
+++ b/tests/forwarding/test_account_limits.py
@@ -250,3 +250,35 @@
         assert statuses[200] >= 0.99 * statuses.total()
 
     scenes.run(run, vms=VMS, searchers=4)
+
+
+def test_vms_are_restarted_in_turn() -> None:
+    """Guards against an account that pays for each change of its owner."""
+
+    async def run(scene: deployment.Deployment) -> None:
+        await declare_accounts(scene)
+
+        async def restart(vm: str, first_port: int) -> None:
+            await scene.daemons[vm].stop()
+            await scene.add_vm(vm, "zone-0", first_port, first_start=False)
+
+        async def restart_all() -> None:
+            async with asyncio.TaskGroup() as group:
+                for number in range(VMS):
+                    group.create_task(
+                        restart(f"vm-{number}", 30000 + 10 * number)
+                    )
+                    await asyncio.sleep(2.0)
+
+        statuses: collections.Counter[int] = collections.Counter()
+        restarting = asyncio.create_task(restart_all())
+        while not restarting.done():
+            ready = [
+                vm
+                for vm, daemon in sorted(scene.daemons.items())
+                if daemon.board.is_ready()
+            ]
+            statuses += await send(scene, "k-yard", 12.0, 0.5, ready)
+        assert statuses[429] <= 0.02 * statuses.total()
+
+    scenes.run(run, vms=VMS + 2, searchers=4)
