--- a/src/azureramp/controllers/forwarding/account_limits.py
+++ b/src/azureramp/controllers/forwarding/account_limits.py
@@ -34,6 +34,9 @@
 TICK_S = 0.1
 """Interval at which VMs and pending reports are checked, in seconds."""
 
+DROP_INTERVAL_S = 5.0
+"""Interval at which what is idle is dropped, in seconds."""
+
 _logger = logbook.Logger("azureramp.account_limits")
 
 
@@ -122,14 +125,17 @@
 
     async def run(self) -> None:
         """Follows the VMs and repeats reports, until cancelled."""
+        dropped_s = -math.inf
         while True:
             now_s = asyncio.get_running_loop().time()
             self._observe(now_s)
             self._update_share(now_s)
             self._check_records(now_s)
             self._decider.compare_lists(now_s)
-            self._decider.drop_idle(now_s)
-            self._reporter.drop_idle(now_s)
+            if now_s >= dropped_s + DROP_INTERVAL_S:
+                dropped_s = now_s
+                self._decider.drop_idle(now_s)
+                self._reporter.drop_idle(now_s)
             await asyncio.sleep(TICK_S)
 
     def close(self) -> None:
