--- a/src/azureramp/controllers/forwarding/account_limits.py
+++ b/src/azureramp/controllers/forwarding/account_limits.py
@@ -22,11 +22,10 @@
 """Maximum time that a request waits for the deciding VM, in seconds."""
 
 MIN_WAIT_S = 0.025
-"""The same for a request that has little time, in seconds: a few round trips
-between availability zones."""
+"""The same for a request with little time: a few round trips."""
 
 LATE_S = 0.005
-"""Delay of a timer from which on the event loop was busy, in seconds."""
+"""Delay of a timer that shows a busy event loop, in seconds."""
 
 WAIT_SHARE = 0.25
 """Share of a request's latency target that it may wait."""
@@ -35,7 +34,7 @@
 """Interval at which VMs and pending reports are checked, in seconds."""
 
 DROP_INTERVAL_S = 5.0
-"""Interval at which what is idle is dropped, in seconds."""
+"""Interval at which idle state is dropped, in seconds."""
 
 _logger = logbook.Logger("azureramp.account_limits")
 
@@ -145,11 +144,11 @@
 
     def describe(self) -> list[account_uses.AccountUse]:
         """Describes the accounts that were used lately, ordered by name."""
+        share, owner = self._share.value, self._decider.get_owner
         window_s = self._board.bounds.account_limits.window_s
         now_s = asyncio.get_running_loop().time()
-        owner = self._decider.get_owner
         return [
-            record.describe(owner(name), self._share.value, window_s, now_s)
+            record.describe(owner(name), share, window_s, now_s)
             for name, record in sorted(self._records.items())
         ]
 
@@ -241,15 +240,13 @@
             "admitted" if granted else "refused",
             not granted or record.is_near_limit(window_s, now_s),
         )
-        if granted:
-            return
-        record.refusals.add(now_s)
-        if record.limited_s is None:
+        if not granted:
+            record.refusals.add(now_s)
+        if not granted and record.limited_s is None:
             record.limited_s = now_s
+            known = self._explain(record, now_s)
             _logger.info(
-                "account {} reached its limit: {}",
-                account.name,
-                self._explain(record, now_s),
+                "account {} reached its limit: {}", account.name, known
             )
 
     def _refuse(
