--- a/src/azureramp/policy/congestion.py
+++ b/src/azureramp/policy/congestion.py
@@ -34,6 +34,12 @@
 queued; short queues form and vanish by chance."""
 
 
+LOST_SHARE = 0.2
+"""Share of the latest requests that full searchers kept from being answered,
+from which on it is not chance. One lost request to many shards is enough; of
+requests to one searcher it takes two."""
+
+
 class Evidence(enum.Enum):
     """What the ended requests show."""
 
@@ -90,7 +96,8 @@
         congested = lost or outcome.queued > half
         self.congested_share += weight * (congested - self.congested_share)
         self._slow += weight * ((outcome.slow > half) - self._slow)
-        if lost or self.congested_share > MAJORITY:
+        least = LOST_SHARE if lost else MAJORITY
+        if self.congested_share > least:
             return Evidence.FULL
         return Evidence.SLOW if self._slow > MAJORITY else Evidence.NONE
 
--- a/tests/policy/test_admission_gate.py
+++ b/tests/policy/test_admission_gate.py
@@ -126,12 +126,19 @@
 
 
 def test_full_shards_beyond_what_may_miss_are_congestion() -> None:
-    """Five full shards of 90 fail each request that needs 86 of them."""
+    """Five full shards of 90 fail each request that needs 86 of them.
+
+    Of requests to one searcher, a single one that is lost may be chance.
+    """
     detector = congestion.CongestionDetector()
     few = congestion.Outcome(90, 86, full=4, queued=0, slow=0)
     assert detector.record(few) is congestion.Evidence.NONE
     lost = congestion.Outcome(90, 86, full=5, queued=0, slow=0)
     assert detector.record(lost) is congestion.Evidence.FULL
+    single = congestion.Outcome(1, 1, full=1, queued=0, slow=0)
+    detector = congestion.CongestionDetector()
+    assert detector.record(single) is congestion.Evidence.NONE
+    assert detector.record(single) is congestion.Evidence.FULL
 
 
 def test_a_limit_that_is_no_longer_needed_is_lifted() -> None:
