--- a/src/azureramp/controllers/forwarding/account_limits.py
+++ b/src/azureramp/controllers/forwarding/account_limits.py
@@ -14,16 +14,18 @@
     account_uses,
 )
 from azureramp.controllers.forwarding import board as board_module
-from azureramp.policy import limit_shares
+from azureramp.policy import account_limits, limit_shares
 from azureramp.ports.vms import api as vms_api
 from azureramp.ports.web import api as web_api
 
 MAX_WAIT_S = 0.05
 """Maximum time that a request waits for the deciding VM, in seconds."""
 
-MIN_WAIT_S = 0.015
-"""The same for a request that has little time, in seconds: a few round trips
-between availability zones."""
+MIN_WAIT_S = 0.025
+"""The same for a request with little time: a few round trips."""
+
+LATE_S = 0.005
+"""Delay of a timer that shows a busy event loop, in seconds."""
 
 WAIT_SHARE = 0.25
 """Share of a request's latency target that it may wait."""
@@ -31,6 +33,9 @@
 TICK_S = 0.1
 """Interval at which VMs and pending reports are checked, in seconds."""
 
+DROP_INTERVAL_S = 5.0
+"""Interval at which idle state is dropped, in seconds."""
+
 _logger = logbook.Logger("azureramp.account_limits")
 
 
@@ -119,14 +124,17 @@
 
     async def run(self) -> None:
         """Follows the VMs and repeats reports, until cancelled."""
+        dropped_s = -math.inf
         while True:
             now_s = asyncio.get_running_loop().time()
             self._observe(now_s)
             self._update_share(now_s)
             self._check_records(now_s)
             self._decider.compare_lists(now_s)
-            self._decider.drop_idle(now_s)
-            self._reporter.drop_idle(now_s)
+            if now_s >= dropped_s + DROP_INTERVAL_S:
+                dropped_s = now_s
+                self._decider.drop_idle(now_s)
+                self._reporter.drop_idle(now_s)
             await asyncio.sleep(TICK_S)
 
     def close(self) -> None:
@@ -136,11 +144,11 @@
 
     def describe(self) -> list[account_uses.AccountUse]:
         """Describes the accounts that were used lately, ordered by name."""
+        share, owner = self._share.value, self._decider.get_owner
         window_s = self._board.bounds.account_limits.window_s
         now_s = asyncio.get_running_loop().time()
-        owner = self._decider.get_owner
         return [
-            record.describe(owner(name), self._share.value, window_s, now_s)
+            record.describe(owner(name), share, window_s, now_s)
             for name, record in sorted(self._records.items())
         ]
 
@@ -160,11 +168,9 @@
     def _update_share(self, now_s: float) -> None:
         """Updates this VM's share of the credit of all VMs."""
         board = self._board
-        members = board.members.keys() | {board.identity.vm}
         self._share.update(
-            limit_shares.compute_share(
+            account_limits.compute_credit_share(
                 len(board.advertised),
-                len(members - board.advertised.keys()),
                 board.identity.vm in board.advertised,
                 now_s - board.contact.last_answer_s
                 > limit_shares.STALE_CONTACT_S,
@@ -179,10 +185,7 @@
         if record is None:
             record = account_uses.UseRecord(account, tolerance, self._floor)
             self._records[account.name] = record
-        elif (record.account.rate_per_s, record.account.burst) != (
-            account.rate_per_s,
-            account.burst,
-        ):
+        elif not record.is_configured(account, tolerance):
             record.configure(account, tolerance)
         return record
 
@@ -211,16 +214,17 @@
             record: The account's state.
             wait_s: Maximum time to wait, in seconds.
         """
-        waiter: asyncio.Future[bool] = (
-            asyncio.get_running_loop().create_future()
-        )
+        loop = asyncio.get_running_loop()
+        waiter: asyncio.Future[bool] = loop.create_future()
         record.waiters.append(waiter)
         self._reporter.schedule(record, urgent=True)
+        until_s = loop.time() + wait_s
         try:
-            async with asyncio.timeout(wait_s):
-                return await waiter
-        except TimeoutError:
-            return waiter.done() and not waiter.cancelled() and waiter.result()
+            await asyncio.wait((waiter,), timeout=wait_s)
+            if not waiter.done() and loop.time() - until_s > LATE_S:
+                # The answer may have come while the event loop was busy.
+                await asyncio.wait((waiter,), timeout=MIN_WAIT_S)
+            return waiter.done() and waiter.result()
         finally:
             if waiter in record.waiters:
                 record.waiters.remove(waiter)
@@ -236,15 +240,13 @@
             "admitted" if granted else "refused",
             not granted or record.is_near_limit(window_s, now_s),
         )
-        if granted:
-            return
-        record.refusals.add(now_s)
-        if record.limited_s is None:
+        if not granted:
+            record.refusals.add(now_s)
+        if not granted and record.limited_s is None:
             record.limited_s = now_s
+            known = self._explain(record, now_s)
             _logger.info(
-                "account {} reached its limit: {}",
-                account.name,
-                self._explain(record, now_s),
+                "account {} reached its limit: {}", account.name, known
             )
 
     def _refuse(
--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -17,7 +17,7 @@
     allowances,
     exposure,
     routing,
-    searcher_selection,
+    searcher_stats,
 )
 from azureramp.ports.forwarding import pool
 
@@ -62,6 +62,7 @@
         first_start: True if the whole tier is starting for the first time.
         serves_callers: True if it forwards requests; False for a process that
             only advertises addresses to callers.
+        link_mbps: The bandwidth of its link, in Mbit/s; 0 if unknown.
     """
 
     vm: str
@@ -71,6 +72,7 @@
     cores: float
     first_start: bool
     serves_callers: bool = True
+    link_mbps: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -88,19 +90,21 @@
             complete.
         entry_expired: True if its entry expired during a store outage; it
             remains in use until the store has been back for a while.
+        reports_unreadable: True once it sent a load report that can't be read.
         call_times_s: When the newest call and those in the second before it
             were sent, including calls to the process that it replaced under its
             id.
     """
 
     searcher: catalog.Searcher
-    stats: searcher_selection.SearcherStats
+    stats: searcher_stats.SearcherStats
     pool: pool.Pool
     cold_until_s: float = -math.inf
     misdirected: bool = False
     probing: bool = False
     removed: bool = False
     entry_expired: bool = False
+    reports_unreadable: bool = False
     call_times_s: collections.deque[float] = dataclasses.field(
         default_factory=collections.deque
     )
@@ -253,4 +257,5 @@
             cores=self.identity.cores,
             leaving=self.leaving,
             busy=self.busy,
+            link_mbps=self.identity.link_mbps,
         )
--- a/src/azureramp/controllers/forwarding/demands.py
+++ b/src/azureramp/controllers/forwarding/demands.py
@@ -8,6 +8,7 @@
 from azureramp import catalog
 from azureramp.controllers.forwarding import fan_out, part
 from azureramp.policy import congestion
+from azureramp.ports.forwarding import api
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -56,11 +57,11 @@
     """
     full = queued = slow = 0
     for each in parts:
-        reply = each.reply
-        if reply is None:
-            full += bool(each.rejections)
-        elif reply.load is not None:
-            queued += congestion.is_queued(reply.load.waiting, reply.load.slots)
+        match each.reply:
+            case None:
+                full += bool(each.rejections)
+            case api.Reply(load=api.Load(waiting=waiting, slots=slots)):
+                queued += congestion.is_queued(waiting, slots)
         slow += congestion.is_slow(
             each.get_waited_s(now_s),
             demand.usual_s,
--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -20,7 +20,7 @@
 from azureramp.controllers.forwarding import (
     searchers as searchers_module,
 )
-from azureramp.policy import searcher_selection
+from azureramp.policy import searcher_selection, searcher_stats
 from azureramp.ports.forwarding import api
 
 ABANDONED_CALL_LINGER_S = 0.25
@@ -284,7 +284,8 @@
             self._tried,
             now_s,
             self._context.route.repeatable,
-            is_first=not self._attempts,
+            not self._attempts,
+            self._compute_tolerance(),
         )
         if target is None:
             return False
@@ -320,9 +321,17 @@
         )
         return True
 
+    def _compute_tolerance(self) -> float:
+        """Returns how much slower the own zone may be before it is left."""
+        if self._attempts:
+            return searcher_selection.SAME_ZONE_TOLERANCE
+        return searcher_selection.compute_same_zone_tolerance(
+            self._context.route.target_latency_s, self._timings.get_usual_s()
+        )
+
     def _is_worth_hedging(
         self,
-        stats: searcher_selection.SearcherStats,
+        stats: searcher_stats.SearcherStats,
         now_s: float,
         within_s: float,
     ) -> bool:
@@ -390,7 +399,12 @@
                         "call.took_ms", took_s * 1000
                     )
                 call_results.record_reply(
-                    attempt.target, outcome, self._timings, took_s, now_s
+                    attempt.target,
+                    outcome,
+                    self._timings,
+                    self._searchers.load_reports,
+                    took_s,
+                    now_s,
                 )
                 if not self.done:
                     self._handle_reply(outcome, now_s)
--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -14,11 +14,17 @@
     advertisement,
     change_log,
     cold_searchers,
+    load_reports,
     rollouts,
     shared_limits,
 )
 from azureramp.controllers.forwarding import board as board_module
-from azureramp.policy import advertising, searcher_selection
+from azureramp.policy import (
+    advertising,
+    searcher_selection,
+    searcher_stats,
+    server_slowness,
+)
 from azureramp.ports.forwarding import api, pool
 
 COLD_SLOWNESS = 1.6
@@ -40,6 +46,7 @@
 
     Attributes:
         limits: This VM's shares of the limits that apply to all VMs together.
+        load_reports: Records the searchers' load reports.
         metrics: Counts the calls.
         rollouts: Determines which versions may be used.
     """
@@ -48,8 +55,10 @@
         "_board",
         "_codec",
         "_log",
+        "_persistence",
         "_rng",
         "limits",
+        "load_reports",
         "metrics",
         "rollouts",
     )
@@ -67,8 +76,10 @@
         self._log = log
         self._board = board
         self.metrics = board.metrics
+        self.load_reports = load_reports.LoadReports(board.metrics, log)
         self._codec = codec
         self._rng = rng
+        self._persistence = server_slowness.Persistence()
         self.limits = shared_limits.SharedLimits(board)
 
     def add_or_update(self, searcher: catalog.Searcher) -> None:
@@ -166,6 +177,7 @@
         now_s: float,
         allow_faulty: bool = False,
         is_first: bool = False,
+        tolerance: float = searcher_selection.SAME_ZONE_TOLERANCE,
     ) -> board_module.Target | None:
         """Chooses a searcher of a service for one call.
 
@@ -176,6 +188,8 @@
             allow_faulty: True if a searcher that often fails may be chosen as a
                 last resort.
             is_first: True for the first call of a request.
+            tolerance: How much longer than usual a call in the own zone may
+                take, as a multiple of a usual call.
 
         Returns:
             The searcher; None if none may get a call now.
@@ -186,7 +200,7 @@
                 self._probe(target)
         for side in self.rollouts.list_version_groups(service, is_first, now_s):
             chosen = self._choose_from(
-                side, targets, excluded, now_s, allow_faulty
+                side, targets, excluded, now_s, allow_faulty, tolerance
             )
             if chosen is not None:
                 return chosen
@@ -199,6 +213,7 @@
         excluded: Collection[str],
         now_s: float,
         allow_faulty: bool,
+        tolerance: float,
     ) -> board_module.Target | None:
         """Chooses among a service's searchers on one side of a roll-out."""
         sides = (side,)
@@ -214,14 +229,24 @@
             for name, record in usable
             if not targets[name].pool.is_stalled()
         ]
-        chosen = searcher_selection.choose(responsive, now_s, self._rng)
+        chosen = searcher_selection.choose(
+            responsive, now_s, self._rng, tolerance
+        )
         if chosen is None:
-            chosen = searcher_selection.choose(usable, now_s, self._rng)
+            chosen = searcher_selection.choose(
+                usable, now_s, self._rng, tolerance
+            )
         if chosen is None:
             chosen = searcher_selection.choose_for_probe(usable, now_s)
         if chosen is None and allow_faulty:
             chosen = searcher_selection.choose_in_backoff(usable, now_s)
-        return None if chosen is None else targets[chosen]
+        if chosen is None:
+            return None
+        if not targets[chosen].stats.same_zone and any(
+            record.same_zone for _, record in usable
+        ):
+            self.metrics.count("call.left_zone")
+        return targets[chosen]
 
     def count_usable(self, service: str, now_s: float) -> int:
         """Returns how many searchers of a service may get a call now."""
@@ -229,7 +254,7 @@
 
     def list_usable(
         self, service: str, now_s: float
-    ) -> list[searcher_selection.SearcherStats]:
+    ) -> list[searcher_stats.SearcherStats]:
         """Returns the searchers of a service that may get a call now."""
         targets = self._board.by_service.get(service, {})
         sides = self.rollouts.list_version_groups(service, True, now_s)
@@ -259,6 +284,7 @@
     def record_call(self, target: board_module.Target, now_s: float) -> None:
         """Records a call to a searcher."""
         cold_searchers.record_call(target, now_s)
+        self.load_reports.record_choice(target, now_s)
         self.rollouts.record_call(target.searcher, now_s)
 
     def _is_usable(
@@ -278,7 +304,11 @@
     def _make_target(self, searcher: catalog.Searcher) -> board_module.Target:
         """Creates the state of a newly announced searcher."""
         near = searcher.zone == self._board.identity.zone
-        record = searcher_selection.SearcherStats(searcher.slots, near)
+        record = searcher_stats.SearcherStats(
+            searcher.slots,
+            near,
+            server=server_slowness.ServerSlowness(self._persistence),
+        )
         if searcher.cold_remaining_s > 0:
             record.relative_time = COLD_SLOWNESS
             record.updated_s = asyncio.get_running_loop().time()
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -32,6 +32,8 @@
     rollouts,
     roster,
     searchers,
+    slow_searchers,
+    slowness_exchange,
     store_contact,
 )
 from azureramp.controllers.forwarding import (
@@ -43,7 +45,7 @@
 from azureramp.ports.rollouts import api as rollouts_api
 from azureramp.ports.rollouts import http as rollouts_http
 from azureramp.ports.store import counting
-from azureramp.ports.vms import account_messages
+from azureramp.ports.vms import account_messages, slowness
 from azureramp.ports.vms import http as vms_http
 from azureramp.ports.web import api as web_api
 from azureramp.ports.web import request_reader
@@ -61,8 +63,8 @@
 store and peers; the rest may be used for callers' connections."""
 
 MAX_VMS = 64
-"""Maximum number of VMs with open connections for calls about client
-accounts."""
+"""Maximum number of VMs with open connections for calls about client accounts
+and slow searchers."""
 
 LOOKUP_DRAIN_S = 0.5
 """How long a shutdown waits for running address lookups, in seconds."""
@@ -80,6 +82,7 @@
         account_limits: The client accounts' limits.
         board: The state of the process.
         rollouts: The roll-outs known to this process.
+        slowness_exchange: Exchanges reports on slow searchers with other VMs.
     """
 
     __slots__ = (
@@ -107,6 +110,7 @@
         "account_limits",
         "board",
         "rollouts",
+        "slowness_exchange",
     )
 
     def __init__(
@@ -151,6 +155,10 @@
         searcher_registry = searchers.Searchers(
             board, headers.Codec(), rng, log, self.rollouts
         )
+        self._vms = vms_http.HttpVmClient(MAX_VMS)
+        self.slowness_exchange = slowness_exchange.SlownessExchange(
+            board, self._vms, searcher_registry.load_reports
+        )
         self._settings = process_settings
         self.board = board
         self._store = counting.CountingBatchStore(
@@ -233,7 +241,6 @@
             rng,
         )
         self._feed.on_became_relay = self._members.check_lease
-        self._vms = vms_http.HttpVmClient(MAX_VMS)
         self.account_limits = account_limits.AccountLimits(
             board, self._vms, process
         )
@@ -292,6 +299,8 @@
         """Handles a request from another VM."""
         if request.path == rollouts_api.REPORTS_PATH:
             return await self._grants.handle(request)
+        if request.path == slowness.PATH:
+            return await self.slowness_exchange.handle(request)
         if request.path in account_messages.PATHS:
             return await self.account_limits.handle(request)
         return await self._relay.handle(request)
@@ -329,6 +338,8 @@
                 "roster": self._roster.run,
                 "crashes": self._crashes.run,
                 "shares": self._searchers.limits.run,
+                "slowness": self.slowness_exchange.run,
+                "slow searchers": lambda: slow_searchers.run(self.board),
                 "rollouts": self._claims.run,
                 "accounts": self.account_limits.run,
             }
@@ -378,6 +389,7 @@
         self._driver.close()
         self._reports.close()
         self._searchers.close()
+        self.slowness_exchange.close()
         self.account_limits.close()
         await self._vms.close()
         await self._drivers.close()
