Switch admission on by accounts, and by priorities only if it is set

With a limit near one, the part kept for more urgent requests refused others although nothing was running on the VM.

Change: AZURERAMP_ADMISSION (accounts, priorities, off) says where it is on; a VM on which nothing runs admits the next request whatever its priority.

--- a/src/azureramp/controllers/forwarding/admission.py
+++ b/src/azureramp/controllers/forwarding/admission.py
@@ -14,6 +14,7 @@
 from azureramp.controllers.forwarding import searchers as searchers_module
 from azureramp.policy import (
     admission_gate,
+    competition,
     congestion,
     service_forecast,
     waits,
@@ -57,6 +58,7 @@
         board: board_module.Board,
         searchers: searchers_module.Searchers,
         rng: random.Random,
+        scope: competition.Scope,
     ) -> None:
         """Creates an admission control without running requests.
 
@@ -64,11 +66,12 @@
             board: The process's state.
             searchers: The searchers.
             rng: Random source that spreads the times to return.
+            scope: Where admission control is on.
         """
         self._board = board
         self._searchers = searchers
         self._rng = rng
-        self._turns = turns.Turns(board, rng)
+        self._turns = turns.Turns(board, rng, scope)
         self._admitted: dict[int, _Admitted] = {}
 
     def is_on(self, demand: demands.Demand) -> bool:
--- a/src/azureramp/controllers/forwarding/turns.py
+++ b/src/azureramp/controllers/forwarding/turns.py
@@ -43,16 +43,24 @@
         "_limited",
         "_mean_rate_per_s",
         "_rng",
+        "_scope",
         "_waiting",
     )
 
-    def __init__(self, board: board_module.Board, rng: random.Random) -> None:
+    def __init__(
+        self,
+        board: board_module.Board,
+        rng: random.Random,
+        scope: competition.Scope,
+    ) -> None:
         """Creates an instance in which nothing waits.
 
         Args:
             board: The process's state.
             rng: Random source that spreads the times to return.
+            scope: Where admission control is on.
         """
+        self._scope = scope
         self._board = board
         self._rng = rng
         self._configuration: catalog.Configuration | None = None
@@ -205,7 +213,7 @@
             return
         accounts = configuration.accounts
         self._groups = competition.find_competing_sets(
-            configuration.routes, accounts is not None
+            configuration.routes, accounts is not None, self._scope
         )
         names = set(self._groups.values())
         self._board.gates = {
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -252,7 +252,10 @@
                 self._crashes,
                 self.account_limits,
                 admission.Admission(
-                    board, searcher_registry, random.Random(f"turns/{start}")
+                    board,
+                    searcher_registry,
+                    random.Random(f"turns/{start}"),
+                    process_settings.environment.admission,
                 ),
             ),
             log_writer,
--- a/src/azureramp/platform/settings.py
+++ b/src/azureramp/platform/settings.py
@@ -14,7 +14,12 @@
 import msgspec
 
 from azureramp.controllers.forwarding import board
-from azureramp.policy import account_limits, allowances, exposure
+from azureramp.policy import (
+    account_limits,
+    allowances,
+    competition,
+    exposure,
+)
 
 
 class ListenBody(msgspec.Struct, rename="pascal"):
@@ -134,10 +139,12 @@
     """azureramp's own settings, read from environment variables.
 
     Attributes:
+        admission: Where requests compete for searchers; see `competition`.
         metrics_port: Port that serves the metrics; 0 to serve none.
         statsd_address: `IP:port` of a statsd server; empty for none.
     """
 
+    admission: competition.Scope = competition.Scope.ACCOUNTS
     metrics_port: int = 0
     statsd_address: str = ""
 
@@ -145,6 +152,7 @@
 PATH_VARIABLE = "AZURERAMP_CONFIG"
 DEFAULT_PATH = "/etc/azureramp/settings.toml"
 
+ADMISSION_VARIABLE = "AZURERAMP_ADMISSION"
 METRICS_PORT_VARIABLE = "AZURERAMP_METRICS_PORT"
 STATSD_ADDRESS_VARIABLE = "AZURERAMP_STATSD_ADDRESS"
 
@@ -237,12 +245,22 @@
         return expression.Error(
             f"{METRICS_PORT_VARIABLE}: {port!r}; allowed: 0 to 65535"
         )
+    scopes = {scope.value: scope for scope in competition.Scope}
+    admission = environment.get(
+        ADMISSION_VARIABLE, competition.Scope.ACCOUNTS.value
+    )
+    if admission not in scopes:
+        return expression.Error(
+            f"{ADMISSION_VARIABLE}: {admission!r}; allowed: {', '.join(scopes)}"
+        )
     address = environment.get(STATSD_ADDRESS_VARIABLE, "")
     if address and not is_address(address):
         return expression.Error(
             f"{STATSD_ADDRESS_VARIABLE}: {address!r}; allowed: IP:port"
         )
-    return expression.Ok(EnvironmentSettings(int(port), address))
+    return expression.Ok(
+        EnvironmentSettings(scopes[admission], int(port), address)
+    )
 
 
 def is_address(value: str) -> bool:
--- a/src/azureramp/policy/admission_gate.py
+++ b/src/azureramp/policy/admission_gate.py
@@ -119,7 +119,7 @@
             return Admitted()
         self._update_shares(now_s)
         before = self.queue.count_before(ticket)
-        if not before and self._has_room(ticket, now_s):
+        if not before and (not self.running or self._has_room(ticket, now_s)):
             self._admit(ticket, now_s)
             return Admitted()
         patience_s = ticket.patience_s
--- a/src/azureramp/policy/competition.py
+++ b/src/azureramp/policy/competition.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Sequence
 
 from azureramp import catalog
@@ -14,6 +15,14 @@
 Services = tuple[str, ...]
 
 
+class Scope(enum.Enum):
+    """Where admission control is on; operators set it."""
+
+    OFF = "off"
+    ACCOUNTS = "accounts"
+    PRIORITIES = "priorities"
+
+
 def list_services(destination: catalog.Destination) -> Services:
     """Returns the services that a route's requests may be sent to."""
     match destination:
@@ -24,22 +33,26 @@
 
 
 def find_competing_sets(
-    routes: Sequence[catalog.Route], has_accounts: bool
+    routes: Sequence[catalog.Route], has_accounts: bool, scope: Scope
 ) -> dict[Services, str]:
     """Groups the routes that share services, and keeps those that compete.
 
     Requests compete if they may differ in who is to be served first: all routes
-    of a configuration with client accounts, otherwise the routes of a group
-    with more than one priority.
+    of a configuration with client accounts, and with `Scope.PRIORITIES` also
+    the routes of a group with more than one priority.
 
     Args:
         routes: The routes of a configuration.
         has_accounts: True if the configuration has client accounts.
+        scope: Where admission control is on.
 
     Returns:
         The group of each competing route's services, named after the first of
         its services in alphabetical order.
     """
+    if scope is Scope.OFF:
+        return {}
+    by_priority = scope is Scope.PRIORITIES
     priorities: dict[Services, set[int]] = {}
     for route in routes:
         services = list_services(route.destination)
@@ -52,7 +65,7 @@
     return {
         services: group
         for services, group in groups.items()
-        if has_accounts or len(priorities_by_group[group]) > 1
+        if has_accounts or (by_priority and len(priorities_by_group[group]) > 1)
     }
 
 
--- a/src/azureramp_standins/fleet/deployment.py
+++ b/src/azureramp_standins/fleet/deployment.py
@@ -14,7 +14,12 @@
 from azureramp import errors
 from azureramp.controllers.forwarding import board
 from azureramp.platform import program, settings
-from azureramp.policy import account_limits, allowances, exposure
+from azureramp.policy import (
+    account_limits,
+    allowances,
+    competition,
+    exposure,
+)
 from azureramp.ports.web import api as web_api
 from azureramp.ports.web import connection as web_connection
 from azureramp_standins.fleet import searcher, store
@@ -293,6 +298,9 @@
         store_address=STORE_ADDRESS,
         seeds=tuple(f"127.0.0.1:{30003 + 10 * index}" for index in range(3)),
         descriptors=4000,
+        environment=settings.EnvironmentSettings(
+            admission=competition.Scope.PRIORITIES
+        ),
     )
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -106,6 +106,7 @@
         (settings.METRICS_PORT_VARIABLE, "many"),
         (settings.METRICS_PORT_VARIABLE, "70000"),
         (settings.STATSD_ADDRESS_VARIABLE, "nowhere"),
+        (settings.ADMISSION_VARIABLE, "sometimes"),
     ],
 )
 def test_error_names_the_invalid_variable(variable: str, value: str) -> None:
--- a/tests/policy/test_service_forecast.py
+++ b/tests/policy/test_service_forecast.py
@@ -98,5 +98,12 @@
     routes: list[catalog.Route], has_accounts: bool, competing: dict[str, str]
 ) -> None:
     """On with accounts, or with several priorities at the same searchers."""
-    found = competition.find_competing_sets(routes, has_accounts)
+    by_scope = {
+        scope: competition.find_competing_sets(routes, has_accounts, scope)
+        for scope in competition.Scope
+    }
+    found = by_scope[competition.Scope.PRIORITIES]
     assert {"".join(key): name for key, name in found.items()} == competing
+    assert by_scope[competition.Scope.OFF] == {}
+    by_accounts = by_scope[competition.Scope.ACCOUNTS]
+    assert by_accounts == (found if has_accounts else {})
