Let buckets fill by a raised limit before the next request

Cause: the deciding VM learned of a new limit with the first report after it, so until then the bucket filled at the old rate up to the old capacity. Change: it applies new limits when it sees the configuration. What was to be asked of a VM is also dropped with the task that asks, so that the names of VMs that are gone don't pile up.

--- a/src/azureramp/controllers/forwarding/account_decider.py
+++ b/src/azureramp/controllers/forwarding/account_decider.py
@@ -33,6 +33,7 @@
     """Answers reports, and moves accounts between their owners."""
 
     __slots__ = (
+        "_accounts",
         "_addresses",
         "_advertised",
         "_board",
@@ -60,6 +61,7 @@
             identity.vm, board.started_s, identity.first_start
         )
         self._seen: object = None
+        self._accounts: catalog.Accounts | None = None
         self._advertised: frozenset[str] = frozenset()
         self._addresses: dict[str, str] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
@@ -83,6 +85,7 @@
             self._lending.observe(
                 self._advertised, self._get_contact_age_s(now_s), now_s
             )
+        self._apply_limits(now_s)
         return changed
 
     def get_owner(self, account: str) -> str:
@@ -150,9 +153,8 @@
 
     def compare_lists(self, now_s: float) -> None:
         """Asks other VMs for their lists if that matters now."""
-        if self._board.get_accounts() is None:
-            return
-        if self._board.identity.vm not in self._advertised:
+        own = self._board.identity.vm
+        if self._board.get_accounts() is None or own not in self._advertised:
             return
         unheard = self._lending.find_unheard(self._get_contact_age_s(now_s))
         for vm in unheard:
@@ -178,6 +180,17 @@
         for task in (*self._tasks.values(), *self._comparisons.values()):
             task.cancel()
 
+    def _apply_limits(self, now_s: float) -> None:
+        """Applies new limits at once, so that buckets fill by them."""
+        accounts = self._board.get_accounts()
+        if accounts is self._accounts:
+            return
+        self._accounts = accounts
+        for name in self._lending.list_active():
+            account = self._find_account(name)
+            if account is not None and account.rate_per_s > 0:
+                self._lending.set_budget(name, self.get_budget(account), now_s)
+
     def _get_contact_age_s(self, now_s: float) -> float:
         return now_s - self._board.contact.last_answer_s
 
@@ -203,12 +216,10 @@
             if account is None or account.rate_per_s <= 0:
                 buckets.append(messages.ReleasedBucket(None, ""))
                 continue
-            released = self._lending.release(
+            given = self._lending.release(
                 name, self.get_budget(account), request.vm, now_s
             )
-            buckets.append(
-                messages.ReleasedBucket(released.level, released.holder)
-            )
+            buckets.append(messages.ReleasedBucket(given.level, given.holder))
         return messages.encode(messages.ReleaseAnswer(tuple(buckets)))
 
     def _take_over(self, account: str, now_s: float) -> None:
@@ -223,8 +234,7 @@
     async def _request_release(self, vm: str) -> None:
         """Asks one VM for accounts; a failure is retried on demand."""
         try:
-            while self._to_release.get(vm):
-                waiting = self._to_release[vm]
+            while waiting := self._to_release.get(vm):
                 names = tuple(sorted(waiting)[:MAX_ACCOUNTS_PER_MESSAGE])
                 waiting.difference_update(names)
                 request = messages.ReleaseRequest(
@@ -237,11 +247,11 @@
                     account_limits.LEND_TIMEOUT_S,
                 )
                 if result.is_error():
-                    self._to_release.pop(vm, None)
                     return
                 self._apply_release(vm, names, result.ok)
         finally:
             self._tasks.pop(vm, None)
+            self._to_release.pop(vm, None)
 
     async def _compare_list(self, vm: str) -> None:
         """Asks a VM for its list, and waits until it may be asked again."""
--- a/src/azureramp/policy/account_buckets.py
+++ b/src/azureramp/policy/account_buckets.py
@@ -135,6 +135,10 @@
             return min(self.tokens.level, budget.start)
         return self.tokens.level
 
+    def set_budget(self, budget: account_limits.Budget, now_s: float) -> None:
+        """Applies the account's limit if it has changed."""
+        self.tokens.set_limit(budget.rate_per_s, budget.capacity, now_s)
+
     def settle(
         self,
         budget: account_limits.Budget,
@@ -144,7 +148,7 @@
         now_s: float,
     ) -> Decision:
         """Decides on a process's report; see `Lending.decide`."""
-        self.tokens.set_limit(budget.rate_per_s, budget.capacity, now_s)
+        self.set_budget(budget, now_s)
         reporter = self._reporters.get(process)
         if reporter is None:
             reporter = self._reporters[process] = _Reporter(settled, now_s)
--- a/src/azureramp/policy/account_lending.py
+++ b/src/azureramp/policy/account_lending.py
@@ -89,12 +89,8 @@
         if not out_of_touch and not changed:
             return
         for account, bucket in self._buckets.items():
-            if not bucket.active:
-                continue
-            if out_of_touch:
-                bucket.interrupted = True
-                bucket.stop(now_s)
-            elif changed and not self._is_owner(account):
+            if bucket.active and (out_of_touch or not self._is_owner(account)):
+                bucket.interrupted |= out_of_touch
                 bucket.stop(now_s)
 
     def record_list(
@@ -154,6 +150,14 @@
             )
         return bucket.settle(budget, process, asked, settled, now_s)
 
+    def set_budget(
+        self, account: str, budget: account_limits.Budget, now_s: float
+    ) -> None:
+        """Applies an account's new limit, if this VM lends from its bucket."""
+        bucket = self._buckets.get(account)
+        if bucket is not None and bucket.active:
+            bucket.set_budget(budget, now_s)
+
     def find_holders(self, account: str, now_s: float) -> frozenset[str]:
         """Returns the VMs that must give up an account before it is lent."""
         rivals = self.history.find_rivals(account)
@@ -279,9 +283,8 @@
         self, budget: account_limits.Budget, since_s: float, now_s: float
     ) -> account_buckets.AccountBucket:
         """Creates a bucket whose predecessor's use is unknown."""
-        level = budget.start
-        if self._is_first_bucket(since_s, now_s):
-            level = budget.capacity
+        is_first = self._is_first_bucket(since_s, now_s)
+        level = budget.capacity if is_first else budget.start
         tokens = token_buckets.TokenBucket(
             budget.rate_per_s, budget.capacity, level, since_s
         )
--- a/tests/forwarding/test_account_limits.py
+++ b/tests/forwarding/test_account_limits.py
@@ -282,3 +282,21 @@
         assert statuses[429] <= 0.02 * statuses.total()
 
     scenes.run(run, vms=VMS + 2, searchers=4)
+
+
+def test_a_raised_limit_holds_before_the_next_request() -> None:
+    """Guards against a bucket that fills by the old limit until it is used."""
+
+    async def run(scene: deployment.Deployment) -> None:
+        await declare_accounts(scene)
+        yard = scene.configuration["Tenants"][0]
+        yard |= {"RatePerS": 2.0, "Burst": 4.0}
+        scene.write_configuration()
+        await asyncio.sleep(UPDATE_S)
+        await send(scene, "k-yard", 1.0, 4.0)
+        yard |= {"RatePerS": 20.0, "Burst": 40.0}
+        scene.write_configuration()
+        await asyncio.sleep(UPDATE_S + 6.0)
+        assert await send(scene, "k-yard", 300.0, 40 / 300) == {200: 40}
+
+    scenes.run(run, vms=VMS, searchers=4)
