Ask the deciding VM again a second after it had no room

Cause: a VM that received a raised limit before the deciding VM was told by the latter, still by the old limit, that there is no room for up to 20 s (at one request in 20 s), and refused the account all that time without asking. An answer with room didn't clear an older one without either. Change: that there is no room counts for at most a second.

--- a/src/azureramp/controllers/forwarding/account_limits.py
+++ b/src/azureramp/controllers/forwarding/account_limits.py
@@ -103,7 +103,7 @@
         granted = self._use_credit(record, now_s)
         if granted:
             self._reporter.schedule(record, urgent=False)
-        elif now_s >= record.room_s and self._may_ask(record, now_s):
+        elif record.may_have_room(now_s) and self._may_ask(record, now_s):
             wait_s = min(
                 MAX_WAIT_S, max(MIN_WAIT_S, WAIT_SHARE * target_latency_s)
             )
@@ -282,7 +282,7 @@
             unsettled = record.credit.count_unsettled(now_s, window_s)
             if (
                 unsettled
-                and now_s >= record.room_s
+                and record.may_have_room(now_s)
                 and self._may_ask(record, now_s)
             ):
                 self._reporter.schedule(record, urgent=False)
--- a/src/azureramp/controllers/forwarding/account_reports.py
+++ b/src/azureramp/controllers/forwarding/account_reports.py
@@ -255,8 +255,8 @@
                 spare -= 1
                 record.uses.add(now_s)
                 record.answer_next(True)
+            record.room_s = now_s + decision.room_s
             if decision.room_s > 0:
-                record.room_s = now_s + decision.room_s
                 record.next_return_s = now_s + decision.return_s
                 record.spacing_s = decision.spacing_s
         else:
--- a/src/azureramp/controllers/forwarding/account_uses.py
+++ b/src/azureramp/controllers/forwarding/account_uses.py
@@ -18,6 +18,10 @@
 NEAR_LIMIT_SHARE = 0.7
 """Share of its limit from which on an account is named in the metrics."""
 
+MAX_DECISION_AGE_S = 1.0
+"""Maximum time for which it counts that there is no room, in seconds. The
+deciding VM may have received a raised limit since, or later than this VM."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class AccountUse:
@@ -147,6 +151,12 @@
         self.next_return_s = -math.inf
         self.spacing_s = 0.0
 
+    def may_have_room(self, now_s: float) -> bool:
+        """Returns True if the deciding VM should be asked for room."""
+        return (
+            now_s >= self.room_s or now_s >= self.decided_s + MAX_DECISION_AGE_S
+        )
+
     def choose_return_s(self, now_s: float) -> float:
         """Returns when a refused caller should return, and reserves the time.
 
--- a/tests/forwarding/test_account_limits.py
+++ b/tests/forwarding/test_account_limits.py
@@ -8,8 +8,9 @@
 
 import pytest
 
-from azureramp.controllers.forwarding import account_uses
+from azureramp.controllers.forwarding import account_decider, account_uses
 from azureramp.platform import program
+from azureramp.policy import account_limits
 from azureramp_standins.fleet import deployment
 from tests.forwarding import scenes
 
@@ -300,3 +301,30 @@
         assert await send(scene, "k-yard", 300.0, 40 / 300) == {200: 40}
 
     scenes.run(run, vms=VMS, searchers=4)
+
+
+def test_what_was_decided_by_an_old_limit_is_asked_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against refusals for as long as a lower limit would have lasted.
+
+    The VM that decides receives the raised limit later than the others.
+    """
+
+    async def run(scene: deployment.Deployment) -> None:
+        await declare_accounts(scene)
+        await send(scene, "k-dealer", 50.0, 2.0)
+        tolerance = scene.daemons["vm-0"].board.bounds.account_limits
+        old = account_limits.compute_budget(0.05, 0.0, tolerance)
+        with monkeypatch.context() as patch:
+            patch.setattr(
+                account_decider.AccountDecider, "get_budget", lambda *_: old
+            )
+            scene.configuration["Tenants"][1] |= {"RatePerS": 20.0}
+            scene.write_configuration()
+            await asyncio.sleep(UPDATE_S)
+            await send(scene, "k-dealer", 50.0, 1.0)
+        await asyncio.sleep(2.0)
+        assert await send(scene, "k-dealer", 10.0, 4.0) == {200: 40}
+
+    scenes.run(run, vms=VMS, searchers=4)
