Give back the uses of requests that no searcher got

Causes: a caller that left while it waited for its turn had paid, as had one whose service had no searcher when its call was to be made. A use wasn't given back while any report was under way, though it came after it. Given back was the latest use, so that an earlier one stood for it and the credit was free too soon; and a use whose report was settled but not answered was given back, which left its old token for a later request. Change: the oldest use goes, if its total was not reported yet; a cancelled wait for admission and an execution without a call give back.

--- a/src/azureramp/controllers/forwarding/account_limits.py
+++ b/src/azureramp/controllers/forwarding/account_limits.py
@@ -115,7 +115,7 @@
     def give_back(self, account: catalog.Account | None) -> None:
         """Returns the use of a request that was not sent to any searcher."""
         record = self._records.get(account.name) if account else None
-        if record and record.in_flight is None:
+        if record:
             record.credit.give_back()
 
     async def handle(self, request: web_api.Request) -> web_api.Response:
--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -209,6 +209,10 @@
                     0.0 if queues else ABANDONED_CALL_LINGER_S
                 )
 
+    def has_calls(self) -> bool:
+        """Returns True if any call was made."""
+        return bool(self._attempts)
+
     def count_extra(self) -> int:
         """Returns the number of calls beyond the first."""
         return max(0, len(self._attempts) - 1)
--- a/src/azureramp/controllers/forwarding/request_handler.py
+++ b/src/azureramp/controllers/forwarding/request_handler.py
@@ -126,7 +126,11 @@
         if failure is not None:
             return self._write_refusal(request, route, failure, authorization)
         demand = self._make_demand(request, route, answer_by_s, authorization)
-        failure = await self._admission.admit(demand)
+        try:
+            failure = await self._admission.admit(demand)
+        except asyncio.CancelledError:
+            self._account_limits.give_back(authorization.account)
+            raise
         if failure is not None:
             self._account_limits.give_back(authorization.account)
             return self._write_refusal(request, route, failure, authorization)
@@ -179,6 +183,8 @@
             if not isinstance(answer, requests.Refusal):
                 self._crash_tracker.record_answer(request.message)
         finally:
+            if not any(each.has_calls() for each in run.parts):
+                self._account_limits.give_back(authorization.account)
             if answer is not None:
                 self._admission.record_answer(demand, run.parts, answer)
             self._log.write(
--- a/src/azureramp/policy/account_credit.py
+++ b/src/azureramp/policy/account_credit.py
@@ -23,7 +23,7 @@
             that no longer matter.
     """
 
-    __slots__ = ("_unsettled_s", "settled")
+    __slots__ = ("_reported", "_unsettled_s", "settled")
 
     def __init__(self, settled: int = 0) -> None:
         """Creates a credit of which nothing is used.
@@ -34,6 +34,8 @@
         """
         self._unsettled_s: collections.deque[float] = collections.deque()
         self.settled = settled
+        # The deciding VM may have settled what was reported up to this total.
+        self._reported = settled
 
     def count_unsettled(self, now_s: float, window_s: float) -> int:
         """Returns the number of uses in the window that are not settled."""
@@ -58,18 +60,21 @@
     def give_back(self) -> None:
         """Returns the use of a request that was not sent.
 
-        A use that is settled already is lost: its token may be too old.
+        A use that may be settled already is lost: its token may be too old.
         """
-        if self._unsettled_s:
-            self._unsettled_s.pop()
+        if self._unsettled_s and self._get_total() > self._reported:
+            # Those that stay must not count for a shorter time.
+            self._unsettled_s.popleft()
 
     def get_asked(self, waiting: int) -> int:
-        """Returns the running total to report.
+        """Returns the running total to report; it can't be taken back.
 
         Args:
             waiting: Number of requests that wait for a token.
         """
-        return self.settled + len(self._unsettled_s) + waiting
+        asked = self._get_total() + waiting
+        self._reported = max(self._reported, asked)
+        return asked
 
     def settle(self, total: int) -> int:
         """Applies an answer.
@@ -101,3 +106,7 @@
         if not self._unsettled_s:
             return window_s
         return max(0.0, self._unsettled_s[0] + window_s - now_s)
+
+    def _get_total(self) -> int:
+        """Returns the running total of all uses."""
+        return self.settled + len(self._unsettled_s)
--- a/tests/forwarding/test_account_limits.py
+++ b/tests/forwarding/test_account_limits.py
@@ -10,8 +10,8 @@
 
 from azureramp.controllers.forwarding import account_decider, account_uses
 from azureramp.platform import program
-from azureramp.policy import account_limits
-from azureramp_standins.fleet import deployment
+from azureramp.policy import account_limits, account_owners, congestion
+from azureramp_standins.fleet import deployment, searcher
 from tests.forwarding import scenes
 
 VMS = 4
@@ -328,3 +328,48 @@
         assert await send(scene, "k-dealer", 10.0, 4.0) == {200: 40}
 
     scenes.run(run, vms=VMS, searchers=4)
+
+
+def test_uses_of_requests_that_no_searcher_got_are_given_back() -> None:
+    """Guards against an account that pays for what never ran.
+
+    A caller leaves while it waits for its turn, and a route's other service
+    has no searcher.
+    """
+
+    async def run(scene: deployment.Deployment) -> None:
+        split = [
+            {"Backend": service, "Weight": 1} for service in ("gone", "shard-a")
+        ]
+        scene.add_route("/split/", TrafficSplit=split)
+        await declare_accounts(scene)
+        for each in scene.searchers.values():
+            each.script = lambda _: searcher.Reaction(delay_s=0.01)
+        owner = account_owners.choose_owner("yard", scene.daemons)
+        vm = next(name for name in scene.daemons if name != owner)
+        await send(scene, "k-yard", 10.0, 0.2, [vm])
+        await asyncio.sleep(0.1)
+        gate = scene.daemons[vm].board.gates[scenes.SINGLE_SERVICE]
+        now_s = asyncio.get_running_loop().time()
+        gate.limit.record_end(congestion.Evidence.FULL, now_s, 1, now_s)
+        asking = [
+            asyncio.ensure_future(
+                scene.send_request(vm, "/one/a", key="k-yard")
+            )
+            for _ in range(2)
+        ]
+        await asyncio.sleep(0.006)
+        assert len(gate.queue) == 1
+        for task in asking:
+            task.cancel()
+        await asyncio.sleep(0.002)
+        assert describe(scene.daemons[vm], "yard").unsettled == 1
+        await asyncio.sleep(0.1)
+        statuses: list[int] = []
+        for _ in range(2):
+            sending = scene.send_request(vm, "/split/a", key="k-yard")
+            statuses.append((await sending).status)
+        assert sorted(statuses) == [200, 503]
+        assert describe(scene.daemons[vm], "yard").unsettled == 1
+
+    scenes.run(run, vms=2, searchers=1)
