Don't retry late requests at the last slots that others need

Cause: calls made again past the target skipped the check for a free slot that hedges pass, so where admission is on they took slots from first calls. Change: the check holds for every call beside one that is under way, except where that one is moved unsent. Result: the two cases of the new test failed before (2 calls instead of 1) and pass now; test_admission, test_single and test_fan_out pass.

--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -293,6 +293,8 @@
         )
         if target is None:
             return False
+        if instead_of is None and self._takes_last_slot(target.stats, now_s):
+            return False
         if hedge_within_s is not None and not self._is_worth_hedging(
             target.stats, now_s, hedge_within_s
         ):
@@ -340,16 +342,22 @@
         within_s: float,
     ) -> bool:
         """Returns True if a hedge is likely to be answered in time."""
-        if self._context.saves_slots and not searcher_selection.has_free_slot(
-            stats, now_s
-        ):
-            return False
         expected_s = (
             self._timings.get_usual_s()
             * searcher_selection.estimate_relative_time(stats, now_s)
         )
         return not stats.overdue and expected_s <= within_s
 
+    def _takes_last_slot(
+        self, stats: searcher_stats.SearcherStats, now_s: float
+    ) -> bool:
+        """Returns True if an extra call would take a slot that others need."""
+        return (
+            self._context.saves_slots
+            and self.is_waiting()
+            and not searcher_selection.has_free_slot(stats, now_s)
+        )
+
     def _cancel_unsent(
         self, attempt: attempt_module.Attempt, now_s: float
     ) -> bool:
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -152,6 +152,29 @@
     scenes.run(scenario_without)
 
 
+@pytest.mark.parametrize("target", ["/all/x", "/quick/x"])
+def test_a_late_retry_does_not_take_the_last_slots(target: str) -> None:
+    """Guards against extra calls past the target that hedges may not make."""
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        await declare_priorities(scene)
+        late = ("shard-a", "shard-b", scenes.SINGLE_SERVICE)
+        for service in late:
+            script_all(scene, service, searcher.Reaction(delay_s=0.2))
+        for each in scene.daemons["vm-0"].board.targets.values():
+            each.stats.reported_load = float(each.stats.slots)
+            each.stats.reported_s = asyncio.get_running_loop().time()
+        await scene.send_request("vm-0", target)
+        calls = collections.Counter(
+            each.service
+            for each in scene.searchers.values()
+            for _ in each.requests
+        )
+        assert max(calls.values()) == 1
+
+    scenes.run(scenario)
+
+
 def test_a_turn_is_given_back_when_its_caller_leaves() -> None:
     """Guards against turns lost with callers that leave, also while waiting."""
 
