Forget shortages and accounts of long ago at the gate

Causes: a limit, and the share of congested requests, stayed as they were through a time without requests, so that the first requests after it were refused, or set a limit although they were served. Accounts were forgotten only while a limit was in force: until then each account that ever asked stayed, and the first congestion had to go through all of them. Change: after a second without an arrival or an end the limit is lifted and the evidence starts anew; idle accounts are dropped each 5 s. Result: the three new tests failed before (the first of 20 requests a minute later was queued; a served one set a limit of 1.0; 5,000 accounts of 100 s were kept) and pass now, as do the loads in test_admission_gate.

--- a/src/azureramp/policy/admission_gate.py
+++ b/src/azureramp/policy/admission_gate.py
@@ -42,6 +42,10 @@
 
 STANDING_PATIENCE_S = 0.005
 
+MAX_EVIDENCE_AGE_S = 1.0
+"""Time without an ended request after which earlier ones show nothing about the
+searchers any more, in seconds."""
+
 SMOOTHING = 0.1
 """Weight of the latest request in the average duration."""
 
@@ -91,6 +95,7 @@
         "_detector",
         "_last_seen_s",
         "_mean_s",
+        "_recorded_s",
         "_standing_since_s",
         "limit",
         "queue",
@@ -107,6 +112,7 @@
         self._detector = congestion.CongestionDetector()
         self._last_seen_s: dict[int, float] = {}
         self._mean_s = 0.0
+        self._recorded_s = -math.inf
         self._standing_since_s = math.inf
 
     def arrive(self, ticket: fair_queue.Ticket, now_s: float) -> Decision:
@@ -190,6 +196,9 @@
         running = self.running
         self.running -= 1
         if outcome is not None:
+            if now_s - self._recorded_s > MAX_EVIDENCE_AGE_S:
+                self._detector = congestion.CongestionDetector()
+            self._recorded_s = now_s
             evidence = self._detector.record(outcome)
             if not outcome.is_lost():
                 took_s = now_s - started_s
--- a/src/azureramp/policy/concurrency_limit.py
+++ b/src/azureramp/policy/concurrency_limit.py
@@ -96,10 +96,14 @@
         """Raises or lifts the limit as time without congestion passes."""
         unlimited = math.isinf(self.value)
         window_s = LIFT_AFTER_S if unlimited else WINDOW_S
-        if now_s - self._changed_s < window_s:
+        quiet_s = now_s - self._changed_s
+        if quiet_s < window_s:
             return
         self._changed_s = now_s
         idle = self._peak <= LIFT_SHARE * self.value
+        if quiet_s >= LIFT_AFTER_S:
+            # Nothing arrived or ended since; what was in use before is past.
+            idle = True
         if idle and now_s - self.congested_s >= LIFT_AFTER_S:
             self.value = math.inf
         elif not idle:
--- a/src/azureramp/policy/fair_shares.py
+++ b/src/azureramp/policy/fair_shares.py
@@ -25,6 +25,10 @@
 """Interval between two computations of the shares, in seconds."""
 
 
+DROP_INTERVAL_S = 5.0
+"""Interval at which accounts are forgotten while all are served, in seconds."""
+
+
 class _Use:
     """What one account asked for and got, decayed.
 
@@ -61,16 +65,28 @@
             ask for less than their share, 0 to `MAX_RESERVED`.
     """
 
-    __slots__ = ("_computed_s", "_granted_level", "_uses", "level", "reserved")
+    __slots__ = (
+        "_computed_s",
+        "_dropped_s",
+        "_granted_level",
+        "_uses",
+        "level",
+        "reserved",
+    )
 
     def __init__(self) -> None:
         """Creates an instance that knows no accounts."""
         self._uses: dict[str, _Use] = {}
         self._computed_s = -math.inf
+        self._dropped_s = -math.inf
         self._granted_level = math.inf
         self.level = math.inf
         self.reserved = 0.0
 
+    def count_accounts(self) -> int:
+        """Returns the number of accounts that are remembered."""
+        return len(self._uses)
+
     def record_asked(self, account: str, weight: float, now_s: float) -> None:
         """Records that an account sent a request."""
         use = self._uses.get(account)
@@ -79,6 +95,8 @@
         use.decay(now_s)
         use.weight = weight
         use.asked += 1.0
+        if now_s - self._dropped_s >= DROP_INTERVAL_S:
+            self._drop_idle(now_s)
 
     def record_granted(self, account: str, now_s: float) -> None:
         """Records that a request of an account was admitted."""
@@ -98,10 +116,7 @@
         if now_s - self._computed_s < REFRESH_S:
             return
         self._computed_s = now_s
-        for account, use in list(self._uses.items()):
-            use.decay(now_s)
-            if use.asked < MIN_ASKED:
-                del self._uses[account]
+        self._drop_idle(now_s)
         # A steady rate is remembered as this many seconds' worth of requests.
         memory_s = HALF_LIFE_S / math.log(2.0)
         capacity = capacity_per_s * memory_s
@@ -143,6 +158,14 @@
         use.decay(now_s)
         return use.granted / max(1e-9, self._granted_level * use.weight)
 
+    def _drop_idle(self, now_s: float) -> None:
+        """Forgets the accounts that have not asked for long."""
+        self._dropped_s = now_s
+        for account, use in list(self._uses.items()):
+            use.decay(now_s)
+            if use.asked < MIN_ASKED:
+                del self._uses[account]
+
 
 def compute_level(asked: list[tuple[float, float]], capacity: float) -> float:
     """Computes the max-min fair level.
--- a/tests/policy/test_admission_gate.py
+++ b/tests/policy/test_admission_gate.py
@@ -134,6 +134,50 @@
     assert detector.record(lost) is congestion.Evidence.FULL
 
 
+LOST = congestion.Outcome(1, 1, full=1, queued=0, slow=0)
+CLEAR = congestion.Outcome(1, 1, full=0, queued=0, slow=0)
+
+
+def make_ticket(account: str = "a") -> fair_queue.Ticket:
+    return fair_queue.Ticket(account, 0, 1.0, False, 0.01, 0.5)
+
+
+def limit_to_few() -> admission_gate.Gate:
+    """Makes a gate that met full searchers ten times in a second."""
+    gate = admission_gate.Gate()
+    for number in range(10):
+        now_s = 0.1 * number
+        gate.arrive(make_ticket(), now_s)
+        gate.end(now_s, LOST, now_s + 0.02)
+    assert gate.limit.value <= 2.0
+    return gate
+
+
+def test_a_limit_from_before_a_quiet_time_refuses_nobody() -> None:
+    """Guards against refusals in calm for a shortage that is long past."""
+    gate = limit_to_few()
+    for _ in range(20):
+        decision = gate.arrive(make_ticket(), 60.0)
+        assert decision == admission_gate.Admitted()
+
+
+def test_a_request_after_a_quiet_time_sets_no_limit_if_it_is_served() -> None:
+    """Guards against a limit by evidence that is long past."""
+    gate = limit_to_few()
+    gate.arrive(make_ticket(), 60.0)
+    gate.end(60.0, CLEAR, 60.02)
+    assert gate.limit.value == float("inf")
+
+
+def test_accounts_are_forgotten_while_all_are_served() -> None:
+    """Guards against memory, and a long pause at the first congestion."""
+    gate = admission_gate.Gate()
+    for number in range(5000):
+        gate.arrive(make_ticket(f"a{number}"), 0.02 * number)
+        gate.end(0.02 * number, CLEAR, 0.02 * number)
+    assert gate.shares.count_accounts() < 1000
+
+
 def test_a_limit_that_is_no_longer_needed_is_lifted() -> None:
     """Guards against refusals long after the searchers keep up again."""
     gate = admission_gate.Gate()
