Keep shares for the accounts after a lost fan-out

Cause: a request to eight shards or more counted as all of the evidence, so after one that was lost none of the limit was shared out. Each account was far above its share of nothing, and all were refused, also with nothing running, until another request ended well or the limit was lifted after a second. Change: what is shared out follows a moving average over eight requests, as it did already for requests to one service, and is at least a tenth of the limit. Result: the new test was refused with 0 running of 3.6 before and is admitted now; the loads in test_admission_gate pass as before.

--- a/src/azureramp/policy/admission_gate.py
+++ b/src/azureramp/policy/admission_gate.py
@@ -42,6 +42,10 @@
 
 STANDING_PATIENCE_S = 0.005
 
+MIN_SERVED_SHARE = 0.1
+"""Minimum part of the limit that is shared out: with none, nothing would be
+sent that shows when there is room."""
+
 MAX_EVIDENCE_AGE_S = 1.0
 """Time without an ended request after which earlier ones show nothing about the
 searchers any more, in seconds."""
@@ -279,8 +283,8 @@
             # By Little's law, the limit is the rate times the duration.
             per_s = self.limit.value / self._mean_s
             # While requests show congestion, that rate is more than is served.
-            served_share = 1.0 - self._detector.congested_share
-            self.shares.update(per_s * served_share, now_s)
+            share = max(MIN_SERVED_SHARE, 1.0 - self._detector.mean_congested)
+            self.shares.update(per_s * share, now_s)
 
     def _estimate_wait_s(
         self, ticket: fair_queue.Ticket, before: int, now_s: float
--- a/src/azureramp/policy/congestion.py
+++ b/src/azureramp/policy/congestion.py
@@ -73,14 +73,16 @@
     Attributes:
         congested_share: Share of the latest requests that met full searchers,
             or mostly queued ones.
+        mean_congested: Moving average of the same over `MIN_CALLS` requests.
     """
 
-    __slots__ = ("_slow", "congested_share")
+    __slots__ = ("_slow", "congested_share", "mean_congested")
 
     def __init__(self) -> None:
         """Creates a detector without evidence."""
         self._slow = 0.0
         self.congested_share = 0.0
+        self.mean_congested = 0.0
 
     def record(self, outcome: Outcome) -> Evidence:
         """Records a request and returns what the latest ones show."""
@@ -89,6 +91,7 @@
         lost = outcome.is_lost()
         congested = lost or outcome.queued > half
         self.congested_share += weight * (congested - self.congested_share)
+        self.mean_congested += (congested - self.mean_congested) / MIN_CALLS
         self._slow += weight * ((outcome.slow > half) - self._slow)
         if lost or self.congested_share > MAJORITY:
             return Evidence.FULL
--- a/tests/policy/test_admission_gate.py
+++ b/tests/policy/test_admission_gate.py
@@ -169,6 +169,21 @@
     assert gate.limit.value == float("inf")
 
 
+def test_one_lost_fan_out_does_not_leave_all_accounts_without_a_share() -> None:
+    """Guards against refusals by a gate at which nothing runs."""
+    gate = admission_gate.Gate()
+    served = congestion.Outcome(90, 86, full=0, queued=0, slow=0)
+    lost = congestion.Outcome(90, 86, full=9, queued=0, slow=0)
+    for now_s in (0.1 * number for number in range(20)):
+        for account in ("a", "b", "c", "d"):
+            gate.arrive(make_ticket(account), now_s)
+        for _ in range(4):
+            gate.end(now_s, lost if now_s > 1.85 else served, now_s + 0.05)
+    assert gate.running == 0
+    assert gate.limit.value < 4.0
+    assert gate.arrive(make_ticket(), 2.0) == admission_gate.Admitted()
+
+
 def test_accounts_are_forgotten_while_all_are_served() -> None:
     """Guards against memory, and a long pause at the first congestion."""
     gate = admission_gate.Gate()
