Share out the room also where limits differ by many orders

Cause: the sum of the weights that remain was rounded to 0, and dividing by it ended each request while a limit was in force. Result: ZeroDivisionError in the new test before, a level now.

--- a/src/azureramp/policy/fair_shares.py
+++ b/src/azureramp/policy/fair_shares.py
@@ -181,7 +181,7 @@
     left = capacity
     weights = sum(weight for _, weight in asked)
     for wanted, weight in sorted(asked, key=lambda each: each[0] / each[1]):
-        level = left / weights
+        level = left / max(weight, weights)
         if wanted > level * weight:
             return level
         left -= wanted
--- a/tests/policy/test_admission_gate.py
+++ b/tests/policy/test_admission_gate.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from azureramp.policy import admission_gate, congestion, fair_queue
+from azureramp.policy import admission_gate, congestion, fair_queue, fair_shares
 from tests.policy import queueing_model
 from tests.policy.queueing_model import Load
 
@@ -184,6 +184,12 @@
     assert gate.arrive(make_ticket(), 2.0) == admission_gate.Admitted()
 
 
+def test_accounts_of_very_different_weight_have_shares() -> None:
+    """Guards against an error where one limit is written as a huge number."""
+    level = fair_shares.compute_level([(1.0, 2.0), (9.0, 2e-18)], 5.0)
+    assert 0 < level < float("inf")
+
+
 def test_accounts_are_forgotten_while_all_are_served() -> None:
     """Guards against memory, and a long pause at the first congestion."""
     gate = admission_gate.Gate()
