Play callers that leave in the model of the limits

No test gave a use back in any order with reports and their loss. The model also applies new limits as the programs do.

--- a/tests/policy/account_model.py
+++ b/tests/policy/account_model.py
@@ -152,6 +152,7 @@
     def _observe(self, vm: Vm) -> None:
         age_s = self.now_s - vm.contact_s
         vm.lending.observe(vm.view[0], age_s, self.now_s)
+        vm.lending.set_budget(self.account, self.get_budget(vm), self.now_s)
         stale = age_s > limit_shares.STALE_CONTACT_S
         vm.share.update(self.compute_share(vm, stale), self.now_s)
 
--- a/tests/policy/test_account_limits_model.py
+++ b/tests/policy/test_account_limits_model.py
@@ -46,6 +46,23 @@
     def report(self, vm: str, waiting: int, fate: account_model.Fate) -> None:
         self.model.report(self.model.vms[vm], waiting, fate)
 
+    @stateful.rule(
+        vm=st.sampled_from(NAMES),
+        count=st.integers(1, 30),
+        fate=st.none() | st.sampled_from(account_model.Fate),
+    )
+    def leave_unsent(
+        self, vm: str, count: int, fate: account_model.Fate | None
+    ) -> None:
+        """Callers leave before their requests are sent, reported or not."""
+        chosen = self.model.vms[vm]
+        used = sum(self.model.use(chosen) for _ in range(count))
+        del self.model.sent_s[len(self.model.sent_s) - used :]
+        if fate is not None:
+            self.model.report(chosen, 0, fate)
+        for _ in range(used):
+            chosen.credit.give_back()
+
     @stateful.rule(
         seconds=st.sampled_from([0.1, 0.5, 1.0, 3.0, 5.0, 8.0]),
         vms=st.sets(st.sampled_from(NAMES)),
