Keep to a call's timeout while a connection to a VM is opened

Cause: a new connection had a second, whatever the call's timeout. Reports to an owner without power were under way four times as long as the design says; in that time they didn't go to its successor, and requests waited in vain. The stand-in of the links kept to the timeout, so no test showed it.

--- a/src/azureramp/ports/web/pool.py
+++ b/src/azureramp/ports/web/pool.py
@@ -62,7 +62,8 @@
         while True:
             connection = self._pop_idle()
             if connection is None:
-                opened = await web_connection.connect(self._address, CONNECT_S)
+                wait_s = min(CONNECT_S, timeout_s)
+                opened = await web_connection.connect(self._address, wait_s)
                 if opened.is_error():
                     return _fail(
                         errors.Kind.STORE_UNAVAILABLE, opened.error.detail
--- a/tests/forwarding/test_account_limits.py
+++ b/tests/forwarding/test_account_limits.py
@@ -11,8 +11,9 @@
 from azureramp.controllers.forwarding import account_decider, account_uses
 from azureramp.platform import program
 from azureramp.policy import account_limits, account_owners, congestion
+from azureramp.ports.vms import http as vms_http
 from azureramp_standins.fleet import deployment, searcher
-from tests.forwarding import scenes
+from tests.forwarding import scenes, test_dark_searchers
 
 VMS = 4
 RATE_PER_S = 20.0
@@ -373,3 +374,22 @@
         assert describe(scene.daemons[vm], "yard").unsettled == 1
 
     scenes.run(run, vms=2, searchers=1)
+
+
+def test_a_vm_without_power_holds_up_no_report_beyond_its_timeout() -> None:
+    """Guards against reports that don't go to the new owner meanwhile."""
+
+    async def run(scene: deployment.Deployment) -> None:
+        loop = asyncio.get_running_loop()
+        owner = next(iter(scene.daemons.values())).board.identity.peer_address
+        hanging = test_dark_searchers.HangingConnections()
+        hanging.ports.add(int(owner.rpartition(":")[2]))
+        client = vms_http.HttpVmClient(1)
+        began_s = loop.time()
+        timeout_s = account_limits.LEND_TIMEOUT_S
+        result = await client.call(owner, "/", b"", timeout_s)
+        assert result.is_error()
+        assert loop.time() - began_s <= timeout_s + 0.001
+        hanging.clear()
+
+    scenes.run(run)
