Send a request that would wait for its turn while nothing runs

Cause: where the limit is one or two, a less urgent request could find no room and be queued with nothing running. No end would admit it, so it was refused after its patience, and others of its priority waited behind it. Result: queued in the new test before, admitted now; the loads in test_admission_gate pass.

--- a/src/azureramp/policy/admission_gate.py
+++ b/src/azureramp/policy/admission_gate.py
@@ -47,8 +47,7 @@
 sent that shows when there is room."""
 
 MAX_EVIDENCE_AGE_S = 1.0
-"""Time without an ended request after which earlier ones show nothing about the
-searchers any more, in seconds."""
+"""Time without an ended request after which evidence is dropped, in seconds."""
 
 SMOOTHING = 0.1
 """Weight of the latest request in the average duration."""
@@ -125,13 +124,11 @@
         self.shares.record_asked(ticket.account, ticket.weight, now_s)
         self.limit.record_running(self.running + 1, now_s)
         if math.isinf(self.limit.value) and not self.queue:
-            self._admit(ticket, now_s)
-            return Admitted()
+            return self._admit(ticket, now_s)
         self._update_shares(now_s)
         before = self.queue.count_before(ticket)
         if not before and self._has_room(ticket, now_s):
-            self._admit(ticket, now_s)
-            return Admitted()
+            return self._admit(ticket, now_s)
         patience_s = ticket.patience_s
         if (
             now_s - self._standing_since_s > STANDING_S
@@ -142,6 +139,9 @@
             not self._is_over_share(ticket, now_s)
             and self._estimate_wait_s(ticket, before, now_s) <= patience_s
         ):
+            if not self.running:
+                # No end of a request would admit it.
+                return self._admit(ticket, now_s)
             if not self.queue:
                 self._standing_since_s = now_s
             self.queue.push(ticket)
@@ -206,8 +206,7 @@
             evidence = self._detector.record(outcome)
             if not outcome.is_lost():
                 took_s = now_s - started_s
-                if not self._mean_s:
-                    self._mean_s = took_s
+                self._mean_s = self._mean_s or took_s
                 self._mean_s += SMOOTHING * (took_s - self._mean_s)
             self.limit.record_end(evidence, started_s, running, now_s)
         return self._admit_waiting(now_s)
@@ -235,10 +234,11 @@
                 return ticket
         return None
 
-    def _admit(self, ticket: fair_queue.Ticket, now_s: float) -> None:
+    def _admit(self, ticket: fair_queue.Ticket, now_s: float) -> Admitted:
         """Records that a request is sent."""
         self.running += 1
         self.shares.record_granted(ticket.account, now_s)
+        return Admitted()
 
     def _has_room(self, ticket: fair_queue.Ticket, now_s: float) -> bool:
         """Returns True if one more request like this may run.
--- a/tests/policy/test_admission_gate.py
+++ b/tests/policy/test_admission_gate.py
@@ -184,6 +184,16 @@
     assert gate.arrive(make_ticket(), 2.0) == admission_gate.Admitted()
 
 
+def test_no_request_waits_for_its_turn_while_nothing_runs() -> None:
+    """Guards against a wait that nothing can end, and those behind it."""
+    gate = limit_to_few()
+    gate.limit.value = 1.0
+    gate.arrive(make_ticket(), 0.95)
+    gate.end(0.95, CLEAR, 0.955)
+    less_urgent = fair_queue.Ticket("a", 1, 1.0, False, 0.1, 0.9)
+    assert gate.arrive(less_urgent, 0.96) == admission_gate.Admitted()
+
+
 def test_accounts_of_very_different_weight_have_shares() -> None:
     """Guards against an error where one limit is written as a huge number."""
     level = fair_shares.compute_level([(1.0, 2.0), (9.0, 2e-18)], 5.0)
