--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -209,6 +209,10 @@
                     0.0 if queues else ABANDONED_CALL_LINGER_S
                 )
 
+    def has_calls(self) -> bool:
+        """Returns True if any call was made."""
+        return bool(self._attempts)
+
     def count_extra(self) -> int:
         """Returns the number of calls beyond the first."""
         return max(0, len(self._attempts) - 1)
@@ -289,6 +293,8 @@
         )
         if target is None:
             return False
+        if instead_of is None and self._takes_last_slot(target.stats, now_s):
+            return False
         if hedge_within_s is not None and not self._is_worth_hedging(
             target.stats, now_s, hedge_within_s
         ):
@@ -336,14 +342,20 @@
         within_s: float,
     ) -> bool:
         """Returns True if a hedge is likely to be answered in time."""
-        if self._context.saves_slots and not searcher_selection.has_free_slot(
-            stats, now_s
-        ):
-            return False
         return not stats.overdue and searcher_selection.may_answer_within(
             stats, self._timings.get_usual_s(), within_s, now_s
         )
 
+    def _takes_last_slot(
+        self, stats: searcher_stats.SearcherStats, now_s: float
+    ) -> bool:
+        """Returns True if an extra call would take a slot that others need."""
+        return (
+            self._context.saves_slots
+            and self.is_waiting()
+            and not searcher_selection.has_free_slot(stats, now_s)
+        )
+
     def _cancel_unsent(
         self, attempt: attempt_module.Attempt, now_s: float
     ) -> bool:
--- a/src/azureramp/policy/admission_gate.py
+++ b/src/azureramp/policy/admission_gate.py
@@ -42,6 +42,13 @@
 
 STANDING_PATIENCE_S = 0.005
 
+MIN_SERVED_SHARE = 0.1
+"""Minimum part of the limit that is shared out: with none, nothing would be
+sent that shows when there is room."""
+
+MAX_EVIDENCE_AGE_S = 1.0
+"""Time without an ended request after which evidence is dropped, in seconds."""
+
 SMOOTHING = 0.1
 """Weight of the latest request in the average duration."""
 
@@ -91,6 +98,7 @@
         "_detector",
         "_last_seen_s",
         "_mean_s",
+        "_recorded_s",
         "_standing_since_s",
         "limit",
         "queue",
@@ -107,6 +115,7 @@
         self._detector = congestion.CongestionDetector()
         self._last_seen_s: dict[int, float] = {}
         self._mean_s = 0.0
+        self._recorded_s = -math.inf
         self._standing_since_s = math.inf
 
     def arrive(self, ticket: fair_queue.Ticket, now_s: float) -> Decision:
@@ -115,13 +124,11 @@
         self.shares.record_asked(ticket.account, ticket.weight, now_s)
         self.limit.record_running(self.running + 1, now_s)
         if math.isinf(self.limit.value) and not self.queue:
-            self._admit(ticket, now_s)
-            return Admitted()
+            return self._admit(ticket, now_s)
         self._update_shares(now_s)
         before = self.queue.count_before(ticket)
         if not before and (not self.running or self._has_room(ticket, now_s)):
-            self._admit(ticket, now_s)
-            return Admitted()
+            return self._admit(ticket, now_s)
         patience_s = ticket.patience_s
         if (
             now_s - self._standing_since_s > STANDING_S
@@ -132,6 +139,9 @@
             not self._is_over_share(ticket, now_s)
             and self._estimate_wait_s(ticket, before, now_s) <= patience_s
         ):
+            if not self.running:
+                # No end of a request would admit it.
+                return self._admit(ticket, now_s)
             if not self.queue:
                 self._standing_since_s = now_s
             self.queue.push(ticket)
@@ -190,11 +200,13 @@
         running = self.running
         self.running -= 1
         if outcome is not None:
+            if now_s - self._recorded_s > MAX_EVIDENCE_AGE_S:
+                self._detector = congestion.CongestionDetector()
+            self._recorded_s = now_s
             evidence = self._detector.record(outcome)
             if not outcome.is_lost():
                 took_s = now_s - started_s
-                if not self._mean_s:
-                    self._mean_s = took_s
+                self._mean_s = self._mean_s or took_s
                 self._mean_s += SMOOTHING * (took_s - self._mean_s)
             self.limit.record_end(evidence, started_s, running, now_s)
         return self._admit_waiting(now_s)
@@ -222,10 +234,11 @@
                 return ticket
         return None
 
-    def _admit(self, ticket: fair_queue.Ticket, now_s: float) -> None:
+    def _admit(self, ticket: fair_queue.Ticket, now_s: float) -> Admitted:
         """Records that a request is sent."""
         self.running += 1
         self.shares.record_granted(ticket.account, now_s)
+        return Admitted()
 
     def _has_room(self, ticket: fair_queue.Ticket, now_s: float) -> bool:
         """Returns True if one more request like this may run.
@@ -270,8 +283,8 @@
             # By Little's law, the limit is the rate times the duration.
             per_s = self.limit.value / self._mean_s
             # While requests show congestion, that rate is more than is served.
-            served_share = 1.0 - self._detector.congested_share
-            self.shares.update(per_s * served_share, now_s)
+            share = max(MIN_SERVED_SHARE, 1.0 - self._detector.mean_congested)
+            self.shares.update(per_s * share, now_s)
 
     def _estimate_wait_s(
         self, ticket: fair_queue.Ticket, before: int, now_s: float
--- a/tests/forwarding/test_account_limits.py
+++ b/tests/forwarding/test_account_limits.py
@@ -8,10 +8,12 @@
 
 import pytest
 
-from azureramp.controllers.forwarding import account_uses
+from azureramp.controllers.forwarding import account_decider, account_uses
 from azureramp.platform import program
-from azureramp_standins.fleet import deployment
-from tests.forwarding import scenes
+from azureramp.policy import account_limits, account_owners, congestion
+from azureramp.ports.vms import http as vms_http
+from azureramp_standins.fleet import deployment, searcher
+from tests.forwarding import scenes, test_dark_searchers
 
 VMS = 4
 RATE_PER_S = 20.0
@@ -282,3 +284,112 @@
         assert statuses[429] <= 0.02 * statuses.total()
 
     scenes.run(run, vms=VMS + 2, searchers=4)
+
+
+def test_a_raised_limit_holds_before_the_next_request() -> None:
+    """Guards against a bucket that fills by the old limit until it is used."""
+
+    async def run(scene: deployment.Deployment) -> None:
+        await declare_accounts(scene)
+        yard = scene.configuration["Tenants"][0]
+        yard |= {"RatePerS": 2.0, "Burst": 4.0}
+        scene.write_configuration()
+        await asyncio.sleep(UPDATE_S)
+        await send(scene, "k-yard", 1.0, 4.0)
+        yard |= {"RatePerS": 20.0, "Burst": 40.0}
+        scene.write_configuration()
+        await asyncio.sleep(UPDATE_S + 6.0)
+        assert await send(scene, "k-yard", 300.0, 40 / 300) == {200: 40}
+
+    scenes.run(run, vms=VMS, searchers=4)
+
+
+def test_what_was_decided_by_an_old_limit_is_asked_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against refusals for as long as a lower limit would have lasted.
+
+    The VM that decides receives the raised limit later than the others.
+    """
+
+    async def run(scene: deployment.Deployment) -> None:
+        await declare_accounts(scene)
+        await send(scene, "k-dealer", 50.0, 2.0)
+        tolerance = scene.daemons["vm-0"].board.bounds.account_limits
+        old = account_limits.compute_budget(0.05, 0.0, tolerance)
+        with monkeypatch.context() as patch:
+            patch.setattr(
+                account_decider.AccountDecider, "get_budget", lambda *_: old
+            )
+            scene.configuration["Tenants"][1] |= {"RatePerS": 20.0}
+            scene.write_configuration()
+            await asyncio.sleep(UPDATE_S)
+            await send(scene, "k-dealer", 50.0, 1.0)
+        await asyncio.sleep(2.0)
+        assert await send(scene, "k-dealer", 10.0, 4.0) == {200: 40}
+
+    scenes.run(run, vms=VMS, searchers=4)
+
+
+def test_uses_of_requests_that_no_searcher_got_are_given_back() -> None:
+    """Guards against an account that pays for what never ran.
+
+    A caller leaves while it waits for its turn, and a route's other service
+    has no searcher.
+    """
+
+    async def run(scene: deployment.Deployment) -> None:
+        split = [
+            {"Backend": service, "Weight": 1} for service in ("gone", "shard-a")
+        ]
+        scene.add_route("/split/", TrafficSplit=split)
+        await declare_accounts(scene)
+        for each in scene.searchers.values():
+            each.script = lambda _: searcher.Reaction(delay_s=0.01)
+        owner = account_owners.choose_owner("yard", scene.daemons)
+        vm = next(name for name in scene.daemons if name != owner)
+        await send(scene, "k-yard", 10.0, 0.2, [vm])
+        await asyncio.sleep(0.1)
+        gate = scene.daemons[vm].board.gates[scenes.SINGLE_SERVICE]
+        now_s = asyncio.get_running_loop().time()
+        gate.limit.record_end(congestion.Evidence.FULL, now_s, 1, now_s)
+        asking = [
+            asyncio.ensure_future(
+                scene.send_request(vm, "/one/a", key="k-yard")
+            )
+            for _ in range(2)
+        ]
+        await asyncio.sleep(0.006)
+        assert len(gate.queue) == 1
+        for task in asking:
+            task.cancel()
+        await asyncio.sleep(0.002)
+        assert describe(scene.daemons[vm], "yard").unsettled == 1
+        await asyncio.sleep(0.1)
+        statuses: list[int] = []
+        for _ in range(2):
+            sending = scene.send_request(vm, "/split/a", key="k-yard")
+            statuses.append((await sending).status)
+        assert sorted(statuses) == [200, 503]
+        assert describe(scene.daemons[vm], "yard").unsettled == 1
+
+    scenes.run(run, vms=2, searchers=1)
+
+
+def test_a_vm_without_power_holds_up_no_report_beyond_its_timeout() -> None:
+    """Guards against reports that don't go to the new owner meanwhile."""
+
+    async def run(scene: deployment.Deployment) -> None:
+        loop = asyncio.get_running_loop()
+        owner = next(iter(scene.daemons.values())).board.identity.peer_address
+        hanging = test_dark_searchers.HangingConnections()
+        hanging.ports.add(int(owner.rpartition(":")[2]))
+        client = vms_http.HttpVmClient(1)
+        began_s = loop.time()
+        timeout_s = account_limits.LEND_TIMEOUT_S
+        result = await client.call(owner, "/", b"", timeout_s)
+        assert result.is_error()
+        assert loop.time() - began_s <= timeout_s + 0.001
+        hanging.clear()
+
+    scenes.run(run)
--- a/tests/policy/test_admission_gate.py
+++ b/tests/policy/test_admission_gate.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from azureramp.policy import admission_gate, congestion, fair_queue
+from azureramp.policy import admission_gate, congestion, fair_queue, fair_shares
 from tests.policy import queueing_model
 from tests.policy.queueing_model import Load
 
@@ -141,6 +141,81 @@
     assert detector.record(single) is congestion.Evidence.FULL
 
 
+LOST = congestion.Outcome(1, 1, full=1, queued=0, slow=0)
+CLEAR = congestion.Outcome(1, 1, full=0, queued=0, slow=0)
+
+
+def make_ticket(account: str = "a") -> fair_queue.Ticket:
+    return fair_queue.Ticket(account, 0, 1.0, False, 0.01, 0.5)
+
+
+def limit_to_few() -> admission_gate.Gate:
+    """Makes a gate that met full searchers ten times in a second."""
+    gate = admission_gate.Gate()
+    for number in range(10):
+        now_s = 0.1 * number
+        gate.arrive(make_ticket(), now_s)
+        gate.end(now_s, LOST, now_s + 0.02)
+    assert gate.limit.value <= 2.0
+    return gate
+
+
+def test_a_limit_from_before_a_quiet_time_refuses_nobody() -> None:
+    """Guards against refusals in calm for a shortage that is long past."""
+    gate = limit_to_few()
+    for _ in range(20):
+        decision = gate.arrive(make_ticket(), 60.0)
+        assert decision == admission_gate.Admitted()
+
+
+def test_a_request_after_a_quiet_time_sets_no_limit_if_it_is_served() -> None:
+    """Guards against a limit by evidence that is long past."""
+    gate = limit_to_few()
+    gate.arrive(make_ticket(), 60.0)
+    gate.end(60.0, CLEAR, 60.02)
+    assert gate.limit.value == float("inf")
+
+
+def test_one_lost_fan_out_does_not_leave_all_accounts_without_a_share() -> None:
+    """Guards against refusals by a gate at which nothing runs."""
+    gate = admission_gate.Gate()
+    served = congestion.Outcome(90, 86, full=0, queued=0, slow=0)
+    lost = congestion.Outcome(90, 86, full=9, queued=0, slow=0)
+    for now_s in (0.1 * number for number in range(20)):
+        for account in ("a", "b", "c", "d"):
+            gate.arrive(make_ticket(account), now_s)
+        for _ in range(4):
+            gate.end(now_s, lost if now_s > 1.85 else served, now_s + 0.05)
+    assert gate.running == 0
+    assert gate.limit.value < 4.0
+    assert gate.arrive(make_ticket(), 2.0) == admission_gate.Admitted()
+
+
+def test_no_request_waits_for_its_turn_while_nothing_runs() -> None:
+    """Guards against a wait that nothing can end, and those behind it."""
+    gate = limit_to_few()
+    gate.limit.value = 1.0
+    gate.arrive(make_ticket(), 0.95)
+    gate.end(0.95, CLEAR, 0.955)
+    less_urgent = fair_queue.Ticket("a", 1, 1.0, False, 0.1, 0.9)
+    assert gate.arrive(less_urgent, 0.96) == admission_gate.Admitted()
+
+
+def test_accounts_of_very_different_weight_have_shares() -> None:
+    """Guards against an error where one limit is written as a huge number."""
+    level = fair_shares.compute_level([(1.0, 2.0), (9.0, 2e-18)], 5.0)
+    assert 0 < level < float("inf")
+
+
+def test_accounts_are_forgotten_while_all_are_served() -> None:
+    """Guards against memory, and a long pause at the first congestion."""
+    gate = admission_gate.Gate()
+    for number in range(5000):
+        gate.arrive(make_ticket(f"a{number}"), 0.02 * number)
+        gate.end(0.02 * number, CLEAR, 0.02 * number)
+    assert gate.shares.count_accounts() < 1000
+
+
 def test_a_limit_that_is_no_longer_needed_is_lifted() -> None:
     """Guards against refusals long after the searchers keep up again."""
     gate = admission_gate.Gate()
