Let the VM that was asked last keep a VM's entry after an outage

Cause: in an outage the VMs of a zone ask one VM after the other to announce them. Each VM that was asked keeps the request for 2.6 s and writes the entry once the store is back, also over that of a VM asked later or of the VM itself.

Change: a VM numbers its choices of who announces it, and its entry holds the number. A relay drops a follower whose entry has a higher number than the follower's request.

--- a/src/azureramp/catalog.py
+++ b/src/azureramp/catalog.py
@@ -237,6 +237,8 @@
         keeper: The VM to whose lease the entry is attached; empty if it is the
             announced VM's own lease.
         link_mbps: The bandwidth of its link, in Mbit/s; 0 if unknown.
+        announcement: Number of the announced VM's choice of who announces it.
+            A later choice has a higher number.
     """
 
     vm: str
@@ -248,6 +250,7 @@
     busy: bool = False
     keeper: str = ""
     link_mbps: float = 0.0
+    announcement: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -165,6 +165,8 @@
             Written by the members controller.
         announces_own_entry: True if no other VM should announce this one.
             Written by the members controller.
+        announcement: Number of this VM's latest choice of who announces it. See
+            `begin_announcement`.
         last_announced_s: When another VM last confirmed that it announces this
             one. Written by the feed.
         leaving: True once the process has been asked to stop.
@@ -177,6 +179,7 @@
 
     __slots__ = (
         "advertised",
+        "announcement",
         "announces_own_entry",
         "bounds",
         "busy",
@@ -224,6 +227,7 @@
         self.reads_from_store = False
         self.is_relay = False
         self.lease = ""
+        self.announcement = 0
         self.announces_own_entry = False
         self.last_announced_s = -math.inf
         self.leaving = False
@@ -258,4 +262,22 @@
             leaving=self.leaving,
             busy=self.busy,
             link_mbps=self.identity.link_mbps,
+            announcement=self.announcement,
         )
+
+    def begin_announcement(self) -> None:
+        """Numbers a new choice of who announces this VM.
+
+        The number is higher than that of the known entry, which may come from
+        this VM's previous process.
+        """
+        self.announcement = max(self.announcement, self._get_known()) + 1
+
+    def is_announcement_outdated(self) -> bool:
+        """Returns True if the known entry of this VM has a higher number."""
+        return self._get_known() > self.announcement
+
+    def _get_known(self) -> int:
+        """Returns the number of the known entry of this VM; 0 if none."""
+        known = self.members.get(self.identity.vm)
+        return 0 if known is None else known.announcement
--- a/src/azureramp/controllers/forwarding/feed.py
+++ b/src/azureramp/controllers/forwarding/feed.py
@@ -91,6 +91,7 @@
     """
 
     __slots__ = (
+        "_announcer",
         "_apply",
         "_avoided_until_s",
         "_board",
@@ -141,6 +142,7 @@
         self._apply = apply
         self._rng = rng
         self._avoided_until_s: dict[str, float] = {}
+        self._announcer = ""
         self._source = ""
         self._received_s = -math.inf
 
@@ -310,7 +312,7 @@
         loop = asyncio.get_running_loop()
         asked_s = loop.time()
         result = await self._relays.request_changes(
-            address, self._make_request()
+            address, self._make_request(address)
         )
         if result.is_error() or result.ok.age_ms > MAX_RELAY_AGE_MS:
             now_s = loop.time()
@@ -339,11 +341,14 @@
         await asyncio.sleep(RELAY_PAUSE_S)
         return True
 
-    def _make_request(self) -> relays_api.ChangesRequest:
+    def _make_request(self, address: str) -> relays_api.ChangesRequest:
         """Makes a request for the changes after this VM's revision.
 
         It contains this VM's entry, so that the relay announces it, unless
         this VM announces itself.
+
+        Args:
+            address: The relay's peer address.
         """
         board = self._board
         announced = (
@@ -351,6 +356,11 @@
             and board.is_ready()
             and not board.announces_own_entry
         )
+        if announced and (
+            address != self._announcer or board.is_announcement_outdated()
+        ):
+            self._announcer = address
+            board.begin_announcement()
         return relays_api.ChangesRequest(
             board.identity.vm,
             self._relay.copy.revision,
--- a/src/azureramp/controllers/forwarding/members.py
+++ b/src/azureramp/controllers/forwarding/members.py
@@ -261,6 +261,7 @@
         answer was lost.
         """
         board = self._board
+        board.begin_announcement()
         member = board.make_member()
         key = self._make_key(member.vm)
         expected = self._get_own_revision(key)
--- a/src/azureramp/policy/roster.py
+++ b/src/azureramp/policy/roster.py
@@ -79,8 +79,11 @@
     """Drops the followers that have stopped or are announced by other VMs.
 
     If another VM changed or deleted an entry after this VM wrote it, then the
-    follower has left or another VM announces it now. A follower that is dropped
-    but still sends requests to this VM is added again by the next one.
+    follower has left or another VM announces it now. An entry with a higher
+    announcement number shows that the follower has since asked another VM, or
+    announces itself: a relay asked earlier would replace that entry and delete
+    it once its own requests time out. A follower that is dropped but still
+    sends requests to this VM is added again by the next one.
 
     Args:
         followers: The followers by name; lost ones are removed.
@@ -91,10 +94,13 @@
     for vm, follower in list(followers.items()):
         _confirm_write(follower, present.get(vm))
         written = follower.written_revision
-        lost = False
+        current = present.get(vm)
+        lost = (
+            current is not None
+            and current.member.announcement > follower.member.announcement
+        )
         if written is not None and written <= revision:
-            current = present.get(vm)
-            lost = current is None or current.revision > written
+            lost = lost or current is None or current.revision > written
         if lost or follower.alive_until_s <= now_s:
             del followers[vm]
 
--- a/tests/forwarding/test_roster.py
+++ b/tests/forwarding/test_roster.py
@@ -191,7 +191,10 @@
 
 @pytest.mark.parametrize(
     ("fault", "seed"),
-    [("silent", 0), *(("busy", n) for n in (0, 1, 2, 7, 8, 11, 16, 20))],
+    [
+        ("silent", 0),
+        *(("busy", n) for n in (0, 1, 2, 7, 8, 10, 11, 12, 16, 20, 59)),
+    ],
 )
 def test_standbys_stay_known_through_an_outage(fault: str, seed: int) -> None:
     """Guards against a VM that renews its lease but receives no changes."""
--- a/tests/policy/test_roster.py
+++ b/tests/policy/test_roster.py
@@ -78,6 +78,19 @@
     assert list(followers) == ["kept"]
 
 
+def test_the_vm_asked_last_keeps_the_entry() -> None:
+    """Guards against an earlier relay that replaces it and then deletes it."""
+    followers = {vm: make_follower(vm) for vm in ("later", "same", "earlier")}
+    present = {}
+    for number, vm in enumerate(("earlier", "same", "later"), 4):
+        member = dataclasses.replace(followers[vm].member, announcement=5)
+        followers[vm].member = member
+        stored = dataclasses.replace(member, keeper="", announcement=number)
+        present[vm] = roster.StoredEntry(stored, 9)
+    roster.drop_inactive_followers(followers, present, 10, NOW_S)
+    assert sorted(followers) == ["earlier", "same"]
+
+
 def test_a_write_with_a_lost_answer_counts_once_the_copy_has_it() -> None:
     followers = {"vm-1": make_follower("vm-1")}
     followers["vm-1"].attempt_revision = 8
