--- a/tests/ports/searchers/test_half_open.py
+++ b/tests/ports/searchers/test_half_open.py
@@ -162,8 +162,8 @@
 
 
 SETUP_SUSPECT_AFTER_MS = 200.0
-"""When a reply becomes overdue in the set-up of a scenario, in milliseconds. On a
-busy machine a first reply may take longer than 60 ms."""
+"""When a reply becomes overdue while a scenario is set up, in milliseconds.
+On a busy machine a first reply may take longer than 60 ms."""
 
 
 def call(
