--- a/src/azureramp/policy/advertising.py
+++ b/src/azureramp/policy/advertising.py
@@ -65,10 +65,9 @@
 
     VMs in availability zones that hold many searchers are preferred, since
     their calls need not cross zones, and among them those with the most
-    capacity. Each
-    busy VM is replaced by two others: if only that VM is slow, they do its
-    work; if all are loaded, twice as many VMs share the load. Busy VMs are
-    advertised only if there are too few others.
+    capacity. Each busy VM is replaced by two others: if only that VM is slow,
+    they do its work; if all are loaded, twice as many VMs share the load. Busy
+    VMs are advertised only if there are too few others.
 
     Args:
         members: The known VMs.
