--- a/src/azureramp/controllers/forwarding/fan_out.py
+++ b/src/azureramp/controllers/forwarding/fan_out.py
@@ -41,12 +41,6 @@
 any case."""
 
 
-RETRY_INTERVAL_S = 0.03
-"""Interval at which a request that is past its target calls missing shards
-again, in seconds. A searcher that was skipped as late is often free a few calls
-later."""
-
-
 class FanOutRequest:
     """Forwards a request to all shards and merges their answers.
 
@@ -186,20 +180,6 @@
         """Allows a partial answer from now on."""
         self._allows_partial = True
         self._finish_if_ready()
-        self._retry_missing()
-
-    def _retry_missing(self) -> None:
-        """Calls missing shards again while too few have answered."""
-        if self._done is None or self._done.done():
-            return
-        for each in self.parts:
-            if not each.done:
-                each.retry_unanswered()
-        self._timers.append(
-            asyncio.get_running_loop().call_later(
-                RETRY_INTERVAL_S, self._retry_missing
-            )
-        )
 
     def _handle_part_done(self, each: part.Part) -> None:
         """Handles the end of a part."""
--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -149,23 +149,6 @@
             self._searchers.metrics.count("call.hedged")
         return hedged
 
-    def retry_unanswered(self) -> bool:
-        """Makes an extra call where no hedge was made, for a late answer.
-
-        A hedge that could not be answered within the target was skipped, but
-        its answer may still arrive before the deadline.
-
-        Returns:
-            True if a call was made.
-        """
-        if self.done or not self._context.route.repeatable:
-            return False
-        now_s = asyncio.get_running_loop().time()
-        retried = self._may_send() and self._start_call(now_s)
-        if retried:
-            self._searchers.metrics.count("call.retried")
-        return retried
-
     def _move_unsent(self, now_s: float) -> bool:
         """Moves a call that still waits for a connection to another searcher.
 
--- a/src/azureramp/controllers/forwarding/single.py
+++ b/src/azureramp/controllers/forwarding/single.py
@@ -17,13 +17,6 @@
 )
 from azureramp.ports.forwarding import api
 
-RETRY_SHARE = 0.5
-"""Interval at which an unanswered request tries to make another call, as a
-share of the route's target."""
-
-MIN_RETRY_INTERVAL_S = 0.01
-"""Minimum of this interval, in seconds, for routes without a target."""
-
 
 class SingleRequest:
     """Forwards a request to one searcher, hedged if its route is repeatable.
@@ -41,7 +34,6 @@
         "_part",
         "_request",
         "_searchers",
-        "_timers",
         "_timings",
         "caller_overhead_s",
         "parts",
@@ -76,7 +68,6 @@
         )
         self.parts = (self._part,)
         self.caller_overhead_s = request.round_trip_s
-        self._timers: list[asyncio.TimerHandle] = []
         self._done: asyncio.Future[None] | None = None
 
     async def run(self) -> requests.Answer:
@@ -88,39 +79,19 @@
         hedge_s = self._timings.get_hedge_s(
             self._context.route.target_latency_s
         )
-        self._timers = [
-            loop.call_later(hedge_s, self._hedge),
+        timers = [
+            loop.call_later(hedge_s, self._part.hedge),
             loop.call_at(self._context.answer_by_s, self._finish),
         ]
         try:
             await self._done
         finally:
-            for timer in self._timers:
+            for timer in timers:
                 timer.cancel()
             if not self._part.done:
                 self._part.abandon()
         return self._make_answer()
 
-    def _hedge(self) -> None:
-        """Makes a hedged call, and checks later whether one was made."""
-        self._part.hedge()
-        self._schedule_retry()
-
-    def _retry(self) -> None:
-        """Makes another call where no hedge was made."""
-        self._part.retry_unanswered()
-        self._schedule_retry()
-
-    def _schedule_retry(self) -> None:
-        """Schedules the next check for a missing hedge, until the answer."""
-        if self._done is None or self._done.done():
-            return
-        target_s = self._context.route.target_latency_s
-        delay_s = max(MIN_RETRY_INTERVAL_S, RETRY_SHARE * target_s)
-        self._timers.append(
-            asyncio.get_running_loop().call_later(delay_s, self._retry)
-        )
-
     def _handle_part_done(self, _: part.Part) -> None:
         """Finishes the request once its part has ended."""
         self._finish()
