Reserve the ports of tests' servers while the tests run

What callers saw: nothing.

Cause: the test drew a free port and closed it; until its searcher bound it, another test run drew the same port, listened there and ended. The test took that server for its own.

Change: the port stays bound, without a listener, for the time of the test. The checks are as they were. The same pattern in five other test modules is changed too.

--- a/tests/ports/peers/test_contract.py
+++ b/tests/ports/peers/test_contract.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import socket
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
@@ -14,17 +13,12 @@
 from azureramp import messages, metrics, timelines
 from azureramp.ports.peers import api, memory, nng
 from azureramp_standins import virtual
+from tests.ports import addresses
 
 CANCEL = messages.Cancel(request_id="r", parts=(1, 2))
 WAIT_S = 10.0
 
 
-def find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 @dataclasses.dataclass(slots=True)
 class Link:
     """The port of one VM and the envelopes that it has received."""
@@ -70,9 +64,12 @@
 
 def run_nng(exchange: Exchange) -> None:
     found: dict[str, str] = {}
+    reserved = contextlib.ExitStack()
 
     def make(vm: str, address: str, incarnation: int) -> Link:
-        real = found.setdefault(address, f"127.0.0.1:{find_port()}")
+        if address not in found:
+            found[address] = reserved.enter_context(addresses.reserve())
+        real = found[address]
         port = nng.make(
             vm,
             real,
@@ -83,7 +80,8 @@
         )
         return Link(port, real)
 
-    asyncio.run(exchange(make))
+    with reserved:
+        asyncio.run(exchange(make))
 
 
 @pytest.fixture(params=[run_memory, run_nng], ids=["memory", "nng"])
--- a/tests/ports/peers/test_nng.py
+++ b/tests/ports/peers/test_nng.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 
 import pytest
@@ -14,6 +15,7 @@
     timelines,
 )
 from azureramp.ports.peers import authentication, nng
+from tests.ports import addresses
 from tests.ports.peers import test_contract
 
 CANCEL = messages.Cancel(request_id="r", parts=())
@@ -58,10 +60,11 @@
     If they were accepted, any process could claim to be an owner.
     """
 
-    async def run_exchange() -> tuple[list[messages.Envelope], int]:
+    async def run_exchange(
+        ports: list[str],
+    ) -> tuple[list[messages.Envelope], int]:
         envelopes: list[messages.Envelope] = []
         counters = metrics.Metrics()
-        ports = [f"127.0.0.1:{test_contract.find_port()}" for _ in range(3)]
         right = nng.make(
             "b", ports[0], 1, timelines.Timeline("b"), counters, "key"
         )
@@ -88,7 +91,9 @@
         await right.close()
         return envelopes, counters.counts["peer.received_bytes"]
 
-    envelopes, received = asyncio.run(run_exchange())
+    with contextlib.ExitStack() as reserved:
+        ports = [reserved.enter_context(addresses.reserve()) for _ in range(3)]
+        envelopes, received = asyncio.run(run_exchange(ports))
 
     assert [envelope.sender for envelope in envelopes] == ["key"]
     assert received > 0
@@ -100,14 +105,14 @@
     Sending must neither block nor queue more than the bound.
     """
 
-    async def run_exchange() -> int:
+    async def run_exchange(own_address: str) -> int:
         loop = asyncio.get_running_loop()
         listener = socket.create_server(("127.0.0.1", 0))
         listener.setblocking(False)
         address = f"127.0.0.1:{listener.getsockname()[1]}"
         left = nng.make(
             "a",
-            f"127.0.0.1:{test_contract.find_port()}",
+            own_address,
             1,
             timelines.Timeline("a"),
             metrics.Metrics(),
@@ -127,4 +132,5 @@
         listener.close()
         return dropped
 
-    assert asyncio.run(run_exchange()) >= 500
+    with addresses.reserve() as address:
+        assert asyncio.run(run_exchange(address)) >= 500
--- a/tests/ports/searchers/harness.py
+++ b/tests/ports/searchers/harness.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, Protocol
 
@@ -12,6 +11,7 @@
 from azureramp.ports.searchers import api, calls, http, memory
 from azureramp.ports.web import server as web_server
 from azureramp_standins import searcher as standin
+from tests.ports import addresses
 
 VERSION = "arrears.1"
 SERVICE_MS = 5.0
@@ -164,14 +164,7 @@
         return len(self._searcher.effects)
 
 
-def find_free_address() -> str:
-    """Returns a loopback address with a free port."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
-def make(kind: str) -> Harness:
+def make(kind: str, loopback_address: str) -> Harness:
     """Makes the harness for one implementation."""
     match kind:
         case "memory":
@@ -179,7 +172,7 @@
         case "http_in_memory":
             return HttpHarness("127.0.0.1:8000")
         case _:
-            return HttpHarness(find_free_address())
+            return HttpHarness(loopback_address)
 
 
 async def wait_until(condition: Callable[[], object]) -> None:
@@ -207,8 +200,8 @@
     if kind == "http_on_loopback":
         factory = asyncio.new_event_loop
 
-    async def run_scenario() -> None:
-        harness = make(kind)
+    async def run_scenario(address: str) -> None:
+        harness = make(kind, address)
         await harness.start()
         try:
             await scenario(harness)
@@ -216,8 +209,11 @@
             await harness.port.close()
             await harness.stop()
 
-    with asyncio.Runner(loop_factory=factory) as runner:
-        runner.run(run_scenario())
+    with (
+        addresses.reserve() as address,
+        asyncio.Runner(loop_factory=factory) as runner,
+    ):
+        runner.run(run_scenario(address))
 
 
 def run_virtual(coroutine: Coroutine[Any, Any, None]) -> None:
--- a/tests/ports/searchers/test_half_open.py
+++ b/tests/ports/searchers/test_half_open.py
@@ -9,6 +9,7 @@
 
 from azureramp import errors
 from azureramp.ports.searchers import memory
+from tests.ports import addresses
 from tests.ports.searchers import harness as harness_module
 
 
@@ -20,9 +21,9 @@
         accepted: Number of accepted connections.
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, address: str, target: str) -> None:
         """Makes a proxy in front of a server."""
-        self.address = harness_module.find_free_address()
+        self.address = address
         self.accepted = 0
         self._target = target
         self._open: list[asyncio.Event] = []
@@ -85,12 +86,10 @@
 class ProxiedHarness:
     """The HTTP port through a proxy over real sockets."""
 
-    def __init__(self) -> None:
+    def __init__(self, address: str, proxy_address: str) -> None:
         """Makes a searcher behind a proxy, neither of which is started."""
-        self._inner = harness_module.HttpHarness(
-            harness_module.find_free_address()
-        )
-        self._proxy = Proxy(self._inner.address)
+        self._inner = harness_module.HttpHarness(address)
+        self._proxy = Proxy(proxy_address, address)
         self.address = self._proxy.address
         self.port = self._inner.port
 
@@ -147,18 +146,24 @@
 def run(kind: str, scenario: Any) -> None:
     """Runs a scenario through the proxy or in memory."""
 
-    async def run_scenario() -> None:
-        harness: Any = ProxiedHarness() if kind == "proxy" else MemoryHarness()
+    async def run_scenario(harness: Any) -> None:
         await harness.start()
         try:
             await scenario(harness)
         finally:
             await harness.stop()
 
+    async def run_proxied() -> None:
+        with addresses.reserve() as first, addresses.reserve() as second:
+            await run_scenario(ProxiedHarness(first, second))
+
+    async def run_in_memory() -> None:
+        await run_scenario(MemoryHarness())
+
     if kind == "proxy":
-        asyncio.run(run_scenario())
+        asyncio.run(run_proxied())
     else:
-        harness_module.run_virtual(run_scenario())
+        harness_module.run_virtual(run_in_memory())
 
 
 SETUP_SUSPECT_AFTER_MS = 200.0
--- a/tests/ports/store/test_contract.py
+++ b/tests/ports/store/test_contract.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import dataclasses
-import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -19,6 +18,7 @@
 from azureramp.ports.store import api, counting, http, memory
 from azureramp.ports.store import state as store_state
 from azureramp_standins import platform
+from tests.ports import addresses
 
 ADDRESS = "127.0.0.1:7001"
 
@@ -324,6 +324,5 @@
 
 @pytest.mark.parametrize("check", CHECKS)
 def test_store_fulfils_its_contract_over_real_sockets(check: Check) -> None:
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        port = probe.getsockname()[1]
-    asyncio.run(run_over_http(check, f"127.0.0.1:{port}"))
+    with addresses.reserve() as address:
+        asyncio.run(run_over_http(check, address))
--- a/tests/ports/web/test_server.py
+++ b/tests/ports/web/test_server.py
@@ -13,6 +13,7 @@
 
 from azureramp.ports.web import api, request_reader, server
 from azureramp.ports.web import connection as web_connection
+from tests.ports import addresses
 
 ADDRESS = "127.0.0.1:8000"
 
@@ -254,12 +255,9 @@
     user timeout on a busy one. Both must be set on accepted connections.
     """
 
-    async def scenario() -> None:
+    async def scenario(address: str) -> None:
         handler = Handler()
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
-        served = server.Server(f"127.0.0.1:{port}", handler.handle)
+        served = server.Server(address, handler.handle)
         accepted: list[asyncio.StreamWriter] = []
         set_options = web_connection.set_socket_options
 
@@ -283,7 +281,8 @@
         opened.ok.abort()
         await served.stop(1.0)
 
-    asyncio.run(scenario())
+    with addresses.reserve() as address:
+        asyncio.run(scenario(address))
 
 
 @pytest.mark.parametrize("loop_iterations", range(16))
--- a/tests/standins/test_searcher.py
+++ b/tests/standins/test_searcher.py
@@ -16,6 +16,7 @@
 from azureramp.ports.searchers import http
 from azureramp.ports.web import connection as web_connection
 from azureramp_standins import searcher as searcher_double
+from tests.ports import addresses
 from tests.ports.searchers import harness
 
 VERSIONS = ("--version", "arrears.1", "--version", "arrears.2")
@@ -30,22 +31,27 @@
 
 @contextlib.asynccontextmanager
 async def start(
-    address: str, *flags: str
-) -> AsyncIterator[subprocess.Popen[bytes]]:
-    """Starts the process, waits until it accepts connections, and stops it."""
-    process = start_process(address, *flags)
-    try:
-        for _ in range(500):
-            opened = await web_connection.connect(address, 1.0)
-            if opened.is_ok():
-                opened.ok.abort()
-                break
-            await asyncio.sleep(0.02)
-        check(opened, process)
-        yield process
-    finally:
-        process.terminate()
-        await asyncio.to_thread(process.wait)
+    *flags: str,
+) -> AsyncIterator[tuple[str, subprocess.Popen[bytes]]]:
+    """Starts the process, waits until it accepts connections, and stops it.
+
+    Yields:
+        Its address and the process.
+    """
+    with addresses.reserve() as address:
+        process = start_process(address, *flags)
+        try:
+            for _ in range(500):
+                opened = await web_connection.connect(address, 1.0)
+                if opened.is_ok():
+                    opened.ok.abort()
+                    break
+                await asyncio.sleep(0.02)
+            check(opened, process)
+            yield address, process
+        finally:
+            process.terminate()
+            await asyncio.to_thread(process.wait)
 
 
 def check(
@@ -72,8 +78,7 @@
 
 def test_searcher_serves_a_range_of_a_version_and_records_effects() -> None:
     async def scenario() -> None:
-        address = harness.find_free_address()
-        async with start(address, "--incarnation", "4") as process:
+        async with start("--incarnation", "4") as (address, process):
             port = http.make()
             text = b'{"text":""}'
             replies = [
@@ -110,8 +115,7 @@
 
 def test_searcher_crashes_on_a_configured_query() -> None:
     async def scenario() -> None:
-        address = harness.find_free_address()
-        async with start(address) as process:
+        async with start() as (address, process):
             await send_request(
                 process, address, "POST", "/v1/faults", b'{"crash":"poison"}'
             )
