Handle what arrived during a pause before a limit ends it

What callers saw: after a pause of a VM's process, requests on idle connections closed unread, answers short of searchers that had accepted a connection.

Cause: when a pause ends, a limit that passed is due in the same turn of the event loop that learns of the reply; the reply only schedules the waiting task and the limit cancels it.

The same fault was looked for wherever a limit ends I/O: connect, pooled exchanges, the forwarding pool, health reads, overdue replies, requests of callers. The half-open test's set-up has its 60 ms again.

--- a/src/azureramp/ports/forwarding/pool.py
+++ b/src/azureramp/ports/forwarding/pool.py
@@ -11,6 +11,7 @@
 from azureramp.ports.forwarding import api, searcher_connection
 from azureramp.ports.forwarding import pending_call as pending_call_module
 from azureramp.ports.web import connection as web_connection
+from azureramp.ports.web import time_limit
 
 CONNECT_S = 1.0
 """Timeout for opening a connection, in seconds; a searcher that is up takes
@@ -289,7 +290,7 @@
         """
         host, port = web_connection.split_address(self.address)
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(timeout_s):
+        async with time_limit.end_after(timeout_s):
             _, link = await loop.create_connection(self._make_link, host, port)
         self.opened_count += 1
         if link.closed:
--- a/src/azureramp/ports/searchers/calls.py
+++ b/src/azureramp/ports/searchers/calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import functools
 from collections.abc import Callable
 from typing import Generic, Protocol, TypeVar
 
@@ -13,6 +14,7 @@
 from azureramp.policy import connections
 from azureramp.ports.searchers import api, health, pool
 from azureramp.ports.web import connection as web_connection
+from azureramp.ports.web import time_limit
 
 CONNECT_TIMEOUT_S = 1.0
 """Maximum time to open a connection, in seconds."""
@@ -178,13 +180,15 @@
         remaining_ms = (deadline_s - permission.computed_s) * 1000
         timer = None
         if call.suspect_after_ms:
-            timer = loop.call_later(
-                call.suspect_after_ms / 1000,
-                self._start_overdue_check,
-                pooled,
-                link,
-                call,
-                permission.computed_s,
+            timer = time_limit.Timer(
+                permission.computed_s + call.suspect_after_ms / 1000,
+                functools.partial(
+                    self._start_overdue_check,
+                    pooled,
+                    link,
+                    call,
+                    permission.computed_s,
+                ),
             )
         broke = False
         try:
--- a/src/azureramp/ports/searchers/health.py
+++ b/src/azureramp/ports/searchers/health.py
@@ -16,6 +16,7 @@
 from azureramp import errors
 from azureramp.ports.searchers import api, pool
 from azureramp.ports.web import connection as web_connection
+from azureramp.ports.web import time_limit
 
 TIMEOUT_S = 0.25
 """Timeout of a health read, in seconds."""
@@ -114,7 +115,7 @@
         links.opened += 1
         opened = False
         try:
-            async with asyncio.timeout(TIMEOUT_S):
+            async with time_limit.end_after(TIMEOUT_S):
                 result = await self._connect(address, 2 * TIMEOUT_S)
             opened = result.is_ok()
         except TimeoutError:
@@ -131,7 +132,7 @@
     async def _read_on(self, links: HealthLinks[_L], link: _L) -> HealthResult:
         """Reads the health over a connection and keeps it if successful."""
         try:
-            async with asyncio.timeout(TIMEOUT_S):
+            async with time_limit.end_after(TIMEOUT_S):
                 report = await link.read_health()
         except TimeoutError:
             report = expression.Error(_make_timeout())
--- a/src/azureramp/ports/web/connection.py
+++ b/src/azureramp/ports/web/connection.py
@@ -12,7 +12,7 @@
 import h11
 
 from azureramp import errors
-from azureramp.ports.web import api
+from azureramp.ports.web import api, time_limit
 
 MAX_BODY_BYTES = 4_000_000
 """Maximum size of a response body, in bytes."""
@@ -291,7 +291,7 @@
     """
     host, port = split_address(address)
     try:
-        async with asyncio.timeout(timeout_s):
+        async with time_limit.end_after(timeout_s):
             reader, writer = await asyncio.open_connection(host, port)
     except (OSError, TimeoutError) as error:
         detail = f"connect to {address}: {str(error) or 'timeout'}"
--- a/src/azureramp/ports/web/pool.py
+++ b/src/azureramp/ports/web/pool.py
@@ -8,7 +8,7 @@
 import expression
 
 from azureramp import errors
-from azureramp.ports.web import api
+from azureramp.ports.web import api, time_limit
 from azureramp.ports.web import connection as web_connection
 
 CONNECT_S = 1.0
@@ -70,7 +70,7 @@
                     )
                 connection = opened.ok
             try:
-                async with asyncio.timeout_at(deadline_s):
+                async with time_limit.end_at(deadline_s):
                     response = await connection.exchange(
                         method, target, headers, body
                     )
--- a/src/azureramp/ports/web/request_reader.py
+++ b/src/azureramp/ports/web/request_reader.py
@@ -9,7 +9,7 @@
 
 import h11
 
-from azureramp.ports.web import api
+from azureramp.ports.web import api, time_limit
 from azureramp.ports.web import connection as web_connection
 
 LINGER_S = 0.25
@@ -159,7 +159,7 @@
             )
             self._writer.write(self._http.send(continue_response) or b"")
         try:
-            async with asyncio.timeout_at(self._deadline_s) as self._timeout:
+            async with time_limit.end_at(self._deadline_s) as self._timeout:
                 data = await self._reader.read(READ_BYTES)
         except TimeoutError:
             if not self._started:
--- a/tests/ports/searchers/test_half_open.py
+++ b/tests/ports/searchers/test_half_open.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import Any
 
 import pytest
@@ -166,22 +167,12 @@
         harness_module.run_virtual(run_in_memory())
 
 
-SETUP_SUSPECT_AFTER_MS = 200.0
-"""When a reply becomes overdue while a scenario is set up, in milliseconds.
-On a busy machine a first reply may take longer than 60 ms."""
-
-
-def call(
-    harness: Any,
-    number: int,
-    suspect_after_ms: float = 60.0,
-    **fields: Any,
-) -> Any:
-    """Makes a call whose reply becomes overdue, by default after 60 ms."""
+def call(harness: Any, number: int, **fields: Any) -> Any:
+    """Makes a call whose reply becomes overdue after 60 ms."""
     made = harness_module.make_call(
         harness.address,
         call_id=f"r{number}/1",
-        suspect_after_ms=suspect_after_ms,
+        suspect_after_ms=60.0,
         abort_after_ms=240.0,
         deadline_ms=20_000.0,
         **fields,
@@ -206,10 +197,7 @@
     async def scenario(harness: Any) -> None:
         harness.port.set_limit(harness.address, 10)
         first_calls = await asyncio.gather(
-            *(
-                call(harness, n, suspect_after_ms=SETUP_SUSPECT_AFTER_MS)
-                for n in range(3)
-            )
+            *(call(harness, n) for n in range(3))
         )
         connects = harness.count_connects()
         harness.make_half_open()
@@ -225,6 +213,20 @@
     run(kind, scenario)
 
 
+def test_reply_is_not_overdue_because_the_process_was_paused() -> None:
+    """Guards against closing sound connections after a pause."""
+
+    async def scenario(harness: Any) -> None:
+        asyncio.get_running_loop().call_later(0.002, time.sleep, 0.1)
+        result = await call(harness, 1)
+        await asyncio.sleep(0.05)
+
+        assert result.is_ok()
+        assert harness.count_connects() == 1
+
+    run("proxy", scenario)
+
+
 @pytest.mark.parametrize("kind", KINDS)
 def test_health_read_succeeds_if_its_idle_connection_is_half_open(
     kind: str,
