Log why a VM accepts new work or no longer does

Cause: a rolling restart failed beside heavy load, and the VMs' logs could not tell a lost majority from a VM without its searchers' states.

Change: a line for each change of serving, with what it was decided from.

Before, the logs had only starts and stops.

--- a/src/azureramp/controllers/serving.py
+++ b/src/azureramp/controllers/serving.py
@@ -5,12 +5,16 @@
 import asyncio
 import math
 
+import logbook
+
 from azureramp import blackboard, events, resources
 
 MAX_STATES_WAIT_S = 3.0
 """Maximum time for which a starting VM waits for the owners' announcements of
 searcher states, in seconds."""
 
+_logger = logbook.Logger("azureramp.serving")
+
 
 class ServingController:
     """Derives `board.serving` from the rest of the blackboard."""
@@ -36,6 +40,7 @@
         if decided is board.serving:
             return
         board.serving = decided
+        self._log(now_s)
         board.timeline.record(
             events.ServingChanged(
                 state=decided.value, revision=board.configuration.revision
@@ -43,6 +48,20 @@
             now_s,
         )
 
+    def _log(self, now_s: float) -> None:
+        """Logs the new state with what it was decided from."""
+        board = self._board
+        states = board.get_searcher_states()
+        _logger.info(
+            "now {}: configuration {}, may work for {:.2f} s more,"
+            " states of {} of {} owned searchers known",
+            board.serving.value,
+            board.configuration.revision,
+            board.may_work_until_s - now_s,
+            sum(name in states for name in board.owners),
+            len(board.owners),
+        )
+
     def _has_searcher_states(self, now_s: float) -> bool:
         """Returns True if this VM knows enough of the searchers to start.
 
