Name the holders of an account, and drop old levels in one pass

Cause: reading the change as a newcomer: an entry of a VM that may hold an account was called a gift, and dropping old levels joined two tables for each.

--- a/src/azureramp/policy/account_handovers.py
+++ b/src/azureramp/policy/account_handovers.py
@@ -33,11 +33,11 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class _Gift:
+class _Holder:
     """A VM that may hold an account.
 
     Attributes:
-        number: The number of the entry.
+        number: The number of the entry that says so.
         until_s: Until when the VM may hold the account, in seconds.
     """
 
@@ -60,7 +60,7 @@
         # By account: the level of the bucket that was given away last.
         self._given_levels: dict[str, float] = {}
         # By account: the VMs that may hold it.
-        self._given_to: dict[str, dict[str, _Gift]] = {}
+        self._given_to: dict[str, dict[str, _Holder]] = {}
         # By account and VM: when the VM gave it up.
         self._received_from: dict[str, dict[str, float]] = {}
 
@@ -82,13 +82,13 @@
         before = next(
             (
                 each
-                for each, gift in given.items()
-                if each != vm and gift.until_s > now_s
+                for each, holding in given.items()
+                if each != vm and holding.until_s > now_s
             ),
             "",
         )
         given.clear()
-        given[vm] = self._make_gift(now_s)
+        given[vm] = self._make_holder(now_s)
         self._received_from.pop(account, None)
         if level is not None:
             self._given_levels[account] = level
@@ -114,13 +114,13 @@
             False if the answer doesn't count.
         """
         given = self._given_to.setdefault(account, {})
-        gift = given.get(vm)
-        if gift is not None and gift.number > asked_at:
+        holding = given.get(vm)
+        if holding is not None and holding.number > asked_at:
             return False
         self._received_from.setdefault(account, {})[vm] = now_s
         given.pop(vm, None)
         if holder:
-            given[holder] = self._make_gift(now_s)
+            given[holder] = self._make_holder(now_s)
         return True
 
     def find_holders(
@@ -142,7 +142,7 @@
                 for vm, ended_s in rivals.items()
                 if received.get(vm, -math.inf) < ended_s
             }
-            | {vm for vm, gift in given.items() if gift.until_s > now_s}
+            | {vm for vm, holding in given.items() if holding.until_s > now_s}
         )
 
     def get_latest_s(self, account: str) -> float:
@@ -150,8 +150,8 @@
         return max(
             (
                 *(
-                    gift.until_s
-                    for gift in self._given_to.get(account, {}).values()
+                    holding.until_s
+                    for holding in self._given_to.get(account, {}).values()
                 ),
                 *self._received_from.get(account, {}).values(),
             ),
@@ -169,16 +169,16 @@
     def drop_old(self, old_s: float) -> None:
         """Drops what happened before a time, in seconds."""
         for account, given in list(self._given_to.items()):
-            if all(gift.until_s < old_s for gift in given.values()):
+            if all(holding.until_s < old_s for holding in given.values()):
                 del self._given_to[account]
         for account, received in list(self._received_from.items()):
             if all(at_s < old_s for at_s in received.values()):
                 del self._received_from[account]
-        for account in list(self._given_levels):
-            if account not in self._given_to | self._received_from:
-                del self._given_levels[account]
+        recorded = self._given_to.keys() | self._received_from.keys()
+        for account in self._given_levels.keys() - recorded:
+            del self._given_levels[account]
 
-    def _make_gift(self, now_s: float) -> _Gift:
-        """Makes the entry of a VM that may hold an account from now on."""
+    def _make_holder(self, now_s: float) -> _Holder:
+        """Numbers the entry of a VM that may hold an account from now on."""
         self.count += 1
-        return _Gift(self.count, now_s + GIVEN_S)
+        return _Holder(self.count, now_s + GIVEN_S)
