Log which revision and source a request's searchers were chosen by

Cause: for a request at a searcher that had left, the logs didn't say what the VM knew then. A good request's line named no searcher, no revision and no source, an entry kept in use after an outage had no line, and explain looked at the lines of one VM only. Four hypotheses looked the same.

Change: request lines have searchers, revision, source and update_age_ms; lines on searchers have revision, source and the time since the last call; a searcher that stays in use without an entry is logged and counted (azureramp_call_entry_missing); a new source is logged with the revision from which it is followed. azureramp explain lists the called searchers that any VM knew to have left. No logic changed.

Measured: the new tests failed before (no such fields); tests/forwarding, tests/cli and tests/test_explanations.py pass.

--- a/src/azureramp/cli/explain.py
+++ b/src/azureramp/cli/explain.py
@@ -72,6 +72,12 @@
             "  changes of the store had last reached the VM"
             f" {fields['contact_age_ms']} ms before"
         )
+    if "revision" in fields:
+        yield (
+            f"  the searchers were chosen by revision {fields['revision']} from"
+            f" {fields.get('source')}, received"
+            f" {fields.get('update_age_ms', '?')} ms before"
+        )
     if fields.get("detail"):
         yield f"  {fields['detail']}"
     yield f"cause: {explanation.cause}"
@@ -84,6 +90,11 @@
         own,
     )
     yield from _format_lines("crashes:", explanation.crash_lines, own)
+    for left in explanation.departures:
+        yield (
+            f"left: {left.searcher} was {left.state} on {left.vm}"
+            f" {left.before_s:.3f} s before, by revision {left.revision}"
+        )
     if explanation.calls:
         yield "calls, ms after the request's first byte:"
     for call in explanation.calls:
--- a/src/azureramp/controllers/forwarding/attempt.py
+++ b/src/azureramp/controllers/forwarding/attempt.py
@@ -16,6 +16,7 @@
     Attributes:
         target: The searcher that was called.
         sent_s: When the call was submitted to the searcher's pool.
+        known: What this VM had received of the store's changes by then.
         pending_call: The submitted call; None until it is submitted.
         overdue: True once the call is counted as overdue.
         ended: True once its outcome is known.
@@ -26,6 +27,7 @@
 
     target: board_module.Target
     sent_s: float
+    known: board_module.ReceivedUpdates
     pending_call: api.PendingCall | None = None
     overdue: bool = False
     ended: bool = False
--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -88,8 +88,8 @@
         probing: True while a new connection checks whether it is up.
         removed: True once it was removed; calls that it is still running
             complete.
-        entry_expired: True if its entry expired during a store outage; it
-            remains in use until the store has been back for a while.
+        missing_since_s: When its entry was found to be missing although it may
+            still be running; infinite while the entry exists.
         reports_unreadable: True once it sent a load report that can't be read.
         call_times_s: When the newest call and those in the second before it
             were sent, including calls to the process that it replaced under its
@@ -103,7 +103,7 @@
     misdirected: bool = False
     probing: bool = False
     removed: bool = False
-    entry_expired: bool = False
+    missing_since_s: float = math.inf
     reports_unreadable: bool = False
     call_times_s: collections.deque[float] = dataclasses.field(
         default_factory=collections.deque
@@ -125,6 +125,23 @@
     last_answer_s: float = -math.inf
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReceivedUpdates:
+    """What this process has received of the store's changes.
+
+    Attributes:
+        revision: The store's revision up to which the changes were received.
+        source: Where they were last requested: the address of another VM, or
+            `store`; empty before the first request.
+        received_s: When changes, or the answer that there are none, were last
+            received.
+    """
+
+    revision: int = 0
+    source: str = ""
+    received_s: float = -math.inf
+
+
 @dataclasses.dataclass(slots=True)
 class Pause:
     """The last period in which this process was paused.
@@ -157,6 +174,7 @@
         busy: True while this VM's CPU is overloaded.
         metrics: Counters that all controllers share.
         contact: Whether the store can be reached.
+        updates: What was received of the store's changes. Written by the feed.
         reads_from_store: True while this VM receives updates from the store
             itself instead of another VM. Written by the feed.
         is_relay: True if the other VMs of its zone should request updates from
@@ -201,6 +219,7 @@
         "started_s",
         "table",
         "targets",
+        "updates",
     )
 
     def __init__(
@@ -224,6 +243,7 @@
         self.busy = False
         self.metrics = counters
         self.contact = StoreContact()
+        self.updates = ReceivedUpdates()
         self.reads_from_store = False
         self.is_relay = False
         self.lease = ""
--- a/src/azureramp/controllers/forwarding/change_log.py
+++ b/src/azureramp/controllers/forwarding/change_log.py
@@ -29,6 +29,7 @@
 
     SEARCHER_READY = "searchers_ready"
     SEARCHER_DRAINING = "searchers_draining"
+    SEARCHER_MISSING = "searchers_missing"
     SEARCHER_GONE = "searchers_gone"
     VM_SEEN = "vms_seen"
     VM_GONE = "vms_gone"
@@ -52,7 +53,11 @@
         self._counts[change] += 1
 
     def log_line(
-        self, channel: logbook.Logger, text: str, now_s: float
+        self,
+        channel: logbook.Logger,
+        text: str,
+        now_s: float,
+        **fields: str | int,
     ) -> None:
         """Logs a line on a single searcher unless the rate limit is reached.
 
@@ -60,13 +65,14 @@
             channel: The logger to use.
             text: The line.
             now_s: The current time, in seconds.
+            **fields: Further fields of the line.
         """
         if not self._sampler.allow(now_s):
             return
         left_out = self._sampler.pop_skipped_count()
-        channel.info(
-            text, extra={"lines_left_out": left_out} if left_out else {}
-        )
+        if left_out:
+            fields["lines_left_out"] = left_out
+        channel.info(text, extra=fields)
 
     def flush(self, now_s: float, revision: int) -> None:
         """Logs the counts, at most once per `FLUSH_INTERVAL_S`.
--- a/src/azureramp/controllers/forwarding/feed.py
+++ b/src/azureramp/controllers/forwarding/feed.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-import math
+import dataclasses
 import random
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
@@ -97,7 +97,6 @@
         "_board",
         "_contact",
         "_is_seed",
-        "_received_s",
         "_relay",
         "_relays",
         "_rng",
@@ -144,7 +143,6 @@
         self._avoided_until_s: dict[str, float] = {}
         self._announcer = ""
         self._source = ""
-        self._received_s = -math.inf
 
     async def run(self) -> None:
         """Follows the store. Never returns."""
@@ -229,7 +227,9 @@
 
     def _is_recent(self) -> bool:
         """Returns True if the last update and the store's answer are recent."""
-        age_s = asyncio.get_running_loop().time() - self._received_s
+        age_s = (
+            asyncio.get_running_loop().time() - self._board.updates.received_s
+        )
         return (
             max(age_s, self._contact.get_time_since_answer_s())
             < MAX_RECENT_AGE_S
@@ -377,10 +377,12 @@
             entries: The received entries.
             revision: The store's revision up to which they are complete.
         """
-        self._received_s = asyncio.get_running_loop().time()
         copy = self._relay.copy
         new = [entry for entry in entries if copy.apply(entry)]
         copy.revision = max(copy.revision, revision)
+        self._board.updates = board_module.ReceivedUpdates(
+            copy.revision, self._source, asyncio.get_running_loop().time()
+        )
         if new:
             self._apply(new)
             self._relay.wake()
@@ -390,8 +392,15 @@
         self._board.reads_from_store = source == STORE
         if source != self._source:
             self._source = source
+            self._board.updates = dataclasses.replace(
+                self._board.updates, source=source
+            )
             self._relay.wake()
-            _logger.info("receiving changes from {}", source)
+            _logger.info(
+                "receiving changes from {} after revision {}",
+                source,
+                self._relay.copy.revision,
+            )
 
     async def _pause(self) -> None:
         """Waits for a random pause after a failed call."""
--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -218,7 +218,10 @@
         return attempt_module.describe(self.service, self._attempts, began_s)
 
     def list_not_ready(self) -> list[str]:
-        """Lists `searcher state` for called searchers that take no new work."""
+        """Lists `searcher state` for called searchers that take no new work.
+
+        Includes searchers whose entries are missing in the store.
+        """
         states: list[str] = []
         for attempt in self._attempts:
             searcher = attempt.target.searcher
@@ -226,8 +229,14 @@
                 states.append(f"{searcher.id} gone")
             elif searcher.state is not catalog.SearcherState.READY:
                 states.append(f"{searcher.id} {searcher.state.value}")
+            elif math.isfinite(attempt.target.missing_since_s):
+                states.append(f"{searcher.id} missing in the store")
         return states
 
+    def get_attempts(self) -> tuple[attempt_module.Attempt, ...]:
+        """Returns the calls in the order in which they were made."""
+        return tuple(self._attempts)
+
     def is_waiting(self) -> bool:
         """Returns True if any call has no outcome yet."""
         return any(not attempt.ended for attempt in self._attempts)
@@ -292,7 +301,8 @@
             self._searchers.metrics.count("call.withheld")
             return False
         self._searchers.metrics.count("call.sent")
-        attempt = attempt_module.Attempt(target, now_s)
+        known = self._searchers.get_received_updates()
+        attempt = attempt_module.Attempt(target, now_s, known)
         self._attempts.append(attempt)
         self._tried.add(target.searcher.id)
         stats = target.stats
--- a/src/azureramp/controllers/forwarding/request_log.py
+++ b/src/azureramp/controllers/forwarding/request_log.py
@@ -112,6 +112,10 @@
             "way_ms": round(caller_overhead_s * 1000, 1),
             "advertised": self._is_advertised(),
         }
+        line |= describe_knowledge(parts)
+        not_ready = list_not_ready(parts)
+        if not_ready:
+            line["not_ready"] = not_ready
         if authorization is not None:
             line["priority"] = authorization.priority
             if authorization.account is not None:
@@ -133,9 +137,6 @@
             if math.isfinite(age_s):
                 line["contact_age_ms"] = round(age_s * 1000)
             line["calls"] = describe_calls(parts, request.began_s)
-            not_ready = list_not_ready(parts)
-            if not_ready:
-                line["not_ready"] = not_ready
         else:
             line["extra_calls"] = sum(each.count_extra() for each in parts)
         skipped = sampler.pop_skipped_count()
@@ -213,6 +214,31 @@
     return descriptions
 
 
+def describe_knowledge(parts: Sequence[part.Part]) -> dict[str, Any]:
+    """Describes which searchers were called, and by which revision.
+
+    Returns:
+        The fields `searchers` (at most `MAX_LISTED_CALLS` ids), `revision` and
+        `source` of the call that knew the oldest revision, and `update_age_ms`,
+        the time from the last received update to that call; empty if no call
+        was made.
+    """
+    attempts = [made for each in parts for made in each.get_attempts()]
+    if not attempts:
+        return {}
+    oldest = min(attempts, key=lambda each: each.known.revision)
+    called = dict.fromkeys(each.target.searcher.id for each in attempts)
+    fields: dict[str, Any] = {
+        "searchers": list(called)[:MAX_LISTED_CALLS],
+        "revision": oldest.known.revision,
+        "source": oldest.known.source,
+    }
+    age_s = oldest.sent_s - oldest.known.received_s
+    if math.isfinite(age_s):
+        fields["update_age_ms"] = round(age_s * 1000)
+    return fields
+
+
 def list_not_ready(parts: Sequence[part.Part]) -> list[str]:
     """Lists `searcher state` for called searchers that take no new work now."""
     states: set[str] = set()
--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Collection, Mapping
 
@@ -88,7 +89,7 @@
         if target is not None and _is_same_process(target.searcher, searcher):
             target.searcher = searcher
             target.stats.slots = searcher.slots
-            target.entry_expired = False
+            target.missing_since_s = math.inf
         else:
             self.remove(searcher.id)
             replaced, target = target, self._make_target(searcher)
@@ -132,11 +133,22 @@
         ):
             return
         searcher = target.searcher
-        gone = change is change_log.Change.SEARCHER_GONE
-        state = "gone" if gone else searcher.state.value
+        match change:
+            case change_log.Change.SEARCHER_GONE:
+                state = "gone"
+            case change_log.Change.SEARCHER_MISSING:
+                state = "missing in the store, and stays in use for now"
+            case _:
+                state = searcher.state.value
+        updates = self._board.updates
         where = f"{searcher.service} at {searcher.address}"
         self._log.log_line(
-            _logger, f"searcher {searcher.id} of {where} is {state}", now_s
+            _logger,
+            f"searcher {searcher.id} of {where} is {state}",
+            now_s,
+            revision=updates.revision,
+            source=updates.source,
+            last_call_ms=round((now_s - target.call_times_s[-1]) * 1000),
         )
 
     def close(self) -> None:
@@ -147,13 +159,15 @@
     def mark_expired(self, searcher: str) -> None:
         """Marks a searcher whose entry expired during a store outage."""
         target = self._board.targets.get(searcher)
-        if target is not None:
-            target.entry_expired = True
+        if target is None or math.isfinite(target.missing_since_s):
+            return
+        target.missing_since_s = asyncio.get_running_loop().time()
+        self._log_change(target, change_log.Change.SEARCHER_MISSING)
 
     def remove_expired(self) -> None:
         """Removes the searchers whose entries have not been rewritten."""
         for name, target in list(self._board.targets.items()):
-            if target.entry_expired:
+            if math.isfinite(target.missing_since_s):
                 self.remove(name)
 
     def apply_connection_limits(self) -> None:
@@ -281,9 +295,15 @@
             target.probing = True
             target.pool.probe(handle_probe)
 
+    def get_received_updates(self) -> board_module.ReceivedUpdates:
+        """Returns what this VM has received of the store's changes."""
+        return self._board.updates
+
     def record_call(self, target: board_module.Target, now_s: float) -> None:
         """Records a call to a searcher."""
         cold_searchers.record_call(target, now_s)
+        if math.isfinite(target.missing_since_s):
+            self.metrics.count("call.entry_missing")
         self.load_reports.record_choice(target, now_s)
         self.rollouts.record_call(target.searcher, now_s)
 
--- a/src/azureramp/explanations.py
+++ b/src/azureramp/explanations.py
@@ -48,6 +48,33 @@
     vms: set[str] = dataclasses.field(default_factory=set)
 
 
+DEPARTURES = (
+    ("is draining", "draining"),
+    ("is gone", "gone"),
+    ("is missing in the store", "missing in the store"),
+)
+"""Phrases in a line about a searcher that left or may have, with its state."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Departure:
+    """A called searcher that a VM knew to have left, before the request ended.
+
+    Attributes:
+        searcher: The searcher.
+        state: `draining`, `gone` or `missing in the store`.
+        vm: The VM that logged it first.
+        before_s: How long before the request's line, in seconds.
+        revision: The revision that this VM had received; 0 if not logged.
+    """
+
+    searcher: str
+    state: str
+    vm: str
+    before_s: float
+    revision: int
+
+
 @dataclasses.dataclass(slots=True)
 class Explanation:
     """What the logs contain about one request.
@@ -61,6 +88,7 @@
         observations: Unsuccessful calls of other requests to each called
             searcher.
         crash_lines: Lines about crashes of the called searchers.
+        departures: The called searchers that some VM knew to have left.
         in_force: The configuration in force on the VM; None if the logs don't
             say.
         cause: The cause in one sentence.
@@ -73,6 +101,7 @@
     searcher_lines: list[log_lines.Line]
     observations: dict[str, CallObservations]
     crash_lines: list[log_lines.Line]
+    departures: list[Departure]
     in_force: account_causes.InForce | None = None
     cause: str = ""
     missing_lines: list[str] = dataclasses.field(default_factory=list)
@@ -95,6 +124,7 @@
         return None
     calls = log_lines.parse_calls(request_line)
     searchers = {call.searcher for call in calls if call.searcher}
+    searchers.update(request_line.fields.get("searchers", ()))
     in_force = account_causes.list_in_force(lines, request_line.at_s)
     explanation = Explanation(
         request_line,
@@ -103,6 +133,7 @@
         _find_searcher_lines(lines, request_line, searchers),
         _collect_observations(lines, request_line, searchers),
         _find_crashes(lines, request_line, searchers),
+        _find_departures(lines, request_line, searchers),
         in_force.get(request_line.vm),
     )
     if request_line.fields.get("outcome") in account_causes.OUTCOMES:
@@ -275,6 +306,38 @@
     ]
 
 
+def _find_departures(
+    lines: list[log_lines.Line],
+    request_line: log_lines.Line,
+    searchers: set[str],
+) -> list[Departure]:
+    """Returns which searchers any VM knew to have left before a request.
+
+    A line that says that a searcher is ready cancels the earlier ones.
+    """
+    known: dict[str, Departure] = {}
+    for line in lines:
+        if line.at_s > request_line.at_s:
+            break
+        if line.channel != "azureramp.searchers":
+            continue
+        name = line.message.split(" ")[1]
+        if name not in searchers:
+            continue
+        if line.message.endswith(" is ready"):
+            known.pop(name, None)
+        for phrase, state in DEPARTURES:
+            if phrase in line.message and name not in known:
+                known[name] = Departure(
+                    name,
+                    state,
+                    line.vm,
+                    request_line.at_s - line.at_s,
+                    line.fields.get("revision", 0),
+                )
+    return list(known.values())
+
+
 def _find_gaps(
     lines: list[log_lines.Line], request_line: log_lines.Line
 ) -> list[str]:
--- a/src/azureramp/metrics.py
+++ b/src/azureramp/metrics.py
@@ -82,6 +82,7 @@
         Metric("call.sent", Type.COUNTER, "Calls to searchers."),
         Metric("call.hedged", Type.COUNTER, "Of these, hedges."),
         Metric("call.retried", Type.COUNTER, "Of these, retries."),
+        Metric("call.entry_missing", Type.COUNTER, "Entry not in the store."),
         Metric("call.left_zone", Type.COUNTER, "Other zone, own one usable."),
         Metric("call.moved", Type.COUNTER, "Sent elsewhere, since unsent."),
         Metric("call.withheld", Type.COUNTER, "Extra calls over the bound."),
--- a/tests/forwarding/test_change_log.py
+++ b/tests/forwarding/test_change_log.py
@@ -68,6 +68,45 @@
     scenes.run(scenario)
 
 
+def test_a_missing_entry_of_a_searcher_in_use_is_logged_with_its_source() -> (
+    None
+):
+    async def scenario(scene: deployment.Deployment) -> None:
+        for _ in range(8):
+            assert (await scene.send_request("vm-0", "/one/x")).status == 200
+        scene.store.faults.busy = True
+        await deployment.wait_for_updates(5.0)
+        scene.store.remove("servers/statements-0")
+        revision = scene.store.state.revision
+        scene.store.faults.busy = False
+        with capture() as handler:
+            await deployment.wait_for_updates(1.5)
+            assert (await scene.send_request("vm-0", "/one/x")).status == 200
+            await deployment.wait_for_updates(4.0)
+        lines = [
+            record
+            for record in handler.records
+            if record.channel == "azureramp.searchers"
+        ]
+        assert ["missing" in lines[0].message, "gone" in lines[1].message] == [
+            True,
+            True,
+        ]
+        assert lines[0].extra["source"] == "store"
+        assert lines[0].extra["revision"] >= revision
+        request = next(
+            record.extra
+            for record in handler.records
+            if record.channel == "azureramp.request"
+        )
+        assert request["source"] == "store"
+        assert request["revision"] >= revision
+        assert request["update_age_ms"] < 2000
+        assert set(request["searchers"]) <= {"statements-0", "statements-1"}
+
+    scenes.run(scenario)
+
+
 def test_lines_on_single_searchers_are_rate_limited() -> None:
     log = change_log.ChangeLog()
     channel = logbook.Logger("azureramp.searchers")
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -9,6 +9,7 @@
 import pytest
 
 from azureramp import explanations, log_lines
+from azureramp.cli import explain as explain_command
 from azureramp.cli import main
 
 
@@ -259,3 +260,46 @@
     assert "account yard, priority 1" in output
     assert "configuration 4 had been in force on the VM for 8.0 s" in output
     assert "250 ms before" in output
+
+
+def test_searchers_that_other_vms_knew_to_have_left_are_listed() -> None:
+    explanation = explain(
+        write(
+            4,
+            "vm-1",
+            "searchers",
+            "searcher i-7 of s at 10.0.0.2:80 is gone",
+            revision=812,
+        ),
+        write(
+            5,
+            "vm-2",
+            "searchers",
+            "searcher i-7 of s at 10.0.0.2:80 is gone",
+            revision=813,
+        ),
+        write(
+            5, "vm-1", "searchers", "searcher i-8 of s at 10.0.0.3:80 is gone"
+        ),
+        write(
+            6, "vm-1", "searchers", "searcher i-8 of s at 10.0.0.3:80 is ready"
+        ),
+        write(
+            10,
+            "vm-0",
+            "request",
+            "request",
+            request="mine",
+            outcome="answered",
+            searchers=["i-7", "i-8"],
+            revision=815,
+            source="10.0.0.9:80",
+            update_age_ms=120,
+        ),
+    )
+    assert explanation.departures == [
+        explanations.Departure("i-7", "gone", "vm-1", 6.0, 812)
+    ]
+    rows = "\n".join(explain_command.format_explanation(explanation))
+    assert "revision 815 from 10.0.0.9:80, received 120 ms before" in rows
+    assert "i-7 was gone on vm-1 6.000 s before, by revision 812" in rows
