Let a relay answer only about changes that it has the deletions of

What callers saw: a request ran on a searcher that had left. VMs behind a relay that had restarted went on using the searcher until it ended. The same fault keeps an evacuated zone out, or a dead VM advertised, for good.

Cause: a process that starts reads the entries that exist, and answered followers whose revision was older with the entries changed since then and its present revision. Entries that were deleted in between were not among them, and the follower went on from a revision past them. After a lost history the same happened to keys that the relay itself had never had. The class: an answer promises a span of changes that its sender doesn't know in full.

Change: a copy remembers the revision at which all entries were read, and gives no changes from before it. A follower that gets 410 from a relay reads the changes from the store once, without avoiding the relay.

--- a/src/azureramp/controllers/forwarding/feed.py
+++ b/src/azureramp/controllers/forwarding/feed.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import enum
 import random
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
@@ -83,6 +84,14 @@
 _logger = logbook.Logger("azureramp.feed")
 
 
+class RelayOutcome(enum.Enum):
+    """Outcome of a request to a relay."""
+
+    RECEIVED = "received"
+    HISTORY_GONE = "history_gone"
+    UNAVAILABLE = "unavailable"
+
+
 class StoreFeed:
     """Keeps this VM's copy of the store's entries up to date.
 
@@ -173,6 +182,7 @@
             for key in self._relay.copy.list_keys()
             if key not in present
         ]
+        self._relay.copy.begin_history(listing.revision)
         self._apply_new((*deleted, *listing.entries), listing.revision)
         _logger.info(
             "read {} entries at revision {}",
@@ -193,6 +203,7 @@
                     address,
                     response.age_ms,
                 )
+                self._relay.copy.begin_history(response.revision)
                 self._apply_new(response.entries, response.revision)
                 return
 
@@ -204,11 +215,12 @@
         """
         chosen = self._choose_relay()
         if chosen is not None:
-            if await self._receive_from_relay(chosen):
-                return True
-            if self._is_recent():
-                await asyncio.sleep(RELAY_PAUSE_S)
-                return True
+            match await self._receive_from_relay(chosen):
+                case RelayOutcome.RECEIVED:
+                    return True
+                case RelayOutcome.UNAVAILABLE if self._is_recent():
+                    await asyncio.sleep(RELAY_PAUSE_S)
+                    return True
         self._set_source(STORE)
         result = await self._watch()
         if result.is_error():
@@ -299,14 +311,16 @@
         if became and self.on_became_relay is not None:
             self.on_became_relay()
 
-    async def _receive_from_relay(self, address: str) -> bool:
+    async def _receive_from_relay(self, address: str) -> RelayOutcome:
         """Requests changes from a relay once.
 
         Args:
             address: The relay's peer address.
 
         Returns:
-            False if the relay failed or is behind and is avoided for a while.
+            The outcome. A relay that is unavailable or behind is avoided for a
+            while. One without the history since this VM's revision is not: once
+            this VM has received the changes from the store, it can follow it.
         """
         self._set_source(address)
         loop = asyncio.get_running_loop()
@@ -314,6 +328,16 @@
         result = await self._relays.request_changes(
             address, self._make_request(address)
         )
+        if (
+            result.is_error()
+            and result.error.kind is errors.Kind.STORE_HISTORY_GONE
+        ):
+            _logger.info(
+                "the relay {} lacks the history since revision {}",
+                address,
+                self._relay.copy.revision,
+            )
+            return RelayOutcome.HISTORY_GONE
         if result.is_error() or result.ok.age_ms > MAX_RELAY_AGE_MS:
             now_s = loop.time()
             waited = now_s - asked_s > RELAY_WAIT_TIMEOUT_S
@@ -327,7 +351,7 @@
             if result.is_error():
                 reason = result.error.detail or result.error.kind.value
             _logger.info("avoiding the relay {}: {}", address, reason)
-            return False
+            return RelayOutcome.UNAVAILABLE
         response = result.ok
         self._contact.record_relayed_contact(
             response.age_ms / 1000, response.regained_ms / 1000
@@ -339,7 +363,7 @@
         # a wait, if the relay has read only part of the changes, or ends waits
         # early because it can't reach the store.
         await asyncio.sleep(RELAY_PAUSE_S)
-        return True
+        return RelayOutcome.RECEIVED
 
     def _make_request(self, address: str) -> relays_api.ChangesRequest:
         """Makes a request for the changes after this VM's revision.
--- a/src/azureramp/policy/store_copy.py
+++ b/src/azureramp/policy/store_copy.py
@@ -69,7 +69,7 @@
 
     Attributes:
         revision: The store's revision up to which the copy is complete.
-        compacted_revision: Deletions up to this revision may have been dropped.
+        compacted_revision: Deletions up to this revision may be unknown.
     """
 
     __slots__ = ("_deletions", "_entries", "compacted_revision", "revision")
@@ -102,6 +102,17 @@
             )
         return True
 
+    def begin_history(self, revision: int) -> None:
+        """Records that the entries that existed at a revision were read.
+
+        A copy of entries doesn't contain the deletions before it, so it can't
+        give the changes since an earlier revision.
+
+        Args:
+            revision: The revision of the copied entries.
+        """
+        self.compacted_revision = max(self.compacted_revision, revision)
+
     def get_revision(self, key: str) -> int:
         """Returns the revision of a key's entry; `NO_REVISION` if none."""
         entry = self._entries.get(key)
@@ -116,7 +127,7 @@
 
         Returns:
             The changes; all existing entries for revision 0; None if some of
-            the deletions may have been dropped.
+            the deletions may be unknown.
         """
         if after == 0:
             changes = list(self._entries.values())
--- a/tests/policy/test_store_copy.py
+++ b/tests/policy/test_store_copy.py
@@ -4,6 +4,7 @@
 
 from azureramp import catalog
 from azureramp.policy import store_copy
+from azureramp.ports.store import api as store_api
 
 
 def make_member(
@@ -54,3 +55,18 @@
     chosen = store_copy.choose_relay("vm-9", "a", members, seeds, {"s-1:81"})
     assert chosen == "s-2:81"
     assert store_copy.choose_relay("vm-9", "a", members, [], ()) is None
+
+
+def test_a_copy_gives_no_changes_from_before_its_entries_were_read() -> None:
+    """Guards against a response that lacks deletions before a relay's start."""
+    copy = store_copy.StoreCopy()
+    copy.begin_history(20)
+    copy.apply(store_api.Entry("a", b"1", 12))
+    copy.revision = 20
+    assert copy.list_changes(19) is None
+    assert copy.list_changes(20) == ()
+    copy.apply(store_api.Entry("a", None, 21))
+    copy.revision = 21
+    assert copy.list_changes(19) is None
+    assert copy.list_changes(20) == (store_api.Entry("a", None, 21),)
+    assert copy.list_changes(0) == ()
