Send followers elsewhere when a relay's watch fails, and bound its wait

What callers saw: VMs behind a relay whose watch got no answer received no change for up to 11 s, so they used searchers that had left.

Cause: a watch that waits for changes and one whose answer is lost look alike for 11 s, and a relay counted as current as long as any call, such as a lease's renewal, was answered. The class: freshness judged by another channel than the one that carries the changes.

Change: a watch waits 1 s and its answer may take 0.5 s longer; after a failed watch a relay serves no followers until a watch succeeds, and wakes those that wait. The limit for VMs without a lease was the same and goes.

Why it works: a change is at most 1.5 s old when the watch that missed it ends; the followers then need two refusals of 0.4 s and their pauses.

--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -176,7 +176,8 @@
         contact: Whether the store can be reached.
         updates: What was received of the store's changes. Written by the feed.
         reads_from_store: True while this VM receives updates from the store
-            itself instead of another VM. Written by the feed.
+            itself instead of another VM, and its last watch did not fail.
+            Written by the feed.
         is_relay: True if the other VMs of its zone should request updates from
             this one. Written by the feed.
         lease: The lease of the entries that this VM writes; empty if none.
--- a/src/azureramp/controllers/forwarding/feed.py
+++ b/src/azureramp/controllers/forwarding/feed.py
@@ -25,21 +25,16 @@
 from azureramp.ports.relays import api as relays_api
 from azureramp.ports.store import api as store_api
 
-WATCH_TIMEOUT_S = 10.0
-"""Maximum duration of one watch, in seconds. Keepalive probes end a watch
-within about 3 s if its connection is lost, so a longer limit would save calls
-without delaying detection; it is bounded for stores that limit the number of
-waiting calls."""
+WATCH_TIMEOUT_S = 1.0
+"""Maximum duration of one watch, in seconds. A watch whose answer is lost is
+silent like one without changes, although other calls are answered: what is not
+received until its end must still be in force everywhere within 3 s."""
 
 OUTAGE_WATCH_TIMEOUT_S = 0.3
 """Maximum duration of a watch while the store may be unreachable, in seconds.
 Including the time for the answer, the store's recovery is noticed within
 1.5 s."""
 
-LEASELESS_WATCH_TIMEOUT_S = 1.0
-"""Maximum duration of a watch of a VM that holds no lease, in seconds. Such a
-VM has no failing renewals that show that the store is unreachable."""
-
 MAX_RECENT_AGE_S = 1.0
 """Maximum age of the last received changes and of the store's last answer, in
 seconds, up to which a VM whose relay failed tries another relay before it
@@ -112,6 +107,7 @@
         "_seeds",
         "_source",
         "_store",
+        "_watch_failed",
         "on_became_relay",
     )
 
@@ -152,6 +148,7 @@
         self._avoided_until_s: dict[str, float] = {}
         self._announcer = ""
         self._source = ""
+        self._watch_failed = False
 
     async def run(self) -> None:
         """Follows the store. Never returns."""
@@ -230,9 +227,11 @@
                 )
                 return False
             self._contact.record_failure(result.error)
+            self._set_watch_failed(True)
             await self._pause()
             return True
         self._contact.record_success()
+        self._set_watch_failed(False)
         self._apply_new(result.ok.entries, result.ok.revision)
         await asyncio.sleep(WATCH_PAUSE_S)
         return True
@@ -262,8 +261,6 @@
         )
         if outdated or not self._board.contact.reachable:
             return await self._store.watch("", after, OUTAGE_WATCH_TIMEOUT_S)
-        if not self._board.lease:
-            return await self._store.watch("", after, LEASELESS_WATCH_TIMEOUT_S)
         watch = asyncio.ensure_future(
             self._store.watch("", after, WATCH_TIMEOUT_S)
         )
@@ -411,9 +408,22 @@
             self._apply(new)
             self._relay.wake()
 
+    def _set_watch_failed(self, failed: bool) -> None:
+        """Records the outcome of a watch.
+
+        Other calls may succeed meanwhile, so after a failed watch this VM sends
+        the VMs that follow it elsewhere until a watch succeeds.
+        """
+        self._watch_failed = failed
+        if self._board.reads_from_store == failed:
+            self._board.reads_from_store = not failed
+            self._relay.wake()
+
     def _set_source(self, source: str) -> None:
         """Records the source of changes, and logs when it differs."""
-        self._board.reads_from_store = source == STORE
+        self._board.reads_from_store = (
+            source == STORE and not self._watch_failed
+        )
         if source != self._source:
             self._source = source
             self._board.updates = dataclasses.replace(
--- a/src/azureramp/platform/store.py
+++ b/src/azureramp/platform/store.py
@@ -21,6 +21,10 @@
 """Timeout of a call, in seconds. The store usually answers within 4 ms, and
 within a few tenths of a second when it is slow."""
 
+WATCH_ANSWER_TIMEOUT_S = 0.5
+"""Maximum time for the answer of a watch beyond its wait, in seconds. VMs that
+receive changes through this one must learn soon that its watch has failed."""
+
 MAX_PAGES = 200
 """Maximum number of pages read for one prefix; a hundred searchers fill one or
 two."""
@@ -137,7 +141,7 @@
             "/kv-watch",
             query,
             None,
-            wait_s + CALL_TIMEOUT_S,
+            wait_s + WATCH_ANSWER_TIMEOUT_S,
             self._watch_pool,
         )
         if result.is_error():
