Take an entry for expired only after an outage in which it could expire

What callers saw: requests ran on searchers that had left. One failed store call of a VM, or of the relay that it follows, was enough; while calls kept failing now and then, a searcher stayed in use until it ended.

Cause: each failed call counted as an outage of the store, so entries that were removed until 2.2 s after it were kept, and the wait for these 2.2 s began anew with each further failure. A follower took over the end of its relay's outage, and again with each answer: it is told in whole milliseconds and came out a little later each time, so the wait, which sleeps for whole spans of 2.2 s, ran all the time and ended up to 2 spans after the failure (4.2 s). The class: a failure seen by one process taken for a state of the whole system.

Change: policy/store_availability tells outages from failed calls. An entry expires after three heartbeats, so only failed calls in a span of two heartbeats (HeartbeatMs of the settings) without any answer are an outage, by the VM's own calls and its relay's together; a relay that was answered all the time refutes one that only this VM saw. What is missing is removed with the first changes received once the store has been available for 2.2 s, so a VM that renews its lease but receives nothing drops nobody. An answer counts from when its call was sent. The same rule holds for the entries of VMs.

test_wait_until_stable_ends_although_the_store_flaps is replaced: it held the old rule, that a failure of 0.3 s begins the wait anew. Its successors ask for a new wait after each outage of 3 s, the same numbers of times, and for none after single failures.

--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -35,6 +35,8 @@
             answer, in seconds.
         exposure: Limit on requests to a version that is not proven yet.
         account_limits: How far the client accounts' limits may be exceeded.
+        heartbeat_s: Interval of the searchers' heartbeats, in seconds; their
+            entries expire after three without a write.
         keys_expire_s: Time without contact with the store after which this VM
             accepts no keys, in seconds; infinite if it always does.
     """
@@ -46,6 +48,7 @@
     address_lifetime_s: float
     exposure: exposure.ExposureLimit
     account_limits: account_limits.Tolerance
+    heartbeat_s: float
     keys_expire_s: float
 
 
@@ -116,12 +119,11 @@
 
     Attributes:
         reachable: False from a failed call until the next successful one.
-        recovered_s: When a call first succeeded after that.
-        last_answer_s: When a call last succeeded.
+        last_answer_s: When the newest answered call to the store was sent, by
+            this VM or by the one from which it receives changes.
     """
 
     reachable: bool = True
-    recovered_s: float = -math.inf
     last_answer_s: float = -math.inf
 
 
--- a/src/azureramp/controllers/forwarding/entry_applier.py
+++ b/src/azureramp/controllers/forwarding/entry_applier.py
@@ -48,6 +48,7 @@
         "_contact",
         "_crashes",
         "_decode",
+        "_expired",
         "_log",
         "_members",
         "_revision",
@@ -82,6 +83,7 @@
         """
         self._rollouts = rollout_registry
         self._log = log
+        self._expired = asyncio.Event()
         self._revision = 0
         self._board = board
         self._decode = decode
@@ -117,7 +119,9 @@
     async def run_expiry_cleanup(self) -> None:
         """Removes expired searchers and VMs after outages. Never returns."""
         while True:
-            await self._contact.wait_until_stable(EXPIRY_GRACE_S)
+            await self._expired.wait()
+            await self._contact.wait_until_available(EXPIRY_GRACE_S)
+            self._expired.clear()
             self._searchers.remove_expired()
             self._members.remove_expired()
             self._searchers.apply_connection_limits()
@@ -136,9 +140,7 @@
             case catalog.MemberAnnounced(member=member):
                 self._members.update_member(member)
             case catalog.MemberRemoved(vm=vm):
-                self._members.remove(
-                    vm, self._contact.has_been_reachable(EXPIRY_GRACE_S)
-                )
+                self._members.remove(vm, self._is_removal_certain())
             case catalog.CrashReport() as report:
                 self._crashes.record_remote_crashes(report)
             case catalog.RolloutOrdered(order=order):
@@ -180,17 +182,27 @@
         """Handles a searcher's entry that is deleted or invalid.
 
         An entry may expire during an outage of the store although the searcher
-        is alive. The searcher stays in use until the store has been reachable
+        is alive. The searcher stays in use until the store has been available
         for `EXPIRY_GRACE_S`.
         """
         if entry.value is not None:
             self._skip(f"the entry of searcher {searcher} is invalid")
             self._searchers.remove(searcher)
-        elif self._contact.has_been_reachable(EXPIRY_GRACE_S):
+        elif self._is_removal_certain():
             self._searchers.remove(searcher)
         else:
             self._searchers.mark_expired(searcher)
 
+    def _is_removal_certain(self) -> bool:
+        """Returns False if a missing entry may have expired in an outage.
+
+        `run_expiry_cleanup` then removes what stays missing.
+        """
+        if self._contact.had_been_available(EXPIRY_GRACE_S):
+            return True
+        self._expired.set()
+        return False
+
     def _skip(self, reason: str) -> None:
         """Counts and logs an entry that is not applied."""
         self._log.count(change_log.Change.SKIPPED)
--- a/src/azureramp/controllers/forwarding/feed.py
+++ b/src/azureramp/controllers/forwarding/feed.py
@@ -219,6 +219,7 @@
                     await asyncio.sleep(RELAY_PAUSE_S)
                     return True
         self._set_source(STORE)
+        sent_s = asyncio.get_running_loop().time()
         result = await self._watch()
         if result.is_error():
             if result.error.kind is errors.Kind.STORE_HISTORY_GONE:
@@ -230,7 +231,7 @@
             self._set_watch_failed(True)
             await self._pause()
             return True
-        self._contact.record_success()
+        self._contact.record_success(sent_s)
         self._set_watch_failed(False)
         self._apply_new(result.ok.entries, result.ok.revision)
         await asyncio.sleep(WATCH_PAUSE_S)
--- a/src/azureramp/controllers/forwarding/members.py
+++ b/src/azureramp/controllers/forwarding/members.py
@@ -110,18 +110,18 @@
             self._log.count(change_log.Change.VM_SEEN)
         self._board.members[member.vm] = member
 
-    def remove(self, vm: str, store_stable: bool) -> None:
+    def remove(self, vm: str, certain: bool) -> None:
         """Handles the deletion of a VM's entry.
 
         Args:
             vm: The VM's name.
-            store_stable: False if the store was unreachable until a moment ago.
-                The entry may then have expired although the VM is alive, so the
-                VM is kept until `remove_expired`.
+            certain: False if the entry may have expired in an outage of the
+                store although the VM is alive. The VM is then kept until
+                `remove_expired`.
         """
         if vm == self._board.identity.vm:
             self._written = False
-        if not store_stable:
+        if not certain:
             self._lapsed.add(vm)
         elif self._board.members.pop(vm, None) is not None:
             self._log.count(change_log.Change.VM_GONE)
--- a/src/azureramp/controllers/forwarding/relay.py
+++ b/src/azureramp/controllers/forwarding/relay.py
@@ -161,7 +161,7 @@
         body = encoding.encode_changes(
             self.copy.revision,
             _to_ms(self._contact.get_time_since_answer_s()),
-            _to_ms(self._contact.get_time_since_recovery_s()),
+            _to_ms(self._contact.get_available_s()),
             self._roster.is_announced(changes_request.vm),
             encoded,
         )
--- a/src/azureramp/controllers/forwarding/store_contact.py
+++ b/src/azureramp/controllers/forwarding/store_contact.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 import logbook
 
 from azureramp import errors
 from azureramp.controllers.forwarding import board as board_module
+from azureramp.policy import store_availability
 
 _logger = logbook.Logger("azureramp.contact")
 
@@ -15,7 +17,7 @@
 class StoreContactTracker:
     """Records the outcome of store calls on the blackboard."""
 
-    __slots__ = ("_board", "_failed", "_recovered")
+    __slots__ = ("_answered", "_availability", "_board", "_failed")
 
     def __init__(self, board: board_module.Board) -> None:
         """Creates a tracker without any recorded call.
@@ -24,23 +26,25 @@
             board: The process's state, whose `contact` is updated.
         """
         self._board = board
-        self._recovered = asyncio.Event()
+        self._availability = store_availability.StoreAvailability()
+        self._answered = asyncio.Event()
         self._failed = asyncio.Event()
 
-    def record_success(self) -> None:
-        """Records that a call succeeded."""
+    def record_success(self, sent_s: float | None = None) -> None:
+        """Records that a call succeeded.
+
+        Args:
+            sent_s: When it was sent, if its answer may have taken long: since
+                then, new calls may have failed. None for now.
+        """
         contact = self._board.contact
-        contact.last_answer_s = asyncio.get_running_loop().time()
-        if contact.reachable:
-            return
-        contact.reachable = True
-        contact.recovered_s = contact.last_answer_s
-        self._recovered.set()
-        _logger.info("the store is reachable again")
-
-    def record_relayed_contact(
-        self, age_s: float, recovered_age_s: float
-    ) -> None:
+        at_s = asyncio.get_running_loop().time() if sent_s is None else sent_s
+        contact.last_answer_s = max(contact.last_answer_s, at_s)
+        self._availability.record_answer(at_s, self._get_heartbeat_s())
+        self._wake()
+        self._set_reachable()
+
+    def record_relayed_contact(self, age_s: float, available_s: float) -> None:
         """Records the contact of another VM, the relay, with the store.
 
         An update from a relay shows that the store's changes reach this VM. It
@@ -49,27 +53,41 @@
 
         Args:
             age_s: Time since the store last answered the relay, in seconds.
-            recovered_age_s: Time since the relay reached the store again, in
-                seconds.
+            available_s: How long the store had been available to the relay by
+                then, in seconds.
         """
         contact = self._board.contact
-        now_s = asyncio.get_running_loop().time()
-        before_s = contact.last_answer_s
+        at_s = asyncio.get_running_loop().time() - age_s
+        contact.last_answer_s = max(contact.last_answer_s, at_s)
+        self._availability.record_answer(
+            at_s, self._get_heartbeat_s(), available_s
+        )
+        self._wake()
         if not self._board.lease:
-            self.record_success()
-        contact.last_answer_s = max(before_s, now_s - age_s)
-        if now_s - recovered_age_s > contact.recovered_s:
-            contact.recovered_s = now_s - recovered_age_s
-            self._recovered.set()
+            self._set_reachable()
+
+    def _wake(self) -> None:
+        """Wakes the waits for the store, which check it again."""
+        self._answered.set()
+        self._answered = asyncio.Event()
+
+    def _set_reachable(self) -> None:
+        """Records that the store is reachable."""
+        if not self._board.contact.reachable:
+            self._board.contact.reachable = True
+            _logger.info("the store is reachable again")
 
-    def get_time_since_recovery_s(self) -> float:
-        """Returns the time since the store became reachable again.
+    def _get_heartbeat_s(self) -> float:
+        """Returns the interval of the searchers' heartbeats, in seconds."""
+        return self._board.bounds.heartbeat_s
+
+    def get_available_s(self) -> float:
+        """Returns how long the store had been available at its last answer.
 
         Returns:
-            The time in seconds; infinite if there was no recovery.
+            The time in seconds since its last known outage.
         """
-        now_s = asyncio.get_running_loop().time()
-        return now_s - self._board.contact.recovered_s
+        return self._availability.available_s
 
     def get_time_since_answer_s(self) -> float:
         """Returns the time since the last confirmed answer of the store.
@@ -86,6 +104,7 @@
         Args:
             failure: The error, which is logged.
         """
+        self._availability.record_failure()
         contact = self._board.contact
         if not contact.reachable:
             return
@@ -102,32 +121,30 @@
         """Waits until a call fails while the store counts as reachable."""
         await self._failed.wait()
 
-    def has_been_reachable(self, duration_s: float) -> bool:
-        """Returns True if the store has been reachable for a given time.
+    def had_been_available(self, duration_s: float) -> bool:
+        """Returns True if the last changes came from a store without an outage.
 
         Args:
-            duration_s: The time in seconds.
+            duration_s: The time for which the store must have been available
+                when this VM last received changes, in seconds.
         """
-        contact = self._board.contact
-        now_s = asyncio.get_running_loop().time()
-        return contact.reachable and now_s - contact.recovered_s >= duration_s
+        return self._compute_available_s() >= duration_s
 
-    async def wait_until_stable(self, duration_s: float) -> None:
-        """Waits until the store has been reachable again for a time.
+    def _compute_available_s(self) -> float:
+        """Returns how long the store had been available at the last update."""
+        now_s = asyncio.get_running_loop().time()
+        available_s = self._availability.compute_available_s(
+            now_s, self._get_heartbeat_s()
+        )
+        if math.isinf(available_s):
+            return available_s
+        return available_s - (now_s - self._board.updates.received_s)
 
-        If the store becomes unreachable in the meantime, the wait restarts
-        instead of ending: otherwise, entries that expired earlier would stay in
-        use until the next outage.
+    async def wait_until_available(self, duration_s: float) -> None:
+        """Waits for changes of a store that has been available for a time.
 
         Args:
             duration_s: The time in seconds.
         """
-        contact = self._board.contact
-        await self._recovered.wait()
-        while True:
-            self._recovered.clear()
-            await asyncio.sleep(duration_s)
-            if self.has_been_reachable(duration_s - 0.01):
-                return
-            if not contact.reachable:
-                await self._recovered.wait()
+        while not self.had_been_available(duration_s):
+            await self._answered.wait()
--- a/src/azureramp/platform/settings.py
+++ b/src/azureramp/platform/settings.py
@@ -112,6 +112,7 @@
         platform: The store.
         seeds: The peer addresses of some VMs, `IP:port`; they may be down.
         serves: The roles of the process; unknown ones are ignored.
+        heartbeat_ms: Interval of the searchers' heartbeats, in milliseconds.
         bootstrap: True if the whole tier starts for the first time.
     """
 
@@ -123,6 +124,7 @@
     limits: ProcessLimitsBody = msgspec.field(default_factory=ProcessLimitsBody)
     seeds: list[str] = []
     serves: tuple[str, ...] = ("frontend", "directory")
+    heartbeat_ms: float = 1_200.0
     bootstrap: bool = False
 
 
@@ -306,6 +308,7 @@
         "Bounds.RollbackMs": bounds.rollback_ms,
         "Bounds.QuotaWindowS": bounds.quota_window_s,
         "Bounds.RevokeMs": bounds.revoke_ms,
+        "HeartbeatMs": body.heartbeat_ms,
     }
     for field, number in spans.items():
         if number <= 0:
@@ -353,6 +356,7 @@
                 overage=bounds.quota_overage,
                 slack=bounds.quota_slack,
             ),
+            heartbeat_s=body.heartbeat_ms / 1000,
             keys_expire_s=(
                 bounds.revoke_ms / 1000
                 if bounds.revoke_when_partitioned
--- a/src/azureramp/ports/relays/api.py
+++ b/src/azureramp/ports/relays/api.py
@@ -37,8 +37,8 @@
     Attributes:
         revision: The store's revision up to which the responding VM has read.
         age_ms: Time since the store last answered that VM, in milliseconds.
-        regained_ms: Time since that VM reached the store again, in
-            milliseconds.
+        regained_ms: How long the store had been available to that VM by then,
+            since its last outage, in milliseconds.
         entries: The entries that changed, ordered by revision; deleted ones
             have no value.
         announced: True if the store has the requesting VM's entry under the
--- a/src/azureramp_standins/fleet/deployment.py
+++ b/src/azureramp_standins/fleet/deployment.py
@@ -290,6 +290,7 @@
             address_lifetime_s=5.0,
             exposure=exposure.ExposureLimit(share=0.1, fixed=50.0, stop_s=5.0),
             account_limits=account_limits.Tolerance(5.0, 0.1, 20.0),
+            heartbeat_s=1.2,
             keys_expire_s=math.inf,
         ),
         front_address=f"127.0.0.1:{first_port}",
--- a/tests/forwarding/test_searchers.py
+++ b/tests/forwarding/test_searchers.py
@@ -118,6 +118,49 @@
     scenes.run(scenario)
 
 
+@pytest.mark.parametrize("fault", ["busy", "silent"])
+@pytest.mark.parametrize("outage_s", [3.0, 8.0])
+@pytest.mark.parametrize("contact_s", [0.0, 0.8])
+def test_expired_entries_stay_in_use_on_all_vms_after_outages(
+    fault: str, outage_s: float, contact_s: float
+) -> None:
+    """Guards against VMs that drop all searchers when an outage ends.
+
+    With a contact, the store is back for a moment between two outages, too
+    short for the searchers to write their entries again.
+    """
+
+    async def use_all(scene: deployment.Deployment, for_s: float) -> None:
+        until_s = asyncio.get_running_loop().time() + for_s
+        while asyncio.get_running_loop().time() < until_s:
+            for vm in scene.daemons:
+                assert (await scene.send_request(vm, "/one/x")).status == 200
+            await asyncio.sleep(0.1)
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        await deployment.wait_for_updates(5.0)
+        setattr(scene.store.faults, fault, True)
+        await deployment.wait_for_updates(outage_s)
+        for name in list(scene.searchers):
+            scene.store.remove(f"servers/{name}")
+        if contact_s:
+            setattr(scene.store.faults, fault, False)
+            await use_all(scene, contact_s)
+            setattr(scene.store.faults, fault, True)
+            await use_all(scene, outage_s)
+        setattr(scene.store.faults, fault, False)
+        await use_all(scene, 1.9)
+        for name, each in scene.searchers.items():
+            if name != "statements-0":
+                scene.store.put(f"servers/{name}", each.make_entry())
+        await use_all(scene, 4.0)
+        before = len(scene.searchers["statements-0"].requests)
+        await use_all(scene, 1.0)
+        assert len(scene.searchers["statements-0"].requests) == before
+
+    scenes.run(scenario, vms=6)
+
+
 def test_a_removed_entry_takes_effect_at_once_if_the_store_is_up() -> None:
     async def scenario(scene: deployment.Deployment) -> None:
         await deployment.wait_for_updates(5.0)
--- a/tests/forwarding/test_store_contact.py
+++ b/tests/forwarding/test_store_contact.py
@@ -12,39 +12,102 @@
 from azureramp_standins.fleet import deployment
 
 LOST = errors.Failure(errors.Kind.STORE_UNAVAILABLE)
+GRACE_S = 2.2
 
 
-@pytest.mark.parametrize("flickers", [0, 1, 3])
-def test_wait_until_stable_ends_although_the_store_flaps(
-    flickers: int,
+def make_board() -> board.Board:
+    """Makes the state of a process that has received nothing."""
+    settings = deployment.make_settings("vm-0", "zone-0", 30000)
+    return board.Board(
+        settings.identity, settings.bounds, metrics.Metrics(), 0.0
+    )
+
+
+def receive_update(
+    tracker: store_contact.StoreContactTracker, state: board.Board
 ) -> None:
-    """Guards against a wait that misses the store's second recovery.
+    """Records that the store has answered with its changes."""
+    tracker.record_success()
+    now_s = asyncio.get_running_loop().time()
+    state.updates = board.ReceivedUpdates(received_s=now_s)
 
-    After an outage, a VM reaches the store, loses it for a moment and reaches
-    it again. A searcher whose entry lapsed in between stays in use until the
-    store has been reachable for two seconds. The wait for that missed the
-    second recovery and would have ended only after the next outage, so a
-    searcher that had left received requests for minutes.
-    """
+
+async def receive_updates(
+    tracker: store_contact.StoreContactTracker, state: board.Board, for_s: float
+) -> None:
+    """Receives an update every half second."""
+    for _ in range(round(for_s / 0.5)):
+        receive_update(tracker, state)
+        await asyncio.sleep(0.5)
+
+
+@pytest.mark.parametrize("flaps", [0, 1, 3])
+def test_a_wait_lasts_until_the_store_has_been_available_after_all_outages(
+    flaps: int,
+) -> None:
+    """Guards against a wait that misses the end of a second outage."""
 
     async def scenario() -> None:
-        settings = deployment.make_settings("vm-0", "zone-0", 30000)
-        state = board.Board(
-            settings.identity, settings.bounds, metrics.Metrics(), 0.0
-        )
+        state = make_board()
         tracker = store_contact.StoreContactTracker(state)
+        receive_update(tracker, state)
         tracker.record_failure(LOST)
-        stable = asyncio.ensure_future(tracker.wait_until_stable(2.2))
-        await asyncio.sleep(1.0)
-        tracker.record_success()
-        for _ in range(flickers):
-            await asyncio.sleep(0.5)
+        await asyncio.sleep(3.0)
+        waiting = asyncio.ensure_future(tracker.wait_until_available(GRACE_S))
+        for _ in range(flaps):
+            await receive_updates(tracker, state, 1.0)
             tracker.record_failure(LOST)
-            await asyncio.sleep(0.3)
+            await asyncio.sleep(3.0)
+            assert not waiting.done()
+        await receive_updates(tracker, state, 2.5)
+        assert not waiting.done()
+        receive_update(tracker, state)
+        await asyncio.sleep(0.1)
+        assert waiting.done()
+
+    virtual.run(scenario())
+
+
+@pytest.mark.parametrize("failures", [1, 3])
+def test_a_wait_is_not_prolonged_by_failed_calls_between_answers(
+    failures: int,
+) -> None:
+    """Guards against searchers in use as long as a VM's calls fail at times."""
+
+    async def scenario() -> None:
+        state = make_board()
+        tracker = store_contact.StoreContactTracker(state)
+        receive_update(tracker, state)
+        tracker.record_failure(LOST)
+        await asyncio.sleep(3.0)
+        waiting = asyncio.ensure_future(tracker.wait_until_available(GRACE_S))
+        for number in range(6):
+            receive_update(tracker, state)
+            if number < failures:
+                tracker.record_failure(LOST)
+            await asyncio.sleep(0.5)
+        assert waiting.done()
+
+    virtual.run(scenario())
+
+
+def test_a_wait_needs_changes_received_after_the_outage() -> None:
+    """Guards against a VM that renews its lease but receives no changes."""
+
+    async def scenario() -> None:
+        state = make_board()
+        tracker = store_contact.StoreContactTracker(state)
+        receive_update(tracker, state)
+        tracker.record_failure(LOST)
+        await asyncio.sleep(3.0)
+        waiting = asyncio.ensure_future(tracker.wait_until_available(GRACE_S))
+        receive_update(tracker, state)
+        for _ in range(10):
             tracker.record_success()
-        await asyncio.sleep(2.1)
-        assert not stable.done()
-        await asyncio.sleep(2.4)
-        assert stable.done()
+            await asyncio.sleep(0.5)
+        assert not waiting.done()
+        receive_update(tracker, state)
+        await asyncio.sleep(0.1)
+        assert waiting.done()
 
     virtual.run(scenario())
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -160,6 +160,14 @@
     assert named in read_problem(tmp_path, text)
 
 
+def test_heartbeat_interval_of_the_searchers(tmp_path: pathlib.Path) -> None:
+    text = TEXT.replace("Unknown = 5", "HeartbeatMs = 900")
+    assert read(tmp_path, text).bounds.heartbeat_s == 0.9
+    assert read(tmp_path, TEXT).bounds.heartbeat_s == 1.2
+    wrong = TEXT.replace("Unknown = 5", "HeartbeatMs = 0")
+    assert "HeartbeatMs: 0" in read_problem(tmp_path, wrong)
+
+
 def test_bounds_on_client_accounts(tmp_path: pathlib.Path) -> None:
     fields = "QuotaWindowS = 4\nQuotaOverage = 0.1\nQuotaSlack = 20\n"
     fields += "RevokeWhenPartitioned = true\nRevokeMs = 2500\n"
