Let searchers leave without a report in the soak, beside lost relays

Cause: searchers of the soak left by the report 'draining' only, no single call to the store failed without a disruption of the whole store or link, and daemons that were signalled were drawn one at a time, so relays seldom were.

Change: seeds from 2000 on let searchers leave, a third of them by the report and the rest by the removal of their entries, after signals to all relays at the same moment, and have the store refuse single calls. The check of drained searchers covers them; two mutants show it (one of them only tries to).

--- a/src/azureramp_standins/fleet/store.py
+++ b/src/azureramp_standins/fleet/store.py
@@ -32,12 +32,14 @@
         silent: True to answer no call.
         slow_s: Delay of each call, in seconds.
         lost: How many of the next writes take effect without an answer.
+        refused: How many of the next calls are answered with 503.
     """
 
     busy: bool = False
     silent: bool = False
     slow_s: float = 0.0
     lost: int = 0
+    refused: int = 0
 
 
 class Store:
@@ -103,6 +105,9 @@
             await asyncio.sleep(3600)
         if self.faults.slow_s:
             await asyncio.sleep(self.faults.slow_s)
+        if self.faults.refused > 0:
+            self.faults.refused -= 1
+            return _make_response(503, {})
         if self.faults.busy:
             return _make_response(503, {})
         self.state.expire_leases(asyncio.get_running_loop().time())
--- a/src/azureramp_standins/soak/bounds.py
+++ b/src/azureramp_standins/soak/bounds.py
@@ -93,19 +93,19 @@
 def check_drained(
     index: indexed_history.IndexedHistory,
 ) -> Iterator[indexed_history.Violation]:
-    """Checks that draining searchers and evacuated zones get no new calls."""
+    """Checks that leaving searchers and evacuated zones get no new calls."""
     for span in index.history.fault_spans:
-        if span.how not in ("drain", "evacuate"):
+        if span.how not in ("drain", "leave", "evacuate"):
             continue
-        drained = span.how == "drain"
+        left = span.how in ("drain", "leave")
         bound_s = (
-            declared.DRAIN_BOUND_S if drained else declared.EVACUATION_BOUND_S
+            declared.DRAIN_BOUND_S if left else declared.EVACUATION_BOUND_S
         )
         begin_s = span.began_s + bound_s
         for arrival in index.history.arrivals:
             out = (
                 arrival.searcher == span.name
-                if span.how == "drain"
+                if left
                 else arrival.searcher.endswith(":0")
             )
             late = begin_s < arrival.at_s < span.ended_s
--- a/src/azureramp_standins/soak/harness.py
+++ b/src/azureramp_standins/soak/harness.py
@@ -6,6 +6,8 @@
 import pathlib
 import signal
 
+from azureramp import catalog
+from azureramp.platform import decoding
 from azureramp_standins import processes
 from azureramp_standins.fleet import store
 from azureramp_standins.soak import (
@@ -23,6 +25,10 @@
 ten seconds, somewhat longer than a dead VM may be advertised to callers."""
 
 
+RELAYS = 2
+"""Number of relays: one in each availability zone."""
+
+
 class Harness:
     """The store, searchers, links and daemons of a run.
 
@@ -90,6 +96,13 @@
         """Returns the number of searchers."""
         return len(self._searchers.all)
 
+    def count_steady_searchers(self) -> int:
+        """Returns the number of searchers that get requests all the time.
+
+        They are the first ones.
+        """
+        return (len(declared.SHARDS) + 1) * declared.SEARCHERS_PER_SERVICE
+
     def configure(self) -> None:
         """Writes the next configuration, with a new target for `/move/`.
 
@@ -121,19 +134,32 @@
             case plan.DaemonSignal(vm=vm, how=how):
                 kind, name = "vm", self.daemons[vm].name
                 await self._signal(self.daemons[vm], how, planned.for_s)
+            case plan.RelayFault(how=how):
+                kind, name = "relays", how
+                await asyncio.gather(
+                    *(
+                        self._signal_relay(each, how, planned.for_s)
+                        for each in self._find_relays()
+                    )
+                )
             case plan.LinkFault(link=link, number=number, how=how):
                 kind, name = "link", f"{link}-{number}"
                 target = self._links[link, number]
                 target.inject(how)
                 await asyncio.sleep(planned.for_s)
                 target.clear()
+            case plan.StoreFault(how="refuse" as how):
+                kind, name = "call", "store"
+                self._store.faults.refused += 1
             case plan.StoreFault(how=how):
                 kind, name = "store", "store"
                 await self._inject_store_fault(how, planned.for_s)
             case plan.SearcherFault(number=number, how=how):
                 target_searcher = self._searchers.all[number]
                 kind, name = "searcher", target_searcher.id
-                if how == "drain" and self._searchers.is_draining(name):
+                if how in ("drain", "leave") and self._searchers.is_leaving(
+                    name
+                ):
                     return
                 await self._searchers.inject(
                     target_searcher, how, planned.for_s
@@ -178,6 +204,28 @@
         if not self._evacuations:
             self._store.remove("op/evacuate/zone-0")
 
+    def _find_relays(self) -> list[daemons.Daemon]:
+        """Returns the daemons that announce others; without any, the first."""
+        keepers: set[str] = set()
+        for entry in self._store.state.list(
+            decoding.make_member_key("")
+        ).entries:
+            match decoding.decode(entry):
+                case catalog.MemberAnnounced(member=member):
+                    keepers.add(member.keeper)
+        found = [each for each in self.daemons if each.name in keepers]
+        return found or self.daemons[:RELAYS]
+
+    async def _signal_relay(
+        self, daemon: daemons.Daemon, how: str, for_s: float
+    ) -> None:
+        """Sends a relay a signal and records the fault of its VM."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        await self._signal(daemon, how, for_s)
+        span = history.FaultSpan("vm", daemon.name, how, began_s, loop.time())
+        self.history.fault_spans.append(span)
+
     async def _signal(
         self, daemon: daemons.Daemon, how: str, for_s: float
     ) -> None:
--- a/src/azureramp_standins/soak/mutants.py
+++ b/src/azureramp_standins/soak/mutants.py
@@ -21,7 +21,13 @@
     shared_limits,
 )
 from azureramp.platform import command, decoding, headers, program
-from azureramp.policy import allowances, identity, merging, routing
+from azureramp.policy import (
+    allowances,
+    identity,
+    merging,
+    routing,
+    store_copy,
+)
 from azureramp_standins.soak import accounts, daemons
 
 patch: Any = setattr
@@ -48,6 +54,20 @@
     patch(searchers.Searchers, "_is_usable", lambda self, target, sides: True)
 
 
+def keep_removed_searchers() -> None:
+    """Ignores the removal of searchers' entries."""
+    patch(
+        entry_applier.EntryApplier,
+        "_handle_missing_searcher",
+        lambda self, searcher, entry: None,
+    )
+
+
+def skip_deletions() -> None:
+    """Answers followers about deletions from before the start of the relay."""
+    patch(store_copy.StoreCopy, "begin_history", lambda self, revision: None)
+
+
 def keep_first_version() -> None:
     """Ignores every configuration after the first."""
     take = entry_applier.EntryApplier._take_configuration
@@ -247,6 +267,8 @@
     "repeat_everything": (repeat_everything, "once"),
     "promise_not_run": (promise_not_run, "refused"),
     "use_leaving_searchers": (use_leaving_searchers, "drain"),
+    "keep_removed_searchers": (keep_removed_searchers, "leave"),
+    "skip_deletions": (skip_deletions, "leave"),
     "keep_first_version": (keep_first_version, "configured"),
     "stop_at_once": (stop_at_once, "stop"),
     "spend_without_bound": (spend_without_bound, "budget"),
--- a/src/azureramp_standins/soak/plan.py
+++ b/src/azureramp_standins/soak/plan.py
@@ -32,6 +32,17 @@
     how: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RelayFault:
+    """A signal to all relays at the same moment.
+
+    Attributes:
+        how: As for `DaemonSignal`.
+    """
+
+    how: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class LinkFault:
     """A fault of a daemon's link to the store or of the link to a searcher.
@@ -54,7 +65,8 @@
     """A fault of the store.
 
     Attributes:
-        how: `busy`, `silent`, `slow`, `lost` or `compact`.
+        how: `busy`, `silent`, `slow`, `lost`, `compact`, or `refuse` for a
+            single call.
     """
 
     how: str
@@ -66,8 +78,8 @@
 
     Attributes:
         number: The searcher's number.
-        how: `crash`, `drain`, `hang`, `shed`, `reset`, `extra`, `late`,
-            `cut` or `slow`.
+        how: `crash`, `drain`, `leave` (its entry is removed without a report),
+            `hang`, `shed`, `reset`, `extra`, `late`, `cut` or `slow`.
     """
 
     number: int
@@ -101,6 +113,7 @@
 
 Fault = (
     DaemonSignal
+    | RelayFault
     | LinkFault
     | StoreFault
     | SearcherFault
@@ -144,6 +157,20 @@
 PEER_FAULT_SHARE = 0.4
 """Share of these faults, in such a seed, among the account actions."""
 
+FIRST_SEED_WITH_DEPARTURES = 2000
+OTHER_FAULTS_CHANCE = 0.3
+"""Probability that a seed from there on has the other faults as well."""
+
+DEPARTURE_GAP_S = 3.0
+"""Mean time between two departures with a relay fault, in seconds."""
+
+RELAY_FAULT_CHANCE = 0.7
+MAX_RELAY_FAULT_S = 1.5
+MAX_DEPARTURE_DELAY_S = 2.5
+"""Longest time from a relay fault to a searcher's departure, in seconds."""
+
+REFUSALS_PER_DEPARTURE = 3
+RELAY_FAULTS = ("kill", "stop", "pause")
 LINK_FAULTS = ("delay", "reset", "up", "down", "silent")
 DAEMON_FAULTS = ("kill", "stop", "reload", "pause")
 STORE_FAULTS = ("busy", "silent", "slow", "lost", "compact")
@@ -204,6 +231,45 @@
     return OperatorAction(rng.choice(("configure", "evacuate")))
 
 
+def has_other_faults(seed: int) -> bool:
+    """Returns True if a seed has faults other than those of departures."""
+    if seed < FIRST_SEED_WITH_DEPARTURES:
+        return True
+    return random.Random(f"others/{seed}").random() < OTHER_FAULTS_CHANCE
+
+
+def draw_departures(
+    seed: int, seconds: float, searchers: int
+) -> tuple[ScheduledFault, ...]:
+    """Draws searchers that leave beside faults of the relays and single calls.
+
+    Args:
+        seed: The run's seed; equal seeds give equal plans, and none before
+            `FIRST_SEED_WITH_DEPARTURES`.
+        seconds: The time after the run's start in which faults may begin.
+        searchers: The number of searchers that may leave.
+    """
+    rng = random.Random(f"departures/{seed}")
+    planned: list[ScheduledFault] = []
+    at_s = FIRST_FAULT_S
+    while seed >= FIRST_SEED_WITH_DEPARTURES and at_s < seconds:
+        if rng.random() < RELAY_FAULT_CHANCE:
+            for_s = rng.uniform(0.0, MAX_RELAY_FAULT_S)
+            fault = RelayFault(rng.choice(RELAY_FAULTS))
+            planned.append(ScheduledFault(at_s, for_s, fault))
+        left_s = at_s + rng.uniform(0.0, MAX_DEPARTURE_DELAY_S)
+        for _ in range(REFUSALS_PER_DEPARTURE):
+            refused_s = left_s + rng.uniform(-1.0, MAX_DEPARTURE_DELAY_S)
+            planned.append(ScheduledFault(refused_s, 0.0, StoreFault("refuse")))
+        departure = SearcherFault(
+            rng.randrange(searchers), rng.choice(("leave", "leave", "drain"))
+        )
+        for_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
+        planned.append(ScheduledFault(left_s, for_s, departure))
+        at_s += rng.expovariate(1 / DEPARTURE_GAP_S)
+    return tuple(planned)
+
+
 def has_accounts(seed: int) -> bool:
     """Returns True if a seed's deployment declares client accounts."""
     if seed < FIRST_SEED_WITH_ACCOUNTS:
--- a/src/azureramp_standins/soak/program.py
+++ b/src/azureramp_standins/soak/program.py
@@ -71,8 +71,13 @@
         await asyncio.sleep(START_S)
         began_s = loop.time()
         tasks = [asyncio.ensure_future(each.run()) for each in clients]
-        faults = plan.draw_faults(
-            seed, seconds, vms, run_harness.count_searchers()
+        faults: tuple[plan.ScheduledFault, ...] = ()
+        if plan.has_other_faults(seed):
+            faults += plan.draw_faults(
+                seed, seconds, vms, run_harness.count_searchers()
+            )
+        faults += plan.draw_departures(
+            seed, seconds, run_harness.count_steady_searchers()
         )
         faults += plan.draw_account_faults(
             seed,
--- a/src/azureramp_standins/soak/searchers.py
+++ b/src/azureramp_standins/soak/searchers.py
@@ -21,9 +21,11 @@
     """
 
     __slots__ = (
+        "_cold_until_s",
         "_draining",
         "_entries",
         "_history",
+        "_left",
         "_reactions",
         "_store",
         "all",
@@ -45,6 +47,8 @@
         self._reactions: dict[str, searcher.Reaction] = {}
         self._entries: dict[str, dict[str, Any]] = {}
         self._draining: set[str] = set()
+        self._left: set[str] = set()
+        self._cold_until_s: dict[str, float] = {}
 
     def add(
         self, service: str, index: int, address: str, advertised: str
@@ -69,9 +73,9 @@
             await each.start()
             self._store.put(f"servers/{each.id}", self._entries[each.id])
 
-    def is_draining(self, name: str) -> bool:
-        """Returns True if a searcher is announced as draining."""
-        return name in self._draining
+    def is_leaving(self, name: str) -> bool:
+        """Returns True if a searcher is draining or has no entry."""
+        return name in self._draining or name in self._left
 
     async def inject(
         self, target: searcher.Searcher, how: str, for_s: float
@@ -88,6 +92,13 @@
                 await asyncio.sleep(for_s + declared.DRAIN_BOUND_S)
                 self._draining.discard(target.id)
                 self._announce(target)
+            case "leave":
+                self._left.add(target.id)
+                self._store.remove(f"servers/{target.id}")
+                await asyncio.sleep(for_s + declared.DRAIN_BOUND_S)
+                self._left.discard(target.id)
+                self._entries[target.id]["born"] += 1
+                self._announce(target)
             case _:
                 self._reactions[target.id] = acts.REACTIONS[how]
                 await asyncio.sleep(for_s)
@@ -99,10 +110,9 @@
             return
         self._entries[target.id]["born"] += 1
         await target.start()
-        self._announce(
-            target, ColdRemainingMs=int(declared.COLD_START_S * 1000)
-        )
         now_s = asyncio.get_running_loop().time()
+        self._cold_until_s[target.id] = now_s + declared.COLD_START_S
+        self._announce(target)
         self._history.fault_spans.append(
             history.FaultSpan(
                 "searcher",
@@ -115,9 +125,15 @@
         await asyncio.sleep(declared.COLD_START_S)
         self._announce(target)
 
-    def _announce(self, announced: searcher.Searcher, **changes: Any) -> None:
-        """Writes a searcher's entry to the store."""
-        entry = self._entries[announced.id] | changes
+    def _announce(self, announced: searcher.Searcher) -> None:
+        """Writes a searcher's entry to the store, unless it has left."""
+        if announced.id in self._left:
+            return
+        entry = dict(self._entries[announced.id])
+        now_s = asyncio.get_running_loop().time()
+        cold_s = self._cold_until_s.get(announced.id, 0.0) - now_s
+        if cold_s > 0:
+            entry["ColdRemainingMs"] = int(cold_s * 1000)
         if announced.id in self._draining:
             entry["State"] = "draining"
         self._store.put(f"servers/{announced.id}", entry)
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -42,7 +42,31 @@
     }
 
 
-@pytest.mark.parametrize("seed", [13, 17, 1042])
+def test_departures_change_no_plan_of_seeds_without_them() -> None:
+    """Guards against recorded seeds that no longer bring their faults about."""
+    assert all(plan.has_other_faults(seed) for seed in range(2000))
+    assert not any(plan.draw_departures(n, 20.0, 10) for n in range(2000))
+    first = plan.draw_departures(2000, 20.0, 10)
+    assert first == plan.draw_departures(2000, 20.0, 10)
+    faults = [
+        each.fault
+        for seed in range(2000, 2010)
+        for each in plan.draw_departures(seed, 20.0, 10)
+    ]
+    assert {type(each) for each in faults} == {
+        plan.RelayFault,
+        plan.SearcherFault,
+        plan.StoreFault,
+    }
+    assert {each.how for each in faults} == {
+        *plan.RELAY_FAULTS,
+        "leave",
+        "drain",
+        "refuse",
+    }
+
+
+@pytest.mark.parametrize("seed", [13, 17, 1042, 2002])
 def test_invariants_without_time_bounds_hold_under_faults(
     seed: int, tmp_path: pathlib.Path
 ) -> None:
@@ -50,8 +74,10 @@
 
     Seed 13 once aborted a request on a connection that a stopping VM had
     just accepted. Seed 1042 revokes and rotates keys of client accounts, and
-    cuts a VM from the others. Invariants with time bounds are checked by
-    `scripts/soak` only, since load on the test machine alone can violate them.
+    cuts a VM from the others. In seed 2002 searchers leave while relays are
+    lost and single calls to the store fail. Invariants with time bounds are
+    checked by `scripts/soak` only, since load on the test machine alone can
+    violate them.
     """
     recorded = asyncio.run(program.run_seed(seed, SECONDS, VMS, tmp_path))
     assert len(recorded.requests) > 100
