Read a searcher's state again before a call that waited is sent

What callers saw: nothing in the users' deployments, whose requests have 1.5 s at most. With a longer time limit, a call that waited for a connection was sent to a searcher that had left meanwhile.

Cause: a searcher was chosen by its state, and the call kept it for as long as it waited in the pool; only a removed entry ended the wait, a report 'draining' or an evacuation didn't. The class: a decision used after the state that it was based on has changed.

Change: the question that a pool asks before it sends a call that waited, so far about the client account's key, includes whether the searcher still takes new calls. Otherwise another searcher is chosen, since nothing was sent.

--- a/src/azureramp/controllers/forwarding/part.py
+++ b/src/azureramp/controllers/forwarding/part.py
@@ -313,13 +313,20 @@
             self._context.message,
             target.searcher.id,
             left_s,
-            self._context.authorization.is_valid,
+            lambda: self._may_still_send(target),
         )
         attempt.pending_call = target.pool.submit(
             call, lambda outcome: self._handle_outcome(attempt, outcome)
         )
         return True
 
+    def _may_still_send(self, target: board_module.Target) -> bool:
+        """Returns True if a call that has waited may be sent."""
+        return (
+            self._context.authorization.is_valid()
+            and self._searchers.takes_new_calls(target)
+        )
+
     def _compute_tolerance(self) -> float:
         """Returns how much slower the own zone may be before it is left."""
         if self._attempts:
--- a/src/azureramp/controllers/forwarding/searchers.py
+++ b/src/azureramp/controllers/forwarding/searchers.py
@@ -299,6 +299,15 @@
         """Returns what this VM has received of the store's changes."""
         return self._board.updates
 
+    def takes_new_calls(self, target: board_module.Target) -> bool:
+        """Returns True if a searcher is in service, in a zone in service."""
+        return (
+            not target.removed
+            and target.searcher.state is catalog.SearcherState.READY
+            and not target.misdirected
+            and target.searcher.zone not in self._board.evacuated_zones
+        )
+
     def record_call(self, target: board_module.Target, now_s: float) -> None:
         """Records a call to a searcher."""
         cold_searchers.record_call(target, now_s)
@@ -313,12 +322,8 @@
         sides: tuple[active_rollout.VersionGroup, ...],
     ) -> bool:
         """Returns True if a searcher may get new work at all."""
-        searcher = target.searcher
-        return (
-            searcher.state is catalog.SearcherState.READY
-            and not target.misdirected
-            and searcher.zone not in self._board.evacuated_zones
-            and self.rollouts.is_allowed(searcher, sides)
+        return self.takes_new_calls(target) and self.rollouts.is_allowed(
+            target.searcher, sides
         )
 
     def _make_target(self, searcher: catalog.Searcher) -> board_module.Target:
--- a/tests/forwarding/test_departures.py
+++ b/tests/forwarding/test_departures.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from azureramp_standins.fleet import deployment
+from azureramp_standins.fleet import deployment, searcher
 from tests.forwarding import departures, scenes
 
 SETTLE_S = 6.0
@@ -143,3 +143,34 @@
         store.silent.clear()
 
     check_use(hang, remove_after_s, excluded="vm-0")
+
+
+def test_a_call_that_waited_is_not_sent_to_a_searcher_that_left() -> None:
+    """Guards against a target whose state is not read again at the sending."""
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        for service in scene.configuration["Services"]:
+            service["MaxConnections"] = 1
+        for route in scene.configuration["Routes"]:
+            route["TimeoutMs"] = 9000
+        scene.write_configuration()
+        await asyncio.sleep(SETTLE_S)
+        for each in scene.searchers.values():
+            each.script = lambda request: searcher.Reaction(delay_s=3.5)
+        requests = [
+            asyncio.ensure_future(
+                scene.send_request("vm-0", "/once/x", "POST", deadline_ms=8000)
+            )
+            for _ in range(6)
+        ]
+        await asyncio.sleep(0.3)
+        leaving = scene.searchers[departures.SEARCHER]
+        entry = leaving.make_entry(State="draining")
+        scene.store.put(f"servers/{departures.SEARCHER}", entry)
+        left_s = asyncio.get_running_loop().time()
+        await asyncio.wait(requests)
+        times_s = [each.at_s - left_s for each in leaving.requests]
+        assert times_s, "the searcher gets calls before"
+        assert max(times_s) <= departures.USE_BOUND_S
+
+    scenes.run(scenario)
