Keep the time of an answer apart from the time of its call

The VM that decided on the flooded account said that it was out of touch for 1.3 s, twice, with no fault under way.

Cause: since an answer counts from when its call was sent, a watch of 1 s makes the contact with the store look 1 s older to all who use it, and a holder's account lending stops at 1.5 s.

Change: the contact's last answer is the time of the answer again; only the detection of outages counts from the call, and a relay tells followers that time separately.

--- a/src/azureramp/controllers/forwarding/board.py
+++ b/src/azureramp/controllers/forwarding/board.py
@@ -119,8 +119,8 @@
 
     Attributes:
         reachable: False from a failed call until the next successful one.
-        last_answer_s: When the newest answered call to the store was sent, by
-            this VM or by the one from which it receives changes.
+        last_answer_s: When the store last answered this VM, or the one from
+            which it receives changes.
     """
 
     reachable: bool = True
--- a/src/azureramp/controllers/forwarding/feed.py
+++ b/src/azureramp/controllers/forwarding/feed.py
@@ -351,8 +351,13 @@
             _logger.info("avoiding the relay {}: {}", address, reason)
             return RelayOutcome.UNAVAILABLE
         response = result.ok
+        confirmed_age_ms = response.confirmed_age_ms
+        if confirmed_age_ms is None:
+            confirmed_age_ms = response.age_ms
         self._contact.record_relayed_contact(
-            response.age_ms / 1000, response.regained_ms / 1000
+            response.age_ms / 1000,
+            confirmed_age_ms / 1000,
+            response.regained_ms / 1000,
         )
         if response.announced:
             self._board.last_announced_s = loop.time()
--- a/src/azureramp/controllers/forwarding/relay.py
+++ b/src/azureramp/controllers/forwarding/relay.py
@@ -164,6 +164,7 @@
             _to_ms(self._contact.get_available_s()),
             self._roster.is_announced(changes_request.vm),
             encoded,
+            _to_ms(self._contact.get_time_since_confirmation_s()),
         )
         return web_api.Response(200, body, encoding.CONTENT_TYPE)
 
--- a/src/azureramp/controllers/forwarding/store_contact.py
+++ b/src/azureramp/controllers/forwarding/store_contact.py
@@ -37,14 +37,17 @@
             sent_s: When it was sent, if its answer may have taken long: since
                 then, new calls may have failed. None for now.
         """
-        contact = self._board.contact
-        at_s = asyncio.get_running_loop().time() if sent_s is None else sent_s
-        contact.last_answer_s = max(contact.last_answer_s, at_s)
-        self._availability.record_answer(at_s, self._get_heartbeat_s())
+        now_s = asyncio.get_running_loop().time()
+        self._board.contact.last_answer_s = now_s
+        self._availability.record_answer(
+            now_s if sent_s is None else sent_s, self._get_heartbeat_s()
+        )
         self._wake()
         self._set_reachable()
 
-    def record_relayed_contact(self, age_s: float, available_s: float) -> None:
+    def record_relayed_contact(
+        self, age_s: float, confirmed_age_s: float, available_s: float
+    ) -> None:
         """Records the contact of another VM, the relay, with the store.
 
         An update from a relay shows that the store's changes reach this VM. It
@@ -53,14 +56,16 @@
 
         Args:
             age_s: Time since the store last answered the relay, in seconds.
-            available_s: How long the store had been available to the relay by
-                then, in seconds.
+            confirmed_age_s: Time since the relay sent the newest call that was
+                answered, in seconds.
+            available_s: How long the store had been available to the relay when
+                it sent that call, in seconds.
         """
         contact = self._board.contact
-        at_s = asyncio.get_running_loop().time() - age_s
-        contact.last_answer_s = max(contact.last_answer_s, at_s)
+        now_s = asyncio.get_running_loop().time()
+        contact.last_answer_s = max(contact.last_answer_s, now_s - age_s)
         self._availability.record_answer(
-            at_s, self._get_heartbeat_s(), available_s
+            now_s - confirmed_age_s, self._get_heartbeat_s(), available_s
         )
         self._wake()
         if not self._board.lease:
@@ -82,13 +87,22 @@
         return self._board.bounds.heartbeat_s
 
     def get_available_s(self) -> float:
-        """Returns how long the store had been available at its last answer.
+        """Returns how long the store had been available when last confirmed.
 
         Returns:
             The time in seconds since its last known outage.
         """
         return self._availability.available_s
 
+    def get_time_since_confirmation_s(self) -> float:
+        """Returns the time since the newest answered call was sent.
+
+        Returns:
+            The time in seconds; infinite if the store never answered.
+        """
+        now_s = asyncio.get_running_loop().time()
+        return now_s - self._availability.confirmed_s
+
     def get_time_since_answer_s(self) -> float:
         """Returns the time since the last confirmed answer of the store.
 
--- a/src/azureramp/policy/store_availability.py
+++ b/src/azureramp/policy/store_availability.py
@@ -22,19 +22,20 @@
 
     Attributes:
         available_s: For how long it is known that the store had been available
-            when it last answered, in seconds.
+            by `confirmed_s`, in seconds.
+        confirmed_s: When the store is last known to have been available.
     """
 
     __slots__ = (
         "_has_failed",
         "_knows_outage",
-        "_last_answer_s",
         "available_s",
+        "confirmed_s",
     )
 
     def __init__(self) -> None:
         """Creates an instance that knows of no answer and no outage."""
-        self._last_answer_s = -math.inf
+        self.confirmed_s = -math.inf
         self.available_s = 0.0
         self._knows_outage = False
         self._has_failed = False
@@ -48,16 +49,17 @@
         """Records that the store answered this VM, or one that told it.
 
         Args:
-            at_s: When the store answered, on this VM's clock.
+            at_s: When the store was available, on this VM's clock: a call that
+                it answered was sent.
             heartbeat_s: Interval of the heartbeats of the entries' writers.
             relayed_available_s: How long the store had been available to the
                 other VM by then; None for an answer to this VM.
         """
         available_s = relayed_available_s or 0.0
-        if at_s <= self._last_answer_s:
+        if at_s <= self.confirmed_s:
             self.available_s = max(self.available_s, available_s)
             return
-        unknown_s = at_s - available_s - self._last_answer_s
+        unknown_s = at_s - available_s - self.confirmed_s
         may_have_been_down = self._has_failed or relayed_available_s is not None
         if math.isinf(unknown_s) or (
             may_have_been_down and unknown_s >= OUTAGE_HEARTBEATS * heartbeat_s
@@ -65,12 +67,12 @@
             self.available_s = available_s
             self._knows_outage = self._knows_outage or may_have_been_down
         else:
-            gained_s = at_s - self._last_answer_s
+            gained_s = at_s - self.confirmed_s
             if may_have_been_down and unknown_s > heartbeat_s:
                 # A heartbeat may have been lost meanwhile.
                 gained_s -= unknown_s
             self.available_s = max(available_s, self.available_s + gained_s)
-        self._last_answer_s = at_s
+        self.confirmed_s = at_s
         self._has_failed = False
 
     def record_failure(self) -> None:
@@ -92,7 +94,7 @@
         """
         if not self._knows_outage:
             return math.inf
-        if not math.isfinite(self._last_answer_s) or self._has_failed:
+        if not math.isfinite(self.confirmed_s) or self._has_failed:
             return self.available_s
-        since_s = max(0.0, now_s - self._last_answer_s)
+        since_s = max(0.0, now_s - self.confirmed_s)
         return self.available_s + min(since_s, heartbeat_s)
--- a/src/azureramp/ports/relays/api.py
+++ b/src/azureramp/ports/relays/api.py
@@ -41,6 +41,8 @@
             since its last outage, in milliseconds.
         entries: The entries that changed, ordered by revision; deleted ones
             have no value.
+        confirmed_age_ms: Time since that VM sent the newest call that the store
+            answered, in milliseconds; None from VMs that don't tell it.
         announced: True if the store has the requesting VM's entry under the
             responding VM's lease.
     """
@@ -50,6 +52,7 @@
     regained_ms: int
     entries: tuple[store_api.Entry, ...]
     announced: bool = False
+    confirmed_age_ms: int | None = None
 
 
 class RelayClient(Protocol):
--- a/src/azureramp/ports/relays/encoding.py
+++ b/src/azureramp/ports/relays/encoding.py
@@ -28,6 +28,7 @@
         announced: As in `api.Changes`.
         packed: The encoded entries.
         compressed: True if `packed` is compressed with zlib.
+        confirmed_age_ms: As in `api.Changes`, in milliseconds.
     """
 
     revision: int
@@ -36,6 +37,7 @@
     announced: bool
     compressed: bool
     packed: bytes
+    confirmed_age_ms: int | None = None
 
 
 class EncodedEntries(msgspec.Struct, frozen=True):
@@ -83,6 +85,7 @@
     regained_ms: int,
     announced: bool,
     packed: EncodedEntries,
+    confirmed_age_ms: int | None = None,
 ) -> bytes:
     """Encodes a response; see `api.Changes` for the arguments."""
     body = ChangesBody(
@@ -92,6 +95,7 @@
         announced,
         packed.compressed,
         packed.data,
+        confirmed_age_ms,
     )
     return msgspec.msgpack.encode(body)
 
@@ -111,5 +115,10 @@
             raise msgspec.DecodeError(str(error)) from error
     entries = _entries_decoder.decode(packed)
     return api.Changes(
-        body.revision, body.age_ms, body.regained_ms, entries, body.announced
+        body.revision,
+        body.age_ms,
+        body.regained_ms,
+        entries,
+        body.announced,
+        body.confirmed_age_ms,
     )
