--- a/src/azureramp_standins/soak/bounds.py
+++ b/src/azureramp_standins/soak/bounds.py
@@ -6,7 +6,7 @@
 import collections
 from collections.abc import Iterator
 
-from azureramp_standins.soak import declared, indexed_history
+from azureramp_standins.soak import declared, history, indexed_history
 
 DEAD_VM_ADVERTISED_S = 7.0
 """Longest time that a dead VM may still be advertised, in seconds."""
@@ -76,20 +76,34 @@
     for span in index.history.fault_spans:
         if span.how != "cold":
             continue
-        times = [
-            arrival.at_s
+        arrivals = [
+            arrival
             for arrival in index.history.arrivals
             if arrival.searcher == span.name
             and span.began_s <= arrival.at_s <= span.ended_s
         ]
+        times = [arrival.at_s for arrival in arrivals]
         for number, at_s in enumerate(times):
             begin = bisect.bisect_left(times, at_s - 1.0)
             if number + 1 - begin > bound:
-                detail = f"{span.name}: {number + 1 - begin} in a second"
+                detail = f"{span.name}: {number + 1 - begin} in a second:"
+                for arrival in arrivals[begin : number + 1]:
+                    detail += f" {_describe_way(arrival, index)}"
                 yield indexed_history.Violation("cold", at_s, detail)
                 break
 
 
+def _describe_way(
+    arrival: history.Arrival, index: indexed_history.IndexedHistory
+) -> str:
+    """Describes which VM sent a call, and how long it took from its caller."""
+    request = index.requests_by_id.get(arrival.id)
+    if request is None:
+        return arrival.id
+    way_ms = round((arrival.at_s - request.sent_s) * 1000)
+    return f"{request.vm}+{way_ms}"
+
+
 def check_drained(
     index: indexed_history.IndexedHistory,
 ) -> Iterator[indexed_history.Violation]:
