--- a/tests/forwarding/test_store_contact.py
+++ b/tests/forwarding/test_store_contact.py
@@ -15,14 +15,6 @@
 GRACE_S = 2.2
 
 
-def make_board() -> board.Board:
-    """Makes the state of a process that has received nothing."""
-    settings = deployment.make_settings("vm-0", "zone-0", 30000)
-    return board.Board(
-        settings.identity, settings.bounds, metrics.Metrics(), 0.0
-    )
-
-
 def receive_update(
     tracker: store_contact.StoreContactTracker, state: board.Board
 ) -> None:
@@ -41,6 +33,22 @@
         await asyncio.sleep(0.5)
 
 
+async def wait_after_outage() -> tuple[
+    board.Board, store_contact.StoreContactTracker, asyncio.Future[None]
+]:
+    """Returns a process after an outage of 3 s, with its wait for the store."""
+    settings = deployment.make_settings("vm-0", "zone-0", 30000)
+    state = board.Board(
+        settings.identity, settings.bounds, metrics.Metrics(), 0.0
+    )
+    tracker = store_contact.StoreContactTracker(state)
+    receive_update(tracker, state)
+    tracker.record_failure(LOST)
+    await asyncio.sleep(3.0)
+    waiting = asyncio.ensure_future(tracker.wait_until_available(GRACE_S))
+    return state, tracker, waiting
+
+
 @pytest.mark.parametrize("flaps", [0, 1, 3])
 def test_a_wait_lasts_until_the_store_has_been_available_after_all_outages(
     flaps: int,
@@ -48,12 +56,7 @@
     """Guards against a wait that misses the end of a second outage."""
 
     async def scenario() -> None:
-        state = make_board()
-        tracker = store_contact.StoreContactTracker(state)
-        receive_update(tracker, state)
-        tracker.record_failure(LOST)
-        await asyncio.sleep(3.0)
-        waiting = asyncio.ensure_future(tracker.wait_until_available(GRACE_S))
+        state, tracker, waiting = await wait_after_outage()
         for _ in range(flaps):
             await receive_updates(tracker, state, 1.0)
             tracker.record_failure(LOST)
@@ -75,12 +78,7 @@
     """Guards against searchers in use as long as a VM's calls fail at times."""
 
     async def scenario() -> None:
-        state = make_board()
-        tracker = store_contact.StoreContactTracker(state)
-        receive_update(tracker, state)
-        tracker.record_failure(LOST)
-        await asyncio.sleep(3.0)
-        waiting = asyncio.ensure_future(tracker.wait_until_available(GRACE_S))
+        state, tracker, waiting = await wait_after_outage()
         for number in range(6):
             receive_update(tracker, state)
             if number < failures:
@@ -95,12 +93,7 @@
     """Guards against a VM that renews its lease but receives no changes."""
 
     async def scenario() -> None:
-        state = make_board()
-        tracker = store_contact.StoreContactTracker(state)
-        receive_update(tracker, state)
-        tracker.record_failure(LOST)
-        await asyncio.sleep(3.0)
-        waiting = asyncio.ensure_future(tracker.wait_until_available(GRACE_S))
+        state, tracker, waiting = await wait_after_outage()
         receive_update(tracker, state)
         for _ in range(10):
             tracker.record_success()
