--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,14 +1,16 @@
-"""Shows that a burst of large configurations stops all machines' updates.
+"""Shows that a burst of large configurations stops a machine's updates.
 
-The operator writes 12 versions of a large configuration within a second.
-The last one moves a route, adds one and drops one. Without the trouble, it
-writes only that last version. Later than the bound, clients ask each machine
-for these routes.
+The operator writes versions of a large configuration in quick succession. The
+last one moves a route, adds one and drops one. Without the trouble, it writes
+only that last version. Later than the bound, clients ask each machine for
+these routes. In the second part, the configuration is smaller, and one machine
+is cut off from the store during the burst.
 """
 
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 import pathlib
 from typing import Any
@@ -29,14 +31,11 @@
 SHARDS = [f"desk{number:02}" for number in range(20)]
 
 ZONES = ["edin-a", "edin-a", "edin-b"]
-
-GROWN_ROUTES = 1932
-"""Number of further routes of the configuration, all to many shards."""
-
-VERSIONS = 12
+"""The zones of the machines; the last one is alone in its zone, as the machine
+of glas-b is in the small deployment."""
 
 GAP_S = 0.08
-"""The burst: this many versions, one each `GAP_S`, in seconds."""
+"""Time between two versions of a burst, in seconds."""
 
 FIRST_VERSION = 7
 
@@ -45,11 +44,36 @@
 APPLY_S = 3.0
 """The bounds `ContactMs` and `ConfigApplyMs`, in seconds."""
 
-PROBE_S = 26.0
+PROBE_S = 24.0
 """How long clients send requests after the last version, in seconds."""
 
 
-def make_grown_routes() -> list[dict[str, Any]]:
+@dataclasses.dataclass(slots=True, frozen=True)
+class Part:
+    """One part of the case.
+
+    Attributes:
+        name: Its name in the record.
+        grown_routes: Number of further routes of the configuration, all to
+            many shards.
+        versions: Number of versions in the burst.
+        cut_s: How long the last machine is cut off from the store from half a
+            second before the burst on, in seconds; 0 if it isn't.
+    """
+
+    name: str
+    grown_routes: int
+    versions: int
+    cut_s: float
+
+
+PARTS = (
+    Part("a burst alone", 1932, 12, 0.0),
+    Part("a burst while one machine is cut off", 350, 25, 5.5),
+)
+
+
+def make_grown_routes(count: int) -> list[dict[str, Any]]:
     """Returns the further routes."""
     return [
         configuration.make_route(
@@ -60,11 +84,11 @@
             TimeoutMs=400,
             TargetLatencyMs=92,
         )
-        for number in range(GROWN_ROUTES)
+        for number in range(count)
     ]
 
 
-def make_version(version: int, is_last: bool) -> bytes:
+def make_version(part: Part, version: int, is_last: bool) -> bytes:
     """Returns an encoded version of the configuration."""
     service = NEW_SERVICE if is_last else OLD_SERVICE
     routes = [
@@ -76,7 +100,7 @@
     ]
     made = configuration.make_configuration(
         version,
-        routes + make_grown_routes(),
+        routes + make_grown_routes(part.grown_routes),
         [OLD_SERVICE, NEW_SERVICE, *SHARDS],
     )
     return json.dumps(made, separators=(",", ":")).encode()
@@ -109,17 +133,51 @@
     return outcomes
 
 
+async def write_versions(
+    platform: store.Store, part: Part, trouble: bool, record: case.Record
+) -> None:
+    """Writes the versions of the burst, or only the last one."""
+    loop = asyncio.get_running_loop()
+    versions = [
+        make_version(part, FIRST_VERSION + 3 * number, number == part.versions)
+        for number in range(1, part.versions + 1)
+    ]
+    began_s = loop.time()
+    for number, body in enumerate(versions if trouble else versions[-1:]):
+        await asyncio.sleep(max(0.0, began_s + number * GAP_S - loop.time()))
+        platform.put("op/config", body)
+        record.write(f"a version of {len(body)} bytes is acknowledged")
+    record.write("this was the last version")
+
+
+async def cut_off(
+    platform: store.Store, address: str, for_s: float, record: case.Record
+) -> float:
+    """Cuts one machine off from the store; returns when the cut ended."""
+    platform.cut_off.add(address)
+    record.write("the last machine is cut off from the store")
+    await asyncio.sleep(for_s)
+    platform.cut_off.discard(address)
+    record.write("the last machine reaches the store again")
+    return asyncio.get_running_loop().time()
+
+
 async def play(trouble: bool, record: case.Record) -> bool:
     """Plays the case."""
+    held = True
+    for part in PARTS:
+        record.write(f"part: {part.name}")
+        held &= await play_part(part, trouble, record)
+    return held
+
+
+async def play_part(part: Part, trouble: bool, record: case.Record) -> bool:
+    """Plays one part."""
     loop = asyncio.get_running_loop()
-    (port,) = deployment.find_ports("127.0.0.1", 1)
-    platform = store.Store(f"127.0.0.1:{port}")
+    ports = deployment.find_ports("127.0.0.1", len(ZONES) + 1)
+    platform = store.Store([f"127.0.0.1:{port}" for port in ports])
     await platform.start()
-    platform.put("op/config", make_version(FIRST_VERSION, False))
-    versions = [
-        make_version(FIRST_VERSION + 3 * number, number == VERSIONS)
-        for number in range(1, VERSIONS + 1)
-    ]
+    platform.put("op/config", make_version(part, FIRST_VERSION, False))
     searchers: list[searcher.Searcher] = []
     for service in (OLD_SERVICE, NEW_SERVICE):
         for number in range(2):
@@ -133,51 +191,80 @@
             await each.start()
             platform.put(f"servers/{each.id}", each.make_entry())
             searchers.append(each)
-    machines = deployment.Deployment(platform.address, ZONES, ZONES[:1])
+    machines = deployment.Deployment(platform.addresses, ZONES, ZONES[:1])
+    last = machines.frontends[-1]
+    in_touch_s = dict.fromkeys(machines.frontends, 0.0)
     try:
         await machines.start()
         await asyncio.sleep(CONTACT_S + 1.0)
-        written = versions if trouble else versions[-1:]
-        began_s = loop.time()
-        for number, body in enumerate(written):
-            await asyncio.sleep(began_s + number * GAP_S - loop.time())
-            platform.put("op/config", body)
-            record.write(f"a version of {len(body)} bytes is acknowledged")
+        cut: asyncio.Task[float] | None = None
+        if trouble and part.cut_s:
+            address = platform.addresses[len(ZONES) - 1]
+            cut = asyncio.create_task(
+                cut_off(platform, address, part.cut_s, record)
+            )
+            await asyncio.sleep(0.5)
+        await write_versions(platform, part, trouble, record)
         acknowledged_s = loop.time()
-        record.write("this was the last version")
-        probes = [
-            probe(machine, acknowledged_s + PROBE_S)
-            for machine in machines.frontends
-        ]
-        played = await asyncio.gather(*probes)
+        if cut is not None:
+            in_touch_s[last] = await cut + CONTACT_S
+        played = await asyncio.gather(
+            *(
+                probe(machine, acknowledged_s + PROBE_S)
+                for machine in machines.frontends
+            )
+        )
     finally:
         await machines.stop()
         await platform.stop()
         for each in searchers:
             each.crash()
-    record.write(f"calls to the store: {platform.counts}")
     for machine in machines.frontends:
-        for reason in ("the response body is too large", "timeout"):
-            lines = machine.count_log_lines(reason)
-            record.write(f"{machine.name} logged {lines} times: {reason}")
+        lines = machine.count_log_lines("the response body is too large")
+        record.write(f"{machine.name} logged {lines} times: body is too large")
     machines.clean_up()
     runs = {run.request_id: run for each in searchers for run in each.runs}
     broken = 0
     for machine, outcomes in zip(machines.frontends, played, strict=True):
-        for outcome in outcomes:
-            run = runs.get(outcome.request_id)
-            after_s = outcome.sent_s - acknowledged_s
-            late = after_s > APPLY_S and is_handled_by_older(outcome, run)
-            broken += late
-            record.write(
-                f"{outcome.request_id} {outcome.target} to {machine.name},"
-                f" {after_s:.2f} s after the acknowledgement: run by"
-                f" {run.service if run else 'none'}, status {outcome.status}"
-                f"{' OLDER VERSION' if late else ''}"
-            )
+        broken += judge(
+            machine.name,
+            outcomes,
+            runs,
+            acknowledged_s,
+            in_touch_s[machine],
+            record,
+        )
     record.write(f"{broken} requests handled as only an older version allows")
     return broken == 0
 
 
+def judge(
+    name: str,
+    outcomes: list[client.Outcome],
+    runs: dict[str, searcher.Run],
+    acknowledged_s: float,
+    in_touch_s: float,
+    record: case.Record,
+) -> int:
+    """Writes what one machine did; returns how many requests broke the rule."""
+    broken = 0
+    for outcome in outcomes:
+        run = runs.get(outcome.request_id)
+        after_s = outcome.sent_s - acknowledged_s
+        is_broken = (
+            after_s > APPLY_S
+            and outcome.sent_s > in_touch_s
+            and is_handled_by_older(outcome, run)
+        )
+        broken += is_broken
+        record.write(
+            f"{outcome.request_id} {outcome.target} to {name},"
+            f" {after_s:.2f} s after the acknowledgement: run by"
+            f" {run.service if run else 'none'}, status {outcome.status}"
+            f"{' OLDER VERSION' if is_broken else ''}"
+        )
+    return broken
+
+
 if __name__ == "__main__":
     case.main(pathlib.Path(__file__).parent, play)
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -11,6 +11,7 @@
 import socket
 import tempfile
 import tomllib
+from collections.abc import Sequence
 
 from review.common import client
 
@@ -234,12 +235,15 @@
     """
 
     def __init__(
-        self, store: str, frontends: list[str], directories: list[str]
+        self,
+        stores: Sequence[str],
+        frontends: list[str],
+        directories: list[str],
     ) -> None:
         """Makes the machines without starting them.
 
         Args:
-            store: The store's `IP:port`.
+            stores: The store's `IP:port`s, which the machines use in turn.
             frontends: The zone of each machine that serves clients.
             directories: The zone of each process that answers look-ups.
         """
@@ -260,7 +264,9 @@
         ]
         seeds = [machine.control for machine in self.frontends[:3]]
         zones = sorted({*frontends, *directories})
-        for machine in (*self.frontends, *self.directories):
+        machines = (*self.frontends, *self.directories)
+        for number, machine in enumerate(machines):
+            store = stores[number % len(stores)]
             machine.write_settings(self.folder, store, seeds, zones, True)
 
     async def start(self) -> None:
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -62,19 +62,21 @@
     """Holds items, leases and a history of changes; serves them over HTTP.
 
     Attributes:
-        address: The `IP:port` that it listens on.
-        cut_off: The client IP addresses whose calls get no answer.
+        addresses: The `IP:port`s that it listens on, to tell machines apart.
+        cut_off: Those of them on which no call is answered at present.
         counts: The number of calls by path.
     """
 
-    def __init__(self, address: str, history_s: float = 20.0) -> None:
+    def __init__(
+        self, addresses: Sequence[str], history_s: float = 20.0
+    ) -> None:
         """Makes an empty store; see `start`.
 
         Args:
-            address: The `IP:port` to listen on.
+            addresses: The `IP:port`s to listen on.
             history_s: How long changes stay in the history, in seconds.
         """
-        self.address = address
+        self.addresses = tuple(addresses)
         self.cut_off: set[str] = set()
         self.counts: dict[str, int] = {}
         self._history_s = history_s
@@ -85,21 +87,23 @@
         self._leases: dict[int, tuple[float, float]] = {}
         self._next_lease = 1
         self._changed = asyncio.Event()
-        self._server: asyncio.Server | None = None
+        self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Starts listening, and ends leases in the background."""
-        host, _, port = self.address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        for address in self.addresses:
+            host, _, port = address.rpartition(":")
+            server = await asyncio.start_server(self._serve, host, int(port))
+            self._servers.append(server)
         self._tasks.add(asyncio.create_task(self._run_expiry()))
 
     async def stop(self) -> None:
         """Stops listening."""
         for task in list(self._tasks):
             task.cancel()
-        if self._server is not None:
-            self._server.close()
+        for server in self._servers:
+            server.close()
 
     def put(self, key: str, body: object, lease: int = 0) -> int:
         """Writes an item as the operator or a searcher; returns its revision.
@@ -176,9 +180,10 @@
         assert task is not None
         self._tasks.add(task)
         http = h11.Connection(h11.SERVER)
-        peer = writer.get_extra_info("peername")[0]
+        host, port = writer.get_extra_info("sockname")
+        address = f"{host}:{port}"
         try:
-            while await self._serve_one(http, reader, writer, peer):
+            while await self._serve_one(http, reader, writer, address):
                 http.start_next_cycle()
         except (OSError, h11.ProtocolError, asyncio.CancelledError):
             writer.transport.abort()
@@ -191,7 +196,7 @@
         http: h11.Connection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        peer: str,
+        address: str,
     ) -> bool:
         """Serves one call; returns False if the connection ends."""
         head: h11.Request | None = None
@@ -210,12 +215,12 @@
                 return False
         url = urllib.parse.urlsplit(head.target.decode("ascii"))
         query = dict(urllib.parse.parse_qsl(url.query, True))
-        if peer in self.cut_off:
+        if await self._is_cut_off(address):
             return False
         status, answer = await self._answer(
             head.method.decode("ascii"), url.path, query, bytes(body)
         )
-        if peer in self.cut_off:
+        if await self._is_cut_off(address):
             return False
         head_out = h11.Response(
             status_code=status,
@@ -230,6 +235,13 @@
         await writer.drain()
         return http.our_state is h11.DONE
 
+    async def _is_cut_off(self, address: str) -> bool:
+        """Returns True if a call may not be answered, once the cut is over."""
+        is_cut = address in self.cut_off
+        while address in self.cut_off:
+            await asyncio.sleep(0.05)
+        return is_cut
+
     async def _answer(
         self, method: str, path: str, query: dict[str, str], body: bytes
     ) -> tuple[int, bytes]:
