--- a/review/2/case.py
+++ b/review/2/case.py
@@ -154,10 +154,10 @@
     platform: store.Store, address: str, for_s: float, record: case.Record
 ) -> float:
     """Cuts one machine off from the store; returns when the cut ended."""
-    platform.cut_off.add(address)
+    platform.cut([address])
     record.write("the last machine is cut off from the store")
     await asyncio.sleep(for_s)
-    platform.cut_off.discard(address)
+    platform.heal([address])
     record.write("the last machine reaches the store again")
     return asyncio.get_running_loop().time()
 
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -63,7 +63,6 @@
 
     Attributes:
         addresses: The `IP:port`s that it listens on, to tell machines apart.
-        cut_off: Those of them on which no call is answered at present.
         counts: The number of calls by path.
     """
 
@@ -77,9 +76,10 @@
             history_s: How long changes stay in the history, in seconds.
         """
         self.addresses = tuple(addresses)
-        self.cut_off: set[str] = set()
         self.counts: dict[str, int] = {}
         self._history_s = history_s
+        # Set once the cut of an address is over.
+        self._cuts: dict[str, asyncio.Event] = {}
         self._items: dict[str, Item] = {}
         self._history: list[Item] = []
         self._floor = 0
@@ -105,6 +105,18 @@
         for server in self._servers:
             server.close()
 
+    def cut(self, addresses: Sequence[str]) -> None:
+        """Stops answering the calls that arrive at some addresses."""
+        for address in addresses:
+            self._cuts.setdefault(address, asyncio.Event())
+
+    def heal(self, addresses: Sequence[str]) -> None:
+        """Answers calls again; those of the cut get no answer any more."""
+        for address in addresses:
+            healed = self._cuts.pop(address, None)
+            if healed is not None:
+                healed.set()
+
     def put(self, key: str, body: object, lease: int = 0) -> int:
         """Writes an item as the operator or a searcher; returns its revision.
 
@@ -237,10 +249,11 @@
 
     async def _is_cut_off(self, address: str) -> bool:
         """Returns True if a call may not be answered, once the cut is over."""
-        is_cut = address in self.cut_off
-        while address in self.cut_off:
-            await asyncio.sleep(0.05)
-        return is_cut
+        healed = self._cuts.get(address)
+        if healed is None:
+            return False
+        await healed.wait()
+        return True
 
     async def _answer(
         self, method: str, path: str, query: dict[str, str], body: bytes
