--- a/src/azureramp/ports/store/state.py
+++ b/src/azureramp/ports/store/state.py
@@ -85,6 +85,21 @@
         changes.sort(key=lambda entry: entry.revision)
         return api.Listing(tuple(changes), self.revision)
 
+    def list_events(self, prefix: str, after: int) -> api.Listing:
+        """Returns every retained change after a revision, in order.
+
+        Unlike `list_changes`, it returns each value that a key had.
+        """
+        events = [
+            entry
+            for key, entries in self._past.items()
+            if key.startswith(prefix)
+            for entry in entries
+            if entry.revision > after
+        ]
+        events.sort(key=lambda entry: entry.revision)
+        return api.Listing(tuple(events), self.revision)
+
     def write(
         self,
         key: str,
--- a/src/azureramp_standins/fleet/deployment.py
+++ b/src/azureramp_standins/fleet/deployment.py
@@ -42,13 +42,17 @@
             writes it to the store.
     """
 
-    def __init__(self, seed: int = 0) -> None:
+    def __init__(
+        self, seed: int = 0, store_address: str = STORE_ADDRESS
+    ) -> None:
         """Makes a deployment without searchers and VMs.
 
         Args:
             seed: The seed of the daemons' random draws.
+            store_address: The address at which the daemons reach the store.
         """
         self._seed = seed
+        self._store_address = store_address
         self.store = store.Store(STORE_ADDRESS)
         self.searchers: dict[str, searcher.Searcher] = {}
         self.daemons: dict[str, program.Program] = {}
@@ -192,7 +196,9 @@
             first_start: True if the whole tier starts for the first time.
         """
         first_port = first_port or 30000 + 10 * len(self.daemons)
-        daemon_settings = make_settings(vm, zone, first_port, first_start)
+        daemon_settings = make_settings(
+            vm, zone, first_port, first_start, self._store_address
+        )
         # A restarted process makes other random draws than its predecessor.
         seed = (
             self._seed + next(self._starts) if not first_start else self._seed
@@ -263,7 +269,11 @@
 
 
 def make_settings(
-    vm: str, zone: str, first_port: int, first_start: bool = True
+    vm: str,
+    zone: str,
+    first_port: int,
+    first_start: bool = True,
+    store_address: str = STORE_ADDRESS,
 ) -> settings.Settings:
     """Makes a daemon's settings.
 
@@ -272,6 +282,7 @@
         zone: Its availability zone.
         first_port: The first of its four ports.
         first_start: True if the whole tier starts for the first time.
+        store_address: The address of the store.
     """
     return settings.Settings(
         identity=board.Identity(
@@ -296,7 +307,7 @@
         front_address=f"127.0.0.1:{first_port}",
         ready_address=f"127.0.0.1:{first_port + 1}",
         directory_address=f"127.0.0.1:{first_port + 2}",
-        store_address=STORE_ADDRESS,
+        store_address=store_address,
         seeds=tuple(f"127.0.0.1:{30003 + 10 * index}" for index in range(3)),
         descriptors=4000,
         environment=settings.EnvironmentSettings(
--- a/src/azureramp_standins/fleet/store.py
+++ b/src/azureramp_standins/fleet/store.py
@@ -17,6 +17,9 @@
 PAGE_ITEMS = 50
 """Maximum number of items in a page."""
 
+PAGE_BYTES = 1_000_000
+"""Size of the values in a page from which on it takes no further item."""
+
 MAX_TRANSACTION_ROWS = 32
 """Maximum number of conditions, writes and deletions in a transaction."""
 
@@ -138,9 +141,16 @@
         listing = self.state.list(request.query["Prefix"])
         after = request.query.get("after", "")
         remaining = [entry for entry in listing.entries if entry.key > after]
+        page: list[api.Entry] = []
+        size = 0
+        for entry in remaining[:PAGE_ITEMS]:
+            page.append(entry)
+            size += len(entry.value or b"")
+            if size >= PAGE_BYTES:
+                break
         body = {
-            "items": [_encode_entry(entry) for entry in remaining[:PAGE_ITEMS]],
-            "HasMore": len(remaining) > PAGE_ITEMS,
+            "items": [_encode_entry(entry) for entry in page],
+            "HasMore": len(remaining) > len(page),
             "AsOf": listing.revision,
         }
         return _make_response(200, body)
@@ -154,7 +164,7 @@
         while True:
             if after < self.compacted_revision:
                 return _make_response(410, {})
-            changes = self.state.list_changes(request.query["Prefix"], after)
+            changes = self.state.list_events(request.query["Prefix"], after)
             remaining_s = deadline_s - loop.time()
             if changes.entries or remaining_s <= 0:
                 events = [_encode_entry(entry) for entry in changes.entries]
--- a/src/azureramp_standins/soak/proxy.py
+++ b/src/azureramp_standins/soak/proxy.py
@@ -13,6 +13,10 @@
 between two availability zones."""
 
 
+NARROW_BYTES_PER_S = 1_500_000
+"""Bandwidth of a narrow link, in bytes per second, in each direction."""
+
+
 class _Pipe:
     """A connection through the proxy.
 
@@ -40,6 +44,8 @@
         self.address = address
         self._target = target
         self._delayed = False
+        self._bytes_per_s: float | None = None
+        self._free_s = {"up": 0.0, "down": 0.0}
         self._flowing = {"up": asyncio.Event(), "down": asyncio.Event()}
         self._pipes: set[_Pipe] = set()
         self._server: asyncio.Server | None = None
@@ -56,6 +62,8 @@
         match how:
             case "delay":
                 self._delayed = True
+            case "narrow":
+                self._bytes_per_s = NARROW_BYTES_PER_S
             case "reset":
                 for pipe in list(self._pipes):
                     _abort(pipe)
@@ -68,6 +76,7 @@
     def clear(self) -> None:
         """Clears all faults; connections that are silent remain silent."""
         self._delayed = False
+        self._bytes_per_s = None
         for event in self._flowing.values():
             event.set()
 
@@ -105,6 +114,15 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    async def _wait_for_bandwidth(self, direction: str, size: int) -> None:
+        """Waits until the link has carried bytes, after those before them."""
+        if self._bytes_per_s is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        done_s = max(now_s, self._free_s[direction]) + size / self._bytes_per_s
+        self._free_s[direction] = done_s
+        await asyncio.sleep(done_s - now_s)
+
     async def _forward(
         self,
         pipe: _Pipe,
@@ -117,6 +135,7 @@
             while data := await source.read(READ_BYTES):
                 if self._delayed:
                     await asyncio.sleep(DELAY_S)
+                await self._wait_for_bandwidth(direction, len(data))
                 await self._flowing[direction].wait()
                 if not pipe.silent:
                     sink.write(data)
--- a/tests/forwarding/scenes.py
+++ b/tests/forwarding/scenes.py
@@ -6,6 +6,7 @@
 
 from azureramp_standins import virtual
 from azureramp_standins.fleet import deployment
+from azureramp_standins.soak import proxy
 
 Scenario = Callable[[deployment.Deployment], Awaitable[None]]
 
@@ -13,18 +14,32 @@
 SINGLE_SERVICE = "statements"
 
 
+STORE_LINK_ADDRESS = "127.0.0.1:7001"
+
+
 def run(
-    scenario: Scenario, vms: int = 1, searchers: int = 2, seed: int = 0
+    scenario: Scenario,
+    vms: int = 1,
+    searchers: int = 2,
+    seed: int = 0,
+    store_link_fault: str = "",
 ) -> None:
     """Runs a scenario.
 
     The deployment has a route `/all/` to `SHARDS` that requires three shards, a
     route `/one/`, and a route `/once/` whose requests may run only once; the
-    last two lead to `SINGLE_SERVICE`.
+    last two lead to `SINGLE_SERVICE`. With `store_link_fault`, the VMs reach the
+    store over one link that has this fault from the start.
     """
 
     async def run_scenario() -> None:
         scene = deployment.Deployment(seed)
+        link: proxy.Proxy | None = None
+        if store_link_fault:
+            scene = deployment.Deployment(seed, STORE_LINK_ADDRESS)
+            link = proxy.Proxy(STORE_LINK_ADDRESS, deployment.STORE_ADDRESS)
+            await link.start()
+            link.inject(store_link_fault)
         await scene.start()
         for service in (*SHARDS, SINGLE_SERVICE):
             await scene.add_searchers(service, searchers)
@@ -42,6 +57,8 @@
         try:
             await scenario(scene)
         finally:
+            if link is not None:
+                await link.stop()
             await scene.kill()
 
     virtual.run(run_scenario())
