--- a/src/azureramp/controllers/forwarding/feed.py
+++ b/src/azureramp/controllers/forwarding/feed.py
@@ -168,10 +168,14 @@
             if result.is_ok():
                 break
             self._contact.record_failure(result.error)
+            if self._source == STORE:
+                self._set_watch_failed(True)
             if not self._relay.copy.revision:
                 await self._copy_from_seed()
             await self._pause()
         self._contact.record_success()
+        if self._source == STORE:
+            self._set_watch_failed(False)
         listing = result.ok
         present = {entry.key for entry in listing.entries}
         deleted = [
@@ -227,6 +231,17 @@
                     "the store has compacted its history; reading all entries"
                 )
                 return False
+            if result.error.kind is errors.Kind.STORE_ANSWER_UNUSABLE:
+                # The same watch would get the same answer or a larger one.
+                _logger.warning(
+                    "can't use the store's answer to a watch after revision {}:"
+                    " {}; reading all entries",
+                    self._relay.copy.revision,
+                    result.error.detail,
+                )
+                await self._read_all()
+                await asyncio.sleep(WATCH_PAUSE_S)
+                return True
             self._contact.record_failure(result.error)
             self._set_watch_failed(True)
             await self._pause()
--- a/src/azureramp/errors.py
+++ b/src/azureramp/errors.py
@@ -61,6 +61,7 @@
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_OUTCOME_UNKNOWN = "store_outcome_unknown"
     STORE_HISTORY_GONE = "store_history_gone"
+    STORE_ANSWER_UNUSABLE = "store_answer_unusable"
     KEY_REUSED = "key_reused"
     IN_PROGRESS = "in_progress"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -138,6 +139,9 @@
     Kind.SHARDS_UNREACHABLE: Answer(503, Execution.NOT_RUN, Retry.SAME, 300),
     Kind.SHARDS_MISSING: Answer(502, Execution.UNKNOWN, Retry.SAME),
     Kind.STORE_HISTORY_GONE: Answer(503, Execution.NOT_RUN, Retry.SAME),
+    Kind.STORE_ANSWER_UNUSABLE: Answer(
+        503, Execution.NOT_RUN, Retry.SAME, 2000
+    ),
     Kind.COVERAGE_TOO_LOW: Answer(503, Execution.RAN, Retry.SAME, 1000),
     Kind.NO_SNAPSHOT: Answer(503, Execution.NOT_RUN, Retry.SAME, 1000),
     Kind.QUARANTINED: Answer(503, Execution.NOT_RUN, Retry.SAME, 60000),
--- a/src/azureramp/platform/store.py
+++ b/src/azureramp/platform/store.py
@@ -29,6 +29,9 @@
 """Maximum number of pages read for one prefix; a hundred searchers fill one or
 two."""
 
+REJECTION_STATUSES = (429, 503)
+"""Statuses with which the store rejects a call, whatever it asks for."""
+
 _T = TypeVar("_T")
 
 
@@ -50,9 +53,9 @@
         self, key: str
     ) -> expression.Result[api.Entry | None, errors.Failure]:
         """Reads one key; see `api.Store`."""
-        result = await self._send("GET", "/kv-key", {"Key": key})
+        result = await self._read("/kv-key", {"Key": key})
         if result.is_error():
-            return expression.Error(_to_read_failure(result.error))
+            return expression.Error(result.error)
         if result.ok.status == 404:
             return expression.Ok(None)
         return _decode(result.ok, bodies.ItemBody).bind(_to_entry)
@@ -74,9 +77,9 @@
             query = {"Prefix": prefix}
             if after:
                 query["after"] = after
-            result = await self._send("GET", "/kv-range", query)
+            result = await self._read("/kv-range", query)
             if result.is_error():
-                return expression.Error(_to_read_failure(result.error))
+                return expression.Error(result.error)
             page = _decode(result.ok, bodies.RangeBody)
             if page.is_error():
                 return expression.Error(page.error)
@@ -136,16 +139,14 @@
             "after": str(after),
             "WaitMs": str(int(wait_s * 1000)),
         }
-        result = await self._send(
-            "GET",
+        result = await self._read(
             "/kv-watch",
             query,
-            None,
             wait_s + WATCH_ANSWER_TIMEOUT_S,
             self._watch_pool,
         )
         if result.is_error():
-            return expression.Error(_to_read_failure(result.error))
+            return expression.Error(result.error)
         if result.ok.status == 410:
             return expression.Error(
                 errors.Failure(errors.Kind.STORE_HISTORY_GONE)
@@ -189,32 +190,58 @@
         result = await self._send("POST", "/kv-txn", {}, body)
         return result.bind(_to_write)
 
+    async def _read(
+        self,
+        path: str,
+        query: dict[str, str],
+        timeout_s: float = CALL_TIMEOUT_S,
+        connection_pool: pool.Pool | None = None,
+    ) -> expression.Result[web_api.Response, errors.Failure]:
+        """Sends one request that changes nothing to the store.
+
+        Returns:
+            The response; `STORE_UNAVAILABLE` if there is none or the store
+            rejected the request; `STORE_ANSWER_UNUSABLE` if the response is
+            incomplete, too large or of an unexpected status.
+        """
+        transfer = web_api.Transfer()
+        result = await (connection_pool or self._pool).exchange(
+            "GET", _make_target(path, query), b"", timeout_s, (), transfer
+        )
+        if result.is_error():
+            answered = transfer.received_bytes > 0
+            return expression.Error(
+                errors.Failure(_to_read_kind(answered), result.error.detail)
+            )
+        status = result.ok.status
+        if status in (200, 404, 410):
+            return result
+        answered = status not in REJECTION_STATUSES
+        return expression.Error(
+            errors.Failure(_to_read_kind(answered), f"status {status}")
+        )
+
     async def _send(
         self,
         method: str,
         path: str,
         query: dict[str, str],
         body: Any = None,
-        timeout_s: float = CALL_TIMEOUT_S,
-        connection_pool: pool.Pool | None = None,
     ) -> expression.Result[web_api.Response, errors.Failure]:
         """Sends one request to the store; returns 429 and 5xx as failures.
 
         With 429 and 503 the store guarantees that the call had no effect;
         after any other 5xx the outcome is unknown.
         """
-        target = path
-        if query:
-            target += "?" + urllib.parse.urlencode(query)
         data = b"" if body is None else msgspec.json.encode(body)
         headers = (("Content-Type", "application/json"),) if data else ()
-        result = await (connection_pool or self._pool).exchange(
-            method, target, data, timeout_s, headers
+        result = await self._pool.exchange(
+            method, _make_target(path, query), data, CALL_TIMEOUT_S, headers
         )
         if result.is_error():
             return result
         status = result.ok.status
-        if status in (429, 503):
+        if status in REJECTION_STATUSES:
             kind = errors.Kind.STORE_UNAVAILABLE
         elif status >= 500:
             kind = errors.Kind.STORE_OUTCOME_UNKNOWN
@@ -223,9 +250,16 @@
         return expression.Error(errors.Failure(kind, f"status {status}"))
 
 
-def _to_read_failure(failure: errors.Failure) -> errors.Failure:
-    """Converts the failure of a read, whose outcome can't be unknown."""
-    return errors.Failure(errors.Kind.STORE_UNAVAILABLE, failure.detail)
+def _make_target(path: str, query: dict[str, str]) -> str:
+    """Returns the encoded path and query of a request."""
+    return f"{path}?{urllib.parse.urlencode(query)}" if query else path
+
+
+def _to_read_kind(answered: bool) -> errors.Kind:
+    """Returns the kind of a read's failure, whose outcome can't be unknown."""
+    if answered:
+        return errors.Kind.STORE_ANSWER_UNUSABLE
+    return errors.Kind.STORE_UNAVAILABLE
 
 
 def _decode(
@@ -240,7 +274,7 @@
             )
         except msgspec.DecodeError as error:
             detail = str(error)
-    kind = errors.Kind.STORE_UNAVAILABLE
+    kind = errors.Kind.STORE_ANSWER_UNUSABLE
     return expression.Error(errors.Failure(kind, detail))
 
 
@@ -253,7 +287,7 @@
     try:
         value = base64.b64decode(item.value, validate=True)
     except (binascii.Error, ValueError) as error:
-        kind = errors.Kind.STORE_UNAVAILABLE
+        kind = errors.Kind.STORE_ANSWER_UNUSABLE
         return expression.Error(errors.Failure(kind, f"{item.key}: {error}"))
     return expression.Ok(api.Entry(item.key, value, item.revision))
 
--- a/src/azureramp/ports/store/api.py
+++ b/src/azureramp/ports/store/api.py
@@ -117,7 +117,9 @@
     Errors: `STORE_UNAVAILABLE` if the call certainly had no effect and never
     will; `STORE_OUTCOME_UNKNOWN` if a write may have taken effect or may still
     take effect; `STORE_HISTORY_GONE` if a watch starts before the oldest
-    retained change; `TOO_LARGE` if a value exceeds the limit.
+    retained change; `STORE_ANSWER_UNUSABLE` if a read was answered, but the
+    answer is too large, incomplete or can't be decoded; `TOO_LARGE` if a value
+    exceeds the limit.
     """
 
     async def read(
--- a/src/azureramp/ports/web/api.py
+++ b/src/azureramp/ports/web/api.py
@@ -92,4 +92,29 @@
     closes_connection: bool = False
 
 
+MAX_BODY_BYTES = 4_000_000
+"""Maximum size of the body of a response that a client receives, in bytes."""
+
+
+@dataclasses.dataclass(slots=True)
+class Transfer:
+    """Limits and progress of receiving one response.
+
+    Attributes:
+        max_body_bytes: Maximum size of the body, in bytes.
+        received_bytes: Number of bytes received so far.
+    """
+
+    max_body_bytes: int = MAX_BODY_BYTES
+    received_bytes: int = 0
+
+    def record_data(self, size: int) -> None:
+        """Records received data.
+
+        Args:
+            size: Its size, in bytes.
+        """
+        self.received_bytes += size
+
+
 Handler = Callable[[Request], Awaitable[Response]]
--- a/src/azureramp/ports/web/connection.py
+++ b/src/azureramp/ports/web/connection.py
@@ -14,9 +14,6 @@
 from azureramp import errors
 from azureramp.ports.web import api, time_limit
 
-MAX_BODY_BYTES = 4_000_000
-"""Maximum size of a response body, in bytes."""
-
 READ_BYTES = 65536
 
 USER_TIMEOUT_MS = 3000
@@ -44,6 +41,10 @@
     """The connection failed after bytes may have been written."""
 
 
+class ResponseTooLargeError(ConnectionBrokenError):
+    """The connection was closed because the response body is too large."""
+
+
 def set_socket_options(writer: asyncio.StreamWriter) -> None:
     """Sets the socket options of a stream; see `set_transport_options`."""
     set_transport_options(writer.transport)
@@ -153,6 +154,7 @@
         body: bytes = b"",
         may_write: Callable[[], bool] | None = None,
         host: str = "",
+        transfer: api.Transfer | None = None,
     ) -> api.Response:
         """Sends a request and reads the complete response.
 
@@ -165,6 +167,8 @@
                 yielding to the event loop in between; False cancels the
                 exchange.
             host: The value of the Host header; the address if empty.
+            transfer: Limits of the response, and its progress; None for the
+                default limits.
 
         Returns:
             The response. Check `is_reusable` before the next exchange.
@@ -174,6 +178,7 @@
                 already closed; nothing was written.
             ConnectionBrokenError: The connection failed; bytes may have been
                 written.
+            ResponseTooLargeError: The response exceeds the limit.
         """
         data = self._encode(method, target, headers, body, host)
         if self._writer.is_closing() or self._reader.at_eof():
@@ -185,13 +190,13 @@
         try:
             self._writer.write(data)
             await self._writer.drain()
-            response = await self._read_response()
+            response = await self._read_response(transfer or api.Transfer())
         except (OSError, h11.ProtocolError, EOFError) as error:
             self.abort()
             raise ConnectionBrokenError(
                 str(error) or type(error).__name__
             ) from error
-        except asyncio.CancelledError:
+        except (ConnectionBrokenError, asyncio.CancelledError):
             self.abort()
             raise
         self.used_s = asyncio.get_running_loop().time()
@@ -221,7 +226,7 @@
             data += self._http.send(h11.Data(data=body)) or b""
         return data + (self._http.send(h11.EndOfMessage()) or b"")
 
-    async def _read_response(self) -> api.Response:
+    async def _read_response(self, transfer: api.Transfer) -> api.Response:
         """Reads one complete response and resets the state for the next one."""
         head: h11.Response | None = None
         body = bytearray()
@@ -229,15 +234,16 @@
             match self._http.next_event():
                 case h11.NEED_DATA:
                     data = await self._reader.read(READ_BYTES)
+                    transfer.record_data(len(data))
                     self._http.receive_data(data)
                 case h11.InformationalResponse():
                     pass
                 case h11.Response() as event:
                     head = event
+                    _check_size(_get_content_length(head), transfer)
                 case h11.Data() as event:
                     body += event.data
-                    if len(body) > MAX_BODY_BYTES:
-                        raise EOFError("the response body is too large")
+                    _check_size(len(body), transfer)
                 case h11.EndOfMessage() if head is not None:
                     break
                 case event:
@@ -261,6 +267,23 @@
         self._writer.transport.abort()
 
 
+def _get_content_length(head: h11.Response) -> int:
+    """Returns the announced size of a body in bytes; 0 if there is none."""
+    for name, value in head.headers:
+        if name == b"content-length":
+            return int(value)
+    return 0
+
+
+def _check_size(size: int, transfer: api.Transfer) -> None:
+    """Raises `ResponseTooLargeError` if a body exceeds the limit."""
+    if size > transfer.max_body_bytes:
+        raise ResponseTooLargeError(
+            f"the response body is too large: {size} bytes or more,"
+            f" at most {transfer.max_body_bytes} are accepted"
+        )
+
+
 def make_response(head: h11.Response, body: bytes) -> api.Response:
     """Converts an h11 response and its body."""
     headers = tuple(
--- a/src/azureramp/ports/web/pool.py
+++ b/src/azureramp/ports/web/pool.py
@@ -50,9 +50,19 @@
         body: bytes = b"",
         timeout_s: float = 2.0,
         headers: Sequence[tuple[str, str]] = (),
+        transfer: api.Transfer | None = None,
     ) -> expression.Result[api.Response, errors.Failure]:
         """Makes one exchange; it is not retried once bytes were written.
 
+        Args:
+            method: The HTTP method.
+            target: The encoded path and query.
+            body: The request body.
+            timeout_s: Maximum time for the exchange, in seconds.
+            headers: Additional headers.
+            transfer: Limits of the response, and its progress; None for the
+                default limits.
+
         Returns:
             The response; `STORE_UNAVAILABLE` if nothing was written, or
             `STORE_OUTCOME_UNKNOWN` if the server may have processed the
@@ -72,7 +82,7 @@
             try:
                 async with time_limit.end_at(deadline_s):
                     response = await connection.exchange(
-                        method, target, headers, body
+                        method, target, headers, body, transfer=transfer
                     )
             except web_connection.NotSentError:
                 connection.abort()
--- a/src/azureramp/texts.py
+++ b/src/azureramp/texts.py
@@ -94,6 +94,10 @@
         "The changes since then are no longer kept.",
         "Az azóta történt változások már nem érhetők el.",
     ),
+    errors.Kind.STORE_ANSWER_UNUSABLE: Text(
+        "The key-value service's answer could not be used.",
+        "A kulcs-érték szolgáltatás válasza nem volt használható.",
+    ),
     errors.Kind.QUARANTINED: Text(
         "This request crashed backend servers and is refused for a while.",
         "Ez a kérés háttérkiszolgálókat döntött le, egy ideig elutasítjuk.",
--- a/src/azureramp_standins/fleet/store.py
+++ b/src/azureramp_standins/fleet/store.py
@@ -36,6 +36,8 @@
         slow_s: Delay of each call, in seconds.
         lost: How many of the next writes take effect without an answer.
         refused: How many of the next calls are answered with 503.
+        watch_status: Status of the answers to watches, whose body is then no
+            JSON; 0 for sound answers.
     """
 
     busy: bool = False
@@ -43,6 +45,7 @@
     slow_s: float = 0.0
     lost: int = 0
     refused: int = 0
+    watch_status: int = 0
 
 
 class Store:
@@ -161,6 +164,8 @@
         after = int(request.query["after"])
         wait_s = min(int(request.query["WaitMs"]) / 1000, MAX_WAIT_S)
         deadline_s = loop.time() + wait_s
+        if self.faults.watch_status:
+            return web_api.Response(self.faults.watch_status, b"[")
         while True:
             if after < self.compacted_revision:
                 return _make_response(410, {})
--- a/tests/forwarding/scenes.py
+++ b/tests/forwarding/scenes.py
@@ -28,8 +28,8 @@
 
     The deployment has a route `/all/` to `SHARDS` that requires three shards, a
     route `/one/`, and a route `/once/` whose requests may run only once; the
-    last two lead to `SINGLE_SERVICE`. With `store_link_fault`, the VMs reach the
-    store over one link that has this fault from the start.
+    last two lead to `SINGLE_SERVICE`. With `store_link_fault`, the VMs reach
+    the store over one link that has this fault from the start.
     """
 
     async def run_scenario() -> None:
