--- a/src/azureramp/controllers/forwarding/feed.py
+++ b/src/azureramp/controllers/forwarding/feed.py
@@ -24,6 +24,7 @@
 from azureramp.policy import store_copy
 from azureramp.ports.relays import api as relays_api
 from azureramp.ports.store import api as store_api
+from azureramp.ports.web import api as web_api
 
 WATCH_TIMEOUT_S = 1.0
 """Maximum duration of one watch, in seconds. A watch whose answer is lost is
@@ -40,6 +41,18 @@
 seconds, up to which a VM whose relay failed tries another relay before it
 watches the store."""
 
+MIN_WATCH_LIMIT_BYTES = 1_500_000
+"""Limit of a watch's answer while the store has few entries, in bytes: one
+event with a value of the largest size."""
+
+WATCH_LIMIT_RATIO = 2.0
+"""Limit of a watch's answer by the total size of all entries. Reading a larger
+one takes longer than reading all entries anew, which encode a value in 4/3 of
+its size."""
+
+WATCH_STALL_TIMEOUT_S = 0.5
+"""Maximum time between two parts of a watch's answer, in seconds."""
+
 WATCH_PAUSE_S = 0.4
 """Pause between two watches, in seconds. It batches a burst of changes into
 about two reads a second instead of one for each change, and is short compared
@@ -114,7 +127,7 @@
     def __init__(
         self,
         board: board_module.Board,
-        store: store_api.Store,
+        store: store_api.WatchedStore,
         relays: relays_api.RelayClient,
         seeds: Sequence[str],
         own_relay: relay.Relay,
@@ -275,10 +288,13 @@
         outdated = (
             self._contact.get_time_since_answer_s() * 1000 > MAX_RELAY_AGE_MS
         )
+        transfer = self._make_transfer()
         if outdated or not self._board.contact.reachable:
-            return await self._store.watch("", after, OUTAGE_WATCH_TIMEOUT_S)
+            return await self._store.watch(
+                "", after, OUTAGE_WATCH_TIMEOUT_S, transfer
+            )
         watch = asyncio.ensure_future(
-            self._store.watch("", after, WATCH_TIMEOUT_S)
+            self._store.watch("", after, WATCH_TIMEOUT_S, transfer)
         )
         failed = asyncio.ensure_future(self._contact.wait_for_failure())
         try:
@@ -295,6 +311,17 @@
             errors.Failure(errors.Kind.STORE_UNAVAILABLE, detail)
         )
 
+    def _make_transfer(self) -> web_api.Transfer:
+        """Makes the limits of a watch's answer."""
+        relative_bytes = round(self._relay.copy.size_bytes * WATCH_LIMIT_RATIO)
+        return web_api.Transfer(
+            min(
+                max(MIN_WATCH_LIMIT_BYTES, relative_bytes),
+                web_api.MAX_BODY_BYTES,
+            ),
+            WATCH_STALL_TIMEOUT_S,
+        )
+
     def _choose_relay(self) -> str | None:
         """Chooses the relay to use.
 
--- a/src/azureramp/platform/program.py
+++ b/src/azureramp/platform/program.py
@@ -161,7 +161,7 @@
         )
         self._settings = process_settings
         self.board = board
-        self._store = counting.CountingBatchStore(
+        self._store = counting.CountingPlatformStore(
             store.PlatformStore(process_settings.store_address), counters
         )
         store_copy = store_copy_module.StoreCopy()
--- a/src/azureramp/platform/store.py
+++ b/src/azureramp/platform/store.py
@@ -25,6 +25,10 @@
 """Maximum time for the answer of a watch beyond its wait, in seconds. VMs that
 receive changes through this one must learn soon that its watch has failed."""
 
+STALL_TIMEOUT_S = 0.5
+"""Maximum time between two parts of an answer, in seconds. A large answer takes
+longer than a call's timeout on a slow link; repeated, it would take as long."""
+
 MAX_PAGES = 200
 """Maximum number of pages read for one prefix; a hundred searchers fill one or
 two."""
@@ -131,9 +135,13 @@
         return result.bind(lambda response: _to_batch_write(response, keys))
 
     async def watch(
-        self, prefix: str, after: int, wait_s: float
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+        transfer: web_api.Transfer | None = None,
     ) -> expression.Result[api.Listing, errors.Failure]:
-        """Waits for changes; see `api.Store`."""
+        """Waits for changes; see `api.WatchedStore`."""
         query = {
             "Prefix": prefix,
             "after": str(after),
@@ -144,6 +152,7 @@
             query,
             wait_s + WATCH_ANSWER_TIMEOUT_S,
             self._watch_pool,
+            transfer,
         )
         if result.is_error():
             return expression.Error(result.error)
@@ -196,6 +205,7 @@
         query: dict[str, str],
         timeout_s: float = CALL_TIMEOUT_S,
         connection_pool: pool.Pool | None = None,
+        transfer: web_api.Transfer | None = None,
     ) -> expression.Result[web_api.Response, errors.Failure]:
         """Sends one request that changes nothing to the store.
 
@@ -204,7 +214,7 @@
             rejected the request; `STORE_ANSWER_UNUSABLE` if the response is
             incomplete, too large or of an unexpected status.
         """
-        transfer = web_api.Transfer()
+        transfer = transfer or web_api.Transfer(stall_s=STALL_TIMEOUT_S)
         result = await (connection_pool or self._pool).exchange(
             "GET", _make_target(path, query), b"", timeout_s, (), transfer
         )
--- a/src/azureramp/policy/store_copy.py
+++ b/src/azureramp/policy/store_copy.py
@@ -70,9 +70,16 @@
     Attributes:
         revision: The store's revision up to which the copy is complete.
         compacted_revision: Deletions up to this revision may be unknown.
+        size_bytes: Total size of the values, in bytes.
     """
 
-    __slots__ = ("_deletions", "_entries", "compacted_revision", "revision")
+    __slots__ = (
+        "_deletions",
+        "_entries",
+        "compacted_revision",
+        "revision",
+        "size_bytes",
+    )
 
     def __init__(self) -> None:
         """Creates an empty copy."""
@@ -82,12 +89,16 @@
         )
         self.revision = 0
         self.compacted_revision = 0
+        self.size_bytes = 0
 
     def apply(self, entry: store_api.Entry) -> bool:
         """Stores an entry; returns False if its key has a newer one."""
         current = self._entries.get(entry.key) or self._deletions.get(entry.key)
         if current is not None and entry.revision < current.revision:
             return False
+        if current is not None:
+            self.size_bytes -= len(current.value or b"")
+        self.size_bytes += len(entry.value or b"")
         if entry.value is not None:
             self._deletions.pop(entry.key, None)
             self._entries[entry.key] = entry
--- a/src/azureramp/ports/store/api.py
+++ b/src/azureramp/ports/store/api.py
@@ -14,6 +14,7 @@
 import expression
 
 from azureramp import errors
+from azureramp.ports.web import api as web_api
 
 MAX_VALUE_BYTES = 1_000_000
 
@@ -197,6 +198,28 @@
         ...
 
 
+class WatchedStore(Store, Protocol):
+    """A key-value service whose watches return each value that a key had."""
+
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+        transfer: web_api.Transfer | None = None,
+    ) -> expression.Result[Listing, errors.Failure]:
+        """Waits for changes; see `Store`.
+
+        Args:
+            prefix: The prefix.
+            after: The store revision after which changes are returned.
+            wait_s: Maximum wait, in seconds.
+            transfer: Limits of the answer, and its progress; None for the
+                default limits.
+        """
+        ...
+
+
 class BatchStore(Store, Protocol):
     """A key-value service with atomic writes to several keys."""
 
@@ -214,3 +237,7 @@
             unknown.
         """
         ...
+
+
+class PlatformStore(WatchedStore, BatchStore, Protocol):
+    """The key-value service of the users' platform."""
--- a/src/azureramp/ports/store/counting.py
+++ b/src/azureramp/ports/store/counting.py
@@ -9,6 +9,7 @@
 
 from azureramp import errors, metrics
 from azureramp.ports.store import api
+from azureramp.ports.web import api as web_api
 
 _T = TypeVar("_T")
 
@@ -96,21 +97,34 @@
         return result
 
 
-class CountingBatchStore(CountingStore):
-    """A `CountingStore` that also supports batches."""
+class CountingPlatformStore(CountingStore):
+    """A `CountingStore` with all calls of `api.PlatformStore`."""
 
-    __slots__ = ("_batches",)
+    __slots__ = ("_platform_store",)
 
     def __init__(
-        self, store: api.BatchStore, counters: metrics.Metrics
+        self, store: api.PlatformStore, counters: metrics.Metrics
     ) -> None:
         """Wraps a store; see `CountingStore`."""
         super().__init__(store, counters)
-        self._batches = store
+        self._platform_store = store
+
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+        transfer: web_api.Transfer | None = None,
+    ) -> expression.Result[api.Listing, errors.Failure]:
+        """Waits for changes; see `api.WatchedStore`."""
+        self._metrics.count("store.watches")
+        return self._check(
+            await self._platform_store.watch(prefix, after, wait_s, transfer)
+        )
 
     async def write_batch(
         self, changes: Sequence[api.Change]
     ) -> expression.Result[api.BatchOutcome, errors.Failure]:
         """Writes a batch; see `api.BatchStore`."""
         self._metrics.count("store.writes")
-        return self._check(await self._batches.write_batch(changes))
+        return self._check(await self._platform_store.write_batch(changes))
--- a/src/azureramp/ports/web/api.py
+++ b/src/azureramp/ports/web/api.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections.abc import Awaitable, Callable, Mapping
 
 UNREADABLE = "BAD"
@@ -102,19 +103,32 @@
 
     Attributes:
         max_body_bytes: Maximum size of the body, in bytes.
+        stall_s: Maximum time between two parts of the response, in seconds. A
+            response that has begun may take longer than the exchange's timeout
+            as long as this is kept.
         received_bytes: Number of bytes received so far.
+        received_s: Event loop time at which the last of them were received, in
+            seconds; minus infinity before.
     """
 
     max_body_bytes: int = MAX_BODY_BYTES
+    stall_s: float = 0.0
     received_bytes: int = 0
+    received_s: float = -math.inf
 
-    def record_data(self, size: int) -> None:
+    def record_data(self, size: int, now_s: float) -> None:
         """Records received data.
 
         Args:
             size: Its size, in bytes.
+            now_s: The current event loop time, in seconds.
         """
         self.received_bytes += size
+        self.received_s = now_s
+
+    def get_stall_end_s(self) -> float:
+        """Returns until when more data must be received, in seconds."""
+        return self.received_s + self.stall_s
 
 
 Handler = Callable[[Request], Awaitable[Response]]
--- a/src/azureramp/ports/web/connection.py
+++ b/src/azureramp/ports/web/connection.py
@@ -234,7 +234,8 @@
             match self._http.next_event():
                 case h11.NEED_DATA:
                     data = await self._reader.read(READ_BYTES)
-                    transfer.record_data(len(data))
+                    now_s = asyncio.get_running_loop().time()
+                    transfer.record_data(len(data), now_s)
                     self._http.receive_data(data)
                 case h11.InformationalResponse():
                     pass
--- a/src/azureramp/ports/web/pool.py
+++ b/src/azureramp/ports/web/pool.py
@@ -58,7 +58,8 @@
             method: The HTTP method.
             target: The encoded path and query.
             body: The request body.
-            timeout_s: Maximum time for the exchange, in seconds.
+            timeout_s: Maximum time for the exchange, in seconds, unless
+                `transfer` extends it.
             headers: Additional headers.
             transfer: Limits of the response, and its progress; None for the
                 default limits.
@@ -68,6 +69,7 @@
             `STORE_OUTCOME_UNKNOWN` if the server may have processed the
             request.
         """
+        transfer = transfer or api.Transfer()
         deadline_s = asyncio.get_running_loop().time() + timeout_s
         while True:
             connection = self._pop_idle()
@@ -80,7 +82,9 @@
                     )
                 connection = opened.ok
             try:
-                async with time_limit.end_at(deadline_s):
+                async with time_limit.end_unless_extended(
+                    deadline_s, transfer.get_stall_end_s
+                ):
                     response = await connection.exchange(
                         method, target, headers, body, transfer=transfer
                     )
@@ -91,7 +95,10 @@
                 return _fail(errors.Kind.STORE_OUTCOME_UNKNOWN, str(error))
             except TimeoutError:
                 self.close()
-                return _fail(errors.Kind.STORE_OUTCOME_UNKNOWN, "timeout")
+                detail = "timeout"
+                if transfer.received_bytes:
+                    detail += f" after {transfer.received_bytes} bytes"
+                return _fail(errors.Kind.STORE_OUTCOME_UNKNOWN, detail)
             except asyncio.CancelledError:
                 self.close()
                 raise
--- a/src/azureramp/ports/web/time_limit.py
+++ b/src/azureramp/ports/web/time_limit.py
@@ -78,6 +78,39 @@
         timeout.reschedule(asyncio.get_running_loop().time())
 
 
+@contextlib.asynccontextmanager
+async def end_unless_extended(
+    when_s: float, get_extended_s: Callable[[], float]
+) -> AsyncIterator[None]:
+    """Cancels the body at a time that may move while it runs.
+
+    Args:
+        when_s: The earliest time, on the loop's clock.
+        get_extended_s: Called at the time; returns the time to which it has
+            moved meanwhile.
+
+    Raises:
+        TimeoutError: The time has come.
+    """
+    loop = asyncio.get_running_loop()
+    timers: list[Timer] = []
+
+    def check() -> None:
+        extended_s = get_extended_s()
+        if extended_s > loop.time():
+            timers[:] = [Timer(extended_s, check)]
+        else:
+            _expire(timeout)
+
+    has_passed = when_s <= loop.time()
+    async with asyncio.timeout_at(when_s if has_passed else None) as timeout:
+        timers.append(Timer(when_s, check))
+        try:
+            yield
+        finally:
+            timers[0].cancel()
+
+
 def end_after(
     seconds: float,
 ) -> contextlib.AbstractAsyncContextManager[asyncio.Timeout]:
--- a/tests/forwarding/test_configuration_bursts.py
+++ b/tests/forwarding/test_configuration_bursts.py
@@ -107,3 +107,29 @@
         await client.close()
 
     scenes.run(scenario)
+
+
+def test_last_version_is_in_force_in_time_over_a_narrow_link() -> None:
+    """Guards against a watch repeated although its answer takes too long."""
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        add_routes(scene, LARGE_ROUTES)
+        await write_burst(scene, 4)
+        await deployment.wait_for_updates(MAX_APPLY_S)
+        check_in_force(scene)
+
+    scenes.run(scenario, store_link_fault="narrow")
+
+
+def test_start_over_a_narrow_link_reads_a_large_configuration() -> None:
+    """Guards against a page repeated although its answer takes too long."""
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        add_routes(scene, LARGE_ROUTES)
+        scene.store.put("servers/other", b"x" * 500_000)
+        scene.write_configuration()
+        await scene.add_vm("vm-1", "zone-2", first_start=False)
+        await deployment.wait_for_updates(5.0)
+        check_in_force(scene)
+
+    scenes.run(scenario, store_link_fault="narrow")
