--- a/src/azureramp/controllers/forwarding/feed.py
+++ b/src/azureramp/controllers/forwarding/feed.py
@@ -20,7 +20,7 @@
 from azureramp.controllers.forwarding import (
     board as board_module,
 )
-from azureramp.controllers.forwarding import relay, store_contact
+from azureramp.controllers.forwarding import full_read, relay, store_contact
 from azureramp.policy import store_copy
 from azureramp.ports.relays import api as relays_api
 from azureramp.ports.store import api as store_api
@@ -127,7 +127,7 @@
     def __init__(
         self,
         board: board_module.Board,
-        store: store_api.WatchedStore,
+        store: store_api.PagedStore,
         relays: relays_api.RelayClient,
         seeds: Sequence[str],
         own_relay: relay.Relay,
@@ -176,32 +176,25 @@
         While the store is unreachable and this VM has no entries, it starts
         with another VM's copy, however old.
         """
-        while True:
-            result = await self._store.read_prefix("")
-            if result.is_ok():
-                break
-            self._contact.record_failure(result.error)
+        read = full_read.FullRead(self._store, self._relay.copy)
+        while not read.is_complete:
+            failure = await read.read_page()
+            if failure is None:
+                self._contact.record_success()
+                continue
+            self._contact.record_failure(failure)
             if self._source == STORE:
                 self._set_watch_failed(True)
             if not self._relay.copy.revision:
                 await self._copy_from_seed()
             await self._pause()
-        self._contact.record_success()
         if self._source == STORE:
             self._set_watch_failed(False)
-        listing = result.ok
-        present = {entry.key for entry in listing.entries}
-        deleted = [
-            store_api.Entry(key, None, listing.revision)
-            for key in self._relay.copy.list_keys()
-            if key not in present
-        ]
-        self._relay.copy.begin_history(listing.revision)
-        self._apply_new((*deleted, *listing.entries), listing.revision)
+        changes = read.list_changes()
+        self._relay.copy.begin_history(read.revision)
+        self._apply_new(changes, read.revision)
         _logger.info(
-            "read {} entries at revision {}",
-            len(listing.entries),
-            listing.revision,
+            "read {} entries at revision {}", read.count(), read.revision
         )
 
     async def _copy_from_seed(self) -> None:
--- a/src/azureramp/platform/store.py
+++ b/src/azureramp/platform/store.py
@@ -29,10 +29,6 @@
 """Maximum time between two parts of an answer, in seconds. A large answer takes
 longer than a call's timeout on a slow link; repeated, it would take as long."""
 
-MAX_PAGES = 200
-"""Maximum number of pages read for one prefix; a hundred searchers fill one or
-two."""
-
 REJECTION_STATUSES = (429, 503)
 """Statuses with which the store rejects a call, whatever it asks for."""
 
@@ -77,28 +73,41 @@
         revision: int | None = None
         after = ""
         pages = 0
-        for pages in range(1, MAX_PAGES + 1):  # noqa: B007
-            query = {"Prefix": prefix}
-            if after:
-                query["after"] = after
-            result = await self._read("/kv-range", query)
+        has_more = True
+        while has_more:
+            result = await self.read_page(prefix, after)
             if result.is_error():
                 return expression.Error(result.error)
-            page = _decode(result.ok, bodies.RangeBody)
-            if page.is_error():
-                return expression.Error(page.error)
-            for item in page.ok.items:
-                entry = _to_entry(item)
-                if entry.is_error():
-                    return expression.Error(entry.error)
-                entries.append(entry.ok)
+            page = result.ok
+            pages += 1
+            entries += page.entries
             if revision is None:
-                revision = page.ok.revision
-            if not page.ok.more or not page.ok.items:
-                break
-            after = page.ok.items[-1].key
+                revision = page.revision
+            has_more = page.has_more
+            if has_more:
+                after = page.entries[-1].key
         return expression.Ok(api.Listing(tuple(entries), revision or 0, pages))
 
+    async def read_page(
+        self, prefix: str, after: str
+    ) -> expression.Result[api.Page, errors.Failure]:
+        """Reads a page; see `api.PagedStore`."""
+        query = {"Prefix": prefix}
+        if after:
+            query["after"] = after
+        result = await self._read("/kv-range", query)
+        if result.is_error():
+            return expression.Error(result.error)
+        decoded = _decode(result.ok, bodies.RangeBody)
+        if decoded.is_error():
+            return expression.Error(decoded.error)
+        page = decoded.ok
+        return _to_entries(page.items).map(
+            lambda entries: api.Page(
+                entries, page.revision, page.more and bool(entries)
+            )
+        )
+
     async def write(
         self, key: str, value: bytes, expected_revision: int, lease: str = ""
     ) -> expression.Result[api.WriteOutcome, errors.Failure]:
@@ -141,7 +150,7 @@
         wait_s: float,
         transfer: web_api.Transfer | None = None,
     ) -> expression.Result[api.Listing, errors.Failure]:
-        """Waits for changes; see `api.WatchedStore`."""
+        """Waits for changes; see `api.PagedStore`."""
         query = {
             "Prefix": prefix,
             "after": str(after),
@@ -306,13 +315,22 @@
     body: bodies.WatchBody,
 ) -> expression.Result[api.Listing, errors.Failure]:
     """Converts the changes that a watch returned to a listing."""
+    return _to_entries(body.events).map(
+        lambda entries: api.Listing(entries, body.revision)
+    )
+
+
+def _to_entries(
+    items: Sequence[bodies.ItemBody],
+) -> expression.Result[tuple[api.Entry, ...], errors.Failure]:
+    """Converts items of the platform's store to entries."""
     entries: list[api.Entry] = []
-    for event in body.events:
-        entry = _to_entry(event)
+    for item in items:
+        entry = _to_entry(item)
         if entry.is_error():
             return expression.Error(entry.error)
         entries.append(entry.ok)
-    return expression.Ok(api.Listing(tuple(entries), body.revision))
+    return expression.Ok(tuple(entries))
 
 
 def _to_renewed(
--- a/src/azureramp/ports/store/api.py
+++ b/src/azureramp/ports/store/api.py
@@ -198,8 +198,38 @@
         ...
 
 
-class WatchedStore(Store, Protocol):
-    """A key-value service whose watches return each value that a key had."""
+@dataclasses.dataclass(slots=True, frozen=True)
+class Page:
+    """Some of the entries of a prefix.
+
+    Attributes:
+        entries: The entries, ascending by key.
+        revision: The store's revision at the time of reading.
+        has_more: True if there are further entries.
+    """
+
+    entries: tuple[Entry, ...]
+    revision: int
+    has_more: bool
+
+
+class PagedStore(Store, Protocol):
+    """A key-value service with answers of limited size.
+
+    A watch returns each value that a key had, so its answer grows with the
+    number of changes.
+    """
+
+    async def read_page(
+        self, prefix: str, after: str
+    ) -> expression.Result[Page, errors.Failure]:
+        """Reads the first keys that start with the prefix.
+
+        Args:
+            prefix: The prefix.
+            after: The key after which the page begins; empty for the first one.
+        """
+        ...
 
     async def watch(
         self,
@@ -239,5 +269,5 @@
         ...
 
 
-class PlatformStore(WatchedStore, BatchStore, Protocol):
+class PlatformStore(PagedStore, BatchStore, Protocol):
     """The key-value service of the users' platform."""
--- a/src/azureramp/ports/store/counting.py
+++ b/src/azureramp/ports/store/counting.py
@@ -109,6 +109,13 @@
         super().__init__(store, counters)
         self._platform_store = store
 
+    async def read_page(
+        self, prefix: str, after: str
+    ) -> expression.Result[api.Page, errors.Failure]:
+        """Reads a page; see `api.PagedStore`."""
+        self._metrics.count("store.reads")
+        return self._check(await self._platform_store.read_page(prefix, after))
+
     async def watch(
         self,
         prefix: str,
@@ -116,7 +123,7 @@
         wait_s: float,
         transfer: web_api.Transfer | None = None,
     ) -> expression.Result[api.Listing, errors.Failure]:
-        """Waits for changes; see `api.WatchedStore`."""
+        """Waits for changes; see `api.PagedStore`."""
         self._metrics.count("store.watches")
         return self._check(
             await self._platform_store.watch(prefix, after, wait_s, transfer)
