--- a/src/azureramp/controllers/forwarding/feed.py
+++ b/src/azureramp/controllers/forwarding/feed.py
@@ -85,6 +85,11 @@
 STORE = "store"
 """Name of the source while changes are received from the store itself."""
 
+WATCH_CANCELLED = errors.Failure(
+    errors.Kind.STORE_UNAVAILABLE, "another call failed"
+)
+"""Outcome of a watch that was cancelled before its answer began."""
+
 Run = Callable[[], Coroutine[Any, Any, None]]
 Apply = Callable[[Sequence[store_api.Entry]], None]
 """Applies new entries, ordered by revision."""
@@ -275,7 +280,8 @@
 
         A store that stops responding may never answer a pending watch, even
         after it has recovered. So the watch is cancelled as soon as another
-        call fails, and watches are short until a call succeeds.
+        call fails, and watches are short until a call succeeds. An answer that
+        has begun is received to its end: the next watch would get it again.
         """
         after = self._relay.copy.revision
         outdated = (
@@ -294,15 +300,12 @@
             await asyncio.wait(
                 {watch, failed}, return_when=asyncio.FIRST_COMPLETED
             )
-            if watch.done():
-                return watch.result()
+            if watch.done() or transfer.received_bytes:
+                return await watch
         finally:
             failed.cancel()
             watch.cancel()
-        detail = "another call failed"
-        return expression.Error(
-            errors.Failure(errors.Kind.STORE_UNAVAILABLE, detail)
-        )
+        return expression.Error(WATCH_CANCELLED)
 
     def _make_transfer(self) -> web_api.Transfer:
         """Makes the limits of a watch's answer."""
--- a/tests/forwarding/test_configuration_bursts.py
+++ b/tests/forwarding/test_configuration_bursts.py
@@ -9,7 +9,7 @@
 from azureramp.controllers.forwarding import feed
 from azureramp.platform import store as platform_store
 from azureramp_standins.fleet import deployment
-from tests.forwarding import scenes
+from tests.forwarding import departures, scenes
 
 MAX_APPLY_S = 3.0
 """Time within which a version is in force on all VMs, in seconds."""
@@ -133,3 +133,21 @@
         check_in_force(scene)
 
     scenes.run(scenario, store_link_fault="narrow")
+
+
+def test_transfer_of_changes_is_not_cancelled_by_other_failed_calls() -> None:
+    """Guards against a large answer that other failed calls always cut off."""
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        add_routes(scene, LARGE_ROUTES)
+        scene.write_configuration()
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + MAX_APPLY_S
+        while loop.time() < until_s:
+            departures.fail_call(scene, "vm-0")
+            await asyncio.sleep(0.01)
+            scene.daemons["vm-0"]._feed._contact.record_success()
+            await asyncio.sleep(0.3)
+        check_in_force(scene)
+
+    scenes.run(scenario, store_link_fault="narrow")
