--- a/src/azureramp/controllers/forwarding/feed.py
+++ b/src/azureramp/controllers/forwarding/feed.py
@@ -196,7 +196,8 @@
         if self._source == STORE:
             self._set_watch_failed(False)
         changes = read.list_changes()
-        self._relay.copy.begin_history(read.revision)
+        if not self._relay.copy.revision:
+            self._relay.copy.begin_history(read.revision)
         self._apply_new(changes, read.revision)
         _logger.info(
             "read {} entries at revision {}", read.count(), read.revision
--- a/tests/forwarding/test_relay.py
+++ b/tests/forwarding/test_relay.py
@@ -111,3 +111,27 @@
         await check_change(scene, 3.0)
 
     scenes.run(scenario, vms=VMS)
+
+
+def test_followers_do_not_read_the_store_when_their_relay_reads_anew() -> None:
+    """Guards against a zone that reads the store all at once after a burst."""
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        relay = await settle_sources(scene)
+        followers = [
+            program
+            for vm, program in scene.daemons.items()
+            if vm != relay and program.board.identity.zone == "zone-0"
+        ]
+        scene.store.faults.watch_status = 400
+        for number in range(30):
+            scene.write_configuration()
+            if number == 15:
+                scene.store.remove("servers/shard-a-0")
+            await asyncio.sleep(0.2)
+            assert not any(each.board.reads_from_store for each in followers)
+        await check_change(scene, 3.0)
+        for each in followers:
+            assert each._relay.copy.get_revision("servers/shard-a-0") == 0
+
+    scenes.run(scenario, vms=VMS)
