--- a/src/azureramp/controllers/forwarding/feed.py
+++ b/src/azureramp/controllers/forwarding/feed.py
@@ -205,21 +205,43 @@
 
     async def _copy_from_seed(self) -> None:
         """Copies all entries of the first seed that answers."""
-        request = relays_api.ChangesRequest(self._board.identity.vm, 0, 0)
         for address in self._seeds:
-            result = await self._relays.request_changes(address, request)
-            if result.is_ok():
-                response = result.ok
-                _logger.info(
-                    "copied {} entries from {}, {} ms old",
-                    len(response.entries),
-                    address,
-                    response.age_ms,
-                )
-                self._relay.copy.begin_history(response.revision)
-                self._apply_new(response.entries, response.revision)
+            if await self._copy_from(address):
                 return
 
+    async def _copy_from(self, address: str) -> bool:
+        """Copies all entries of another VM, in parts.
+
+        Args:
+            address: The VM's peer address.
+
+        Returns:
+            False if a part could not be received.
+        """
+        copied: list[store_api.Entry] = []
+        revision = 0
+        while True:
+            request = relays_api.ChangesRequest(
+                self._board.identity.vm, revision, 0, is_initial=True
+            )
+            result = await self._relays.request_changes(address, request)
+            if result.is_error():
+                return False
+            response = result.ok
+            copied += response.entries
+            revision = response.revision
+            if not response.has_more:
+                break
+        _logger.info(
+            "copied {} entries from {}, {} ms old",
+            len(copied),
+            address,
+            response.age_ms,
+        )
+        self._relay.copy.begin_history(revision)
+        self._apply_new(copied, revision)
+        return True
+
     async def _receive_once(self) -> bool:
         """Receives changes once, from a relay or from the store.
 
@@ -401,9 +423,10 @@
         if response.announced:
             self._board.last_announced_s = loop.time()
         self._apply_new(response.entries, response.revision)
+        if response.has_more:
+            return RelayOutcome.RECEIVED
         # Limits the rate of requests: responses may follow each other without
-        # a wait, if the relay has read only part of the changes, or ends waits
-        # early because it can't reach the store.
+        # a wait, if the relay can't reach the store and ends waits early.
         await asyncio.sleep(RELAY_PAUSE_S)
         return RelayOutcome.RECEIVED
 
--- a/src/azureramp/controllers/forwarding/relay.py
+++ b/src/azureramp/controllers/forwarding/relay.py
@@ -30,6 +30,11 @@
 """Maximum number of cached encoded sets of changes. The VMs of a zone request
 the same changes at the same time."""
 
+MAX_CHANGES_BYTES = 1_000_000
+"""Size of the values above which changes are sent in several responses, in
+bytes. With one more value of the largest size a response is still below its
+limit."""
+
 _logger = logbook.Logger("azureramp.relay")
 
 
@@ -109,7 +114,7 @@
         while not self._can_answer(changes_request):
             if not await self._wait(ready_s):
                 return web_api.Response(503)
-        if changes_request.after:
+        if changes_request.after and not changes_request.is_initial:
             self._roster.handle_request(
                 changes_request.vm, changes_request.member
             )
@@ -118,7 +123,9 @@
         while True:
             # Changes are listed again after a timeout too: one may arrive just
             # as the wait ends, and the response contains its revision.
-            changes = self.copy.list_changes(changes_request.after)
+            changes = self.copy.list_changes(
+                changes_request.after, changes_request.is_initial
+            )
             if changes is None:
                 return web_api.Response(410)
             if (
@@ -139,32 +146,44 @@
         """
         if not self.copy.revision:
             return False
-        return not changes_request.after or self._board.reads_from_store
+        return (
+            not changes_request.after
+            or changes_request.is_initial
+            or self._board.reads_from_store
+        )
 
     def _encode(
         self,
         changes_request: api.ChangesRequest,
         changes: tuple[store_api.Entry, ...],
     ) -> web_api.Response:
-        """Encodes a response.
+        """Encodes a response with as many of the changes as one may contain.
 
         Requests for the same changes share one encoded set.
         """
         cache_key = (changes_request.after, self.copy.revision)
+        part = store_copy.take_first_changes(changes, MAX_CHANGES_BYTES)
+        revision = self.copy.revision
+        if len(part) < len(changes):
+            # After a full read, entries of its later pages are newer than the
+            # revision up to which the copy is complete.
+            revision = min(revision, part[-1].revision)
+        has_more = revision < self.copy.revision
         encoded = self._encoded_sets.get(cache_key)
         if encoded is None:
             if len(self._encoded_sets) >= MAX_CACHED_SETS:
                 del self._encoded_sets[next(iter(self._encoded_sets))]
             encoded = self._encoded_sets[cache_key] = encoding.encode_entries(
-                changes
+                part
             )
         body = encoding.encode_changes(
-            self.copy.revision,
+            revision,
             _to_ms(self._contact.get_time_since_answer_s()),
             _to_ms(self._contact.get_available_s()),
             self._roster.is_announced(changes_request.vm),
             encoded,
             _to_ms(self._contact.get_time_since_confirmation_s()),
+            has_more,
         )
         return web_api.Response(200, body, encoding.CONTENT_TYPE)
 
--- a/src/azureramp/policy/store_copy.py
+++ b/src/azureramp/policy/store_copy.py
@@ -64,6 +64,25 @@
     return next((seed for seed in seeds if seed not in avoided), None)
 
 
+def take_first_changes(
+    changes: Sequence[store_api.Entry], max_bytes: int
+) -> tuple[store_api.Entry, ...]:
+    """Returns the first changes, up to a size and the end of a revision.
+
+    Args:
+        changes: The changes, ordered by revision.
+        max_bytes: Size of the values above which no further revision begins,
+            in bytes.
+    """
+    size_bytes = 0
+    for index, entry in enumerate(changes):
+        size_bytes += len(entry.value or b"")
+        begins = index > 0 and entry.revision > changes[index - 1].revision
+        if size_bytes > max_bytes and begins:
+            return tuple(changes[:index])
+    return tuple(changes)
+
+
 class StoreCopy:
     """The newest entry of each key, kept for forwarding to other VMs.
 
@@ -133,16 +152,23 @@
         """Returns the existing keys."""
         return list(self._entries)
 
-    def list_changes(self, after: int) -> tuple[store_api.Entry, ...] | None:
+    def list_changes(
+        self, after: int, is_initial: bool = False
+    ) -> tuple[store_api.Entry, ...] | None:
         """Returns the changes after a revision, in order of revision.
 
+        Args:
+            after: The revision.
+            is_initial: True if the changes are for a copy that is only made:
+                it needs no deletions from before.
+
         Returns:
             The changes; all existing entries for revision 0; None if some of
             the deletions may be unknown.
         """
         if after == 0:
             changes = list(self._entries.values())
-        elif after < self.compacted_revision:
+        elif after < self.compacted_revision and not is_initial:
             return None
         else:
             both = (*self._entries.values(), *self._deletions.values())
--- a/src/azureramp/ports/relays/api.py
+++ b/src/azureramp/ports/relays/api.py
@@ -23,19 +23,22 @@
         wait_ms: Maximum time to wait for a change, in milliseconds.
         member: The requesting VM's entry, to be announced by the other VM;
             None if it announces itself.
+        is_initial: True if a VM without entries requests the next part of all
+            entries, or the first one.
     """
 
     vm: str
     after: int
     wait_ms: int
     member: catalog.Member | None = None
+    is_initial: bool = False
 
 
 class Changes(msgspec.Struct, frozen=True):
     """The response: the entries that changed.
 
     Attributes:
-        revision: The store's revision up to which the responding VM has read.
+        revision: The store's revision up to which the entries are complete.
         age_ms: Time since the store last answered that VM, in milliseconds.
         regained_ms: How long the store had been available to that VM by then,
             since its last outage, in milliseconds.
@@ -45,6 +48,7 @@
             answered, in milliseconds; None from VMs that don't tell it.
         announced: True if the store has the requesting VM's entry under the
             responding VM's lease.
+        has_more: True if the responding VM has read further changes.
     """
 
     revision: int
@@ -53,6 +57,7 @@
     entries: tuple[store_api.Entry, ...]
     announced: bool = False
     confirmed_age_ms: int | None = None
+    has_more: bool = False
 
 
 class RelayClient(Protocol):
--- a/src/azureramp/ports/relays/encoding.py
+++ b/src/azureramp/ports/relays/encoding.py
@@ -29,6 +29,7 @@
         packed: The encoded entries.
         compressed: True if `packed` is compressed with zlib.
         confirmed_age_ms: As in `api.Changes`, in milliseconds.
+        has_more: As in `api.Changes`.
     """
 
     revision: int
@@ -38,6 +39,7 @@
     compressed: bool
     packed: bytes
     confirmed_age_ms: int | None = None
+    has_more: bool = False
 
 
 class EncodedEntries(msgspec.Struct, frozen=True):
@@ -86,6 +88,7 @@
     announced: bool,
     packed: EncodedEntries,
     confirmed_age_ms: int | None = None,
+    has_more: bool = False,
 ) -> bytes:
     """Encodes a response; see `api.Changes` for the arguments."""
     body = ChangesBody(
@@ -96,6 +99,7 @@
         packed.compressed,
         packed.data,
         confirmed_age_ms,
+        has_more,
     )
     return msgspec.msgpack.encode(body)
 
@@ -121,4 +125,5 @@
         entries,
         body.announced,
         body.confirmed_age_ms,
+        body.has_more,
     )
--- a/src/azureramp/ports/relays/http.py
+++ b/src/azureramp/ports/relays/http.py
@@ -7,12 +7,13 @@
 
 from azureramp import errors
 from azureramp.ports.relays import api, encoding
+from azureramp.ports.web import api as web_api
 from azureramp.ports.web import pools
 
 RESPONSE_TIMEOUT_S = 0.4
-"""Maximum time for a response beyond the request's wait, in seconds. A VM that
-hangs must be abandoned soon, since a change has to be in force everywhere
-within a few seconds."""
+"""Maximum time until a response begins, beyond the request's wait, and between
+two parts of it, in seconds. A VM that hangs must be abandoned soon, since a
+change has to be in force everywhere within a few seconds."""
 
 MAX_VMS = 16
 """Maximum number of VMs with open connections. A VM uses one relay at a time
@@ -37,6 +38,7 @@
             api.CHANGES_PATH,
             encoding.encode_request(request),
             timeout_s=request.wait_ms / 1000 + RESPONSE_TIMEOUT_S,
+            transfer=web_api.Transfer(stall_s=RESPONSE_TIMEOUT_S),
         )
         kind = errors.Kind.STORE_UNAVAILABLE
         if result.is_error():
--- a/tests/forwarding/test_relay.py
+++ b/tests/forwarding/test_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 import pytest
 
@@ -135,3 +136,47 @@
             assert each._relay.copy.get_revision("servers/shard-a-0") == 0
 
     scenes.run(scenario, vms=VMS)
+
+
+def put_large_entries(scene: deployment.Deployment) -> list[str]:
+    """Writes entries that exceed a response's limit; returns their keys."""
+    rng = random.Random(1)
+    keys = [f"other/{number}" for number in range(6)]
+    for key in keys:
+        scene.store.put(key, rng.randbytes(900_000))
+    return keys
+
+
+def test_followers_receive_more_changes_than_one_response_holds() -> None:
+    """Guards against a request repeated although its answer is too large."""
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        await settle_sources(scene)
+        keys = put_large_entries(scene)
+        following = [
+            program
+            for program in scene.daemons.values()
+            if not program.board.reads_from_store
+        ]
+        for _ in range(30):
+            await asyncio.sleep(0.1)
+            assert not any(each.board.reads_from_store for each in following)
+        for each in following:
+            copied = each._relay.copy
+            assert all(copied.get_revision(key) for key in keys)
+
+    scenes.run(scenario, vms=VMS)
+
+
+def test_vm_that_starts_in_an_outage_copies_many_entries() -> None:
+    """Guards against a VM that never gets a copy since it is too large."""
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        put_large_entries(scene)
+        await settle_sources(scene)
+        scene.store.faults.busy = True
+        started = await scene.add_vm("vm-new", first_start=False)
+        await deployment.wait_for_updates(3.0)
+        assert started.board.configuration is not None
+
+    scenes.run(scenario, vms=VMS)
--- a/tests/policy/test_store_copy.py
+++ b/tests/policy/test_store_copy.py
@@ -70,3 +70,17 @@
     assert copy.list_changes(19) is None
     assert copy.list_changes(20) == (store_api.Entry("a", None, 21),)
     assert copy.list_changes(0) == ()
+
+
+def test_first_changes_end_at_a_size_but_not_within_a_revision() -> None:
+    """Guards against a batch of which a VM receives only some entries."""
+    changes = [
+        store_api.Entry(key, b"x" * 10, revision)
+        for key, revision in (("a", 1), ("b", 2), ("c", 2), ("d", 3))
+    ]
+    assert store_copy.take_first_changes(changes, 5) == (changes[0],)
+    assert store_copy.take_first_changes(changes, 25) == tuple(changes[:3])
+    assert store_copy.take_first_changes(changes[1:], 5) == tuple(changes[1:3])
+    assert store_copy.take_first_changes(changes, 30) == tuple(changes[:3])
+    assert store_copy.take_first_changes(changes, 40) == tuple(changes)
+    assert store_copy.take_first_changes((), 40) == ()
