--- a/src/azureramp/platform/store.py
+++ b/src/azureramp/platform/store.py
@@ -58,7 +58,7 @@
             return expression.Error(result.error)
         if result.ok.status == 404:
             return expression.Ok(None)
-        return _decode(result.ok, bodies.ItemBody).bind(_to_entry)
+        return _decode(result.ok, bodies.ItemBody).map(_to_entry)
 
     async def read_prefix(
         self, prefix: str
@@ -98,15 +98,7 @@
         result = await self._read("/kv-range", query)
         if result.is_error():
             return expression.Error(result.error)
-        decoded = _decode(result.ok, bodies.RangeBody)
-        if decoded.is_error():
-            return expression.Error(decoded.error)
-        page = decoded.ok
-        return _to_entries(page.items).map(
-            lambda entries: api.Page(
-                entries, page.revision, page.more and bool(entries)
-            )
-        )
+        return _decode(result.ok, bodies.RangeBody).map(_to_page)
 
     async def write(
         self, key: str, value: bytes, expected_revision: int, lease: str = ""
@@ -169,7 +161,7 @@
             return expression.Error(
                 errors.Failure(errors.Kind.STORE_HISTORY_GONE)
             )
-        return _decode(result.ok, bodies.WatchBody).bind(_to_changes)
+        return _decode(result.ok, bodies.WatchBody).map(_to_changes)
 
     async def grant_lease(
         self, ttl_s: float
@@ -297,40 +289,30 @@
     return expression.Error(errors.Failure(kind, detail))
 
 
-def _to_entry(
-    item: bodies.ItemBody,
-) -> expression.Result[api.Entry, errors.Failure]:
-    """Converts an item of the platform's store to an entry."""
+def _to_entry(item: bodies.ItemBody) -> api.Entry:
+    """Converts an item of the platform's store to an entry.
+
+    A value that is not base64 is kept as received: its reader rejects this
+    entry alone, and the others hold.
+    """
     if item.removed:
-        return expression.Ok(api.Entry(item.key, None, item.revision))
+        return api.Entry(item.key, None, item.revision)
     try:
         value = base64.b64decode(item.value, validate=True)
-    except (binascii.Error, ValueError) as error:
-        kind = errors.Kind.STORE_ANSWER_UNUSABLE
-        return expression.Error(errors.Failure(kind, f"{item.key}: {error}"))
-    return expression.Ok(api.Entry(item.key, value, item.revision))
+    except (binascii.Error, ValueError):
+        value = item.value.encode()
+    return api.Entry(item.key, value, item.revision)
 
 
-def _to_changes(
-    body: bodies.WatchBody,
-) -> expression.Result[api.Listing, errors.Failure]:
-    """Converts the changes that a watch returned to a listing."""
-    return _to_entries(body.events).map(
-        lambda entries: api.Listing(entries, body.revision)
-    )
+def _to_page(body: bodies.RangeBody) -> api.Page:
+    """Converts a page of items."""
+    entries = tuple(map(_to_entry, body.items))
+    return api.Page(entries, body.revision, body.more and bool(entries))
 
 
-def _to_entries(
-    items: Sequence[bodies.ItemBody],
-) -> expression.Result[tuple[api.Entry, ...], errors.Failure]:
-    """Converts items of the platform's store to entries."""
-    entries: list[api.Entry] = []
-    for item in items:
-        entry = _to_entry(item)
-        if entry.is_error():
-            return expression.Error(entry.error)
-        entries.append(entry.ok)
-    return expression.Ok(tuple(entries))
+def _to_changes(body: bodies.WatchBody) -> api.Listing:
+    """Converts the changes that a watch returned to a listing."""
+    return api.Listing(tuple(map(_to_entry, body.events)), body.revision)
 
 
 def _to_renewed(
@@ -415,7 +397,6 @@
 def _find_conflicting_entry(conflict: bodies.ConflictBody) -> api.Entry | None:
     """Returns the entry that a change conflicted with, or None."""
     for item in conflict.items:
-        entry = _to_entry(item)
-        if entry.is_ok() and item.revision > 0 and not item.removed:
-            return entry.ok
+        if item.revision > 0 and not item.removed:
+            return _to_entry(item)
     return None
--- a/src/azureramp_standins/fleet/store.py
+++ b/src/azureramp_standins/fleet/store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import collections
+from collections.abc import Sequence
 from typing import Any
 
 import msgspec
@@ -36,6 +37,9 @@
         slow_s: Delay of each call, in seconds.
         lost: How many of the next writes take effect without an answer.
         refused: How many of the next calls are answered with 503.
+        raw_values: True to send the values of searchers whose id begins with
+            `raw-` without encoding.
+        silent_watches: True to answer no watch.
         watch_status: Status of the answers to watches, whose body is then no
             JSON; 0 for sound answers.
     """
@@ -45,6 +49,8 @@
     slow_s: float = 0.0
     lost: int = 0
     refused: int = 0
+    raw_values: bool = False
+    silent_watches: bool = False
     watch_status: int = 0
 
 
@@ -130,6 +136,17 @@
                 return self._handle_lease(request)
         return _make_response(404, {})
 
+    def _encode_entries(
+        self, entries: Sequence[api.Entry]
+    ) -> list[dict[str, Any]]:
+        """Encodes entries, or their deletions."""
+        encoded = [_encode_entry(entry) for entry in entries]
+        if self.faults.raw_values:
+            for entry, item in zip(entries, encoded, strict=True):
+                if entry.key.startswith("servers/raw-"):
+                    item["Value"] = "{"
+        return encoded
+
     def _read_key(self, request: web_api.Request) -> web_api.Response:
         """Reads one key."""
         entry = self.state.read(request.query["Key"])
@@ -152,7 +169,7 @@
             if size >= PAGE_BYTES:
                 break
         body = {
-            "items": [_encode_entry(entry) for entry in page],
+            "items": self._encode_entries(page),
             "HasMore": len(remaining) > len(page),
             "AsOf": listing.revision,
         }
@@ -164,6 +181,8 @@
         after = int(request.query["after"])
         wait_s = min(int(request.query["WaitMs"]) / 1000, MAX_WAIT_S)
         deadline_s = loop.time() + wait_s
+        if self.faults.silent_watches:
+            await asyncio.sleep(3600)
         if self.faults.watch_status:
             return web_api.Response(self.faults.watch_status, b"[")
         while True:
@@ -172,8 +191,10 @@
             changes = self.state.list_events(request.query["Prefix"], after)
             remaining_s = deadline_s - loop.time()
             if changes.entries or remaining_s <= 0:
-                events = [_encode_entry(entry) for entry in changes.entries]
-                body = {"events": events, "AsOf": changes.revision}
+                body = {
+                    "events": self._encode_entries(changes.entries),
+                    "AsOf": changes.revision,
+                }
                 return _make_response(200, body)
             expiry_s = self.state.get_next_lease_expiry_s()
             if expiry_s is not None:
--- a/tests/forwarding/test_configuration_bursts.py
+++ b/tests/forwarding/test_configuration_bursts.py
@@ -151,3 +151,22 @@
         check_in_force(scene)
 
     scenes.run(scenario, store_link_fault="narrow")
+
+
+def test_changes_are_received_beside_an_entry_that_is_not_base64() -> None:
+    """Guards against an answer rejected whole for one of its entries."""
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        scene.store.faults.raw_values = True
+        scene.store.put("servers/raw-0", b"?")
+        scene.write_configuration()
+        await deployment.wait_for_updates(MAX_APPLY_S)
+        check_in_force(scene)
+        assert not any("raw-0" in each for each in list_searchers(scene))
+
+    scenes.run(scenario)
+
+
+def list_searchers(scene: deployment.Deployment) -> list[str]:
+    """Returns the ids of the searchers that a VM knows."""
+    return list(scene.daemons["vm-0"].board.targets)
