--- a/src/azureramp/controllers/forwarding/feed.py
+++ b/src/azureramp/controllers/forwarding/feed.py
@@ -279,13 +279,26 @@
             self._contact.record_failure(result.error)
             self._set_watch_failed(True)
             await self._pause()
-            return True
+            # A store that answers other calls may take too long to begin this
+            # answer, and would again.
+            return result.error is WATCH_CANCELLED or not self._has_answered(
+                sent_s + WATCH_TIMEOUT_S
+            )
         self._contact.record_success(sent_s)
         self._set_watch_failed(False)
         self._apply_new(result.ok.entries, result.ok.revision)
         await asyncio.sleep(WATCH_PAUSE_S)
         return True
 
+    def _has_answered(self, after_s: float) -> bool:
+        """Returns True if the store has answered a call since a time.
+
+        Args:
+            after_s: The time, on the event loop's clock.
+        """
+        now_s = asyncio.get_running_loop().time()
+        return now_s - self._contact.get_time_since_answer_s() > after_s
+
     def _is_recent(self) -> bool:
         """Returns True if the last update and the store's answer are recent."""
         age_s = (
--- a/tests/forwarding/test_configuration_bursts.py
+++ b/tests/forwarding/test_configuration_bursts.py
@@ -170,3 +170,16 @@
 def list_searchers(scene: deployment.Deployment) -> list[str]:
     """Returns the ids of the searchers that a VM knows."""
     return list(scene.daemons["vm-0"].board.targets)
+
+
+def test_changes_are_received_while_watches_get_no_answer() -> None:
+    """Guards against a watch repeated although its answer never begins."""
+
+    async def scenario(scene: deployment.Deployment) -> None:
+        scene.store.faults.silent_watches = True
+        await deployment.wait_for_updates(2.0)
+        scene.write_configuration()
+        await deployment.wait_for_updates(MAX_APPLY_S)
+        check_in_force(scene)
+
+    scenes.run(scenario)
