--- a/src/azureramp/ports/web/server_connection.py
+++ b/src/azureramp/ports/web/server_connection.py
@@ -171,7 +171,12 @@
             headers.append(("Content-Type", response.content_type))
         if closes:
             headers.append(("Connection", "close"))
-        head = h11.Response(status_code=response.status, headers=headers)
+        # The values of a searcher's headers may be any Latin-1 text.
+        encoded = [
+            (name.encode("ascii"), value.encode("latin-1"))
+            for name, value in headers
+        ]
+        head = h11.Response(status_code=response.status, headers=encoded)
         return b"".join(
             self._http.send(event) or b""
             for event in (
--- a/tests/ports/web/test_server.py
+++ b/tests/ports/web/test_server.py
@@ -13,6 +13,7 @@
 
 from azureramp.ports.web import api, request_reader, server
 from azureramp.ports.web import connection as web_connection
+from azureramp_standins import virtual
 from tests.ports import addresses
 
 ADDRESS = "127.0.0.1:8000"
@@ -339,3 +340,31 @@
         run(scenario)
     assert log.has_info("rejected a request: illegal header line")
     assert not any("secret" in str(each) for each in log.formatted_records)
+
+
+def test_response_with_a_non_ascii_header_value_is_sent() -> None:
+    """Guards against a lost answer of a searcher with such a header."""
+    value = "Zähler \u00ff"
+
+    async def respond(request: api.Request) -> api.Response:
+        return api.Response(200, b"ok", headers=(("X-Name", value),))
+
+    response = exchange(respond, "GET")
+    assert response.body == b"ok"
+    assert ("x-name", value) in response.headers
+
+
+def exchange(handler: api.Handler, method: str) -> api.Response:
+    """Sends one request to a server with this handler."""
+
+    async def run() -> api.Response:
+        served = server.Server("127.0.0.1:7003", handler)
+        await served.start()
+        opened = await web_connection.connect("127.0.0.1:7003", 1.0)
+        try:
+            return await opened.ok.exchange(method, "/", ())
+        finally:
+            opened.ok.abort()
+            await served.stop(0.1)
+
+    return virtual.run(run())
