--- a/src/azureramp/ports/web/server_connection.py
+++ b/src/azureramp/ports/web/server_connection.py
@@ -111,7 +111,7 @@
         if response is None:
             return False
         closes = response.closes_connection or self._stopping
-        await self._write(response, closes)
+        await self._write(response, closes, request.method != "HEAD")
         return not closes and self._http.our_state is not h11.MUST_CLOSE
 
     async def _handle(self, request: api.Request) -> api.Response | None:
@@ -148,13 +148,20 @@
             request = api.Request(api.UNREADABLE, f"/{status}", {}, {})
             await self._write(await self._handler(request), True)
 
-    async def _write(self, response: api.Response, closes: bool) -> None:
+    async def _write(
+        self, response: api.Response, closes: bool, with_body: bool = True
+    ) -> None:
         """Writes one response.
 
+        Args:
+            response: The response.
+            closes: True to close the connection after it.
+            with_body: False if the client expects the headers only.
+
         Raises:
             TimeoutError: The client did not read it in time.
         """
-        self._writer.write(self._encode(response, closes))
+        self._writer.write(self._encode(response, closes, with_body))
         async with asyncio.timeout(WRITE_S):
             await self._writer.drain()
         if closes:
@@ -162,7 +169,9 @@
                 if self._writer.can_write_eof():
                     self._writer.write_eof()
 
-    def _encode(self, response: api.Response, closes: bool) -> bytes:
+    def _encode(
+        self, response: api.Response, closes: bool, with_body: bool
+    ) -> bytes:
         headers = [
             ("Content-Length", str(len(response.body))),
             *response.headers,
@@ -181,7 +190,7 @@
             self._http.send(event) or b""
             for event in (
                 head,
-                h11.Data(data=response.body),
+                h11.Data(data=response.body if with_body else b""),
                 h11.EndOfMessage(),
             )
         )
--- a/tests/ports/web/test_server.py
+++ b/tests/ports/web/test_server.py
@@ -368,3 +368,16 @@
             await served.stop(0.1)
 
     return virtual.run(run())
+
+
+def test_head_request_gets_the_headers_of_a_response_with_a_body() -> None:
+    """Guards against a refused HEAD request that gets no answer."""
+
+    async def refuse(request: api.Request) -> api.Response:
+        return api.Response(503, b"overloaded", headers=(("Retry-After", "1"),))
+
+    response = exchange(refuse, "HEAD")
+    assert response.status == 503
+    assert ("retry-after", "1") in response.headers
+    assert ("content-length", "10") in response.headers
+    assert response.body == b""
