--- a/src/azureramp_standins/soak/declared.py
+++ b/src/azureramp_standins/soak/declared.py
@@ -61,7 +61,10 @@
 
 
 def make_configuration(
-    version: int, service: str, accounts: list[dict[str, Any]] | None
+    version: int,
+    service: str,
+    accounts: list[dict[str, Any]] | None,
+    further_routes: int = 0,
 ) -> dict[str, Any]:
     """Makes a version of the configuration.
 
@@ -70,6 +73,7 @@
         service: The target service of the `/move/` route.
         accounts: The client accounts' entries; None for a configuration
             without accounts.
+        further_routes: The number of routes that no caller uses.
     """
     routes: list[dict[str, Any]] = [
         {
@@ -95,6 +99,10 @@
         }
         routes.append(open_route)
         extra["Tenants"] = accounts
+    routes += [
+        {"Prefix": f"/further-{number}/", "Backend": PLAIN_SERVICE}
+        for number in range(further_routes)
+    ]
     common = {
         "Hostname": deployment.HOST,
         "RouteType": "idempotent",
--- a/src/azureramp_standins/soak/harness.py
+++ b/src/azureramp_standins/soak/harness.py
@@ -25,6 +25,9 @@
 ten seconds, somewhat longer than a dead VM may be advertised to callers."""
 
 
+BURST_GAP_S = 0.08
+"""Time between two configurations of a burst, in seconds."""
+
 RELAYS = 2
 """Number of relays: one in each availability zone."""
 
@@ -64,6 +67,7 @@
         self._version = 0
         self._target = ""
         self._moves = 0
+        self._further_routes = 0
         self._evacuations = 0
         self.daemons = self._make_daemons(vms, folder, mutant)
 
@@ -122,7 +126,9 @@
         bodies = None if self.accounts is None else self.accounts.make_bodies()
         self._store.put(
             "op/config",
-            declared.make_configuration(self._version, self._target, bodies),
+            declared.make_configuration(
+                self._version, self._target, bodies, self._further_routes
+            ),
         )
 
     async def inject(self, planned: plan.ScheduledFault) -> None:
@@ -164,6 +170,11 @@
                 await self._searchers.inject(
                     target_searcher, how, planned.for_s
                 )
+            case plan.ConfigurationBurst(
+                versions=versions, routes=routes, how=how
+            ):
+                kind, name = "operator", "configure"
+                await self._write_burst(versions, routes)
             case plan.AccountAction(account=account, how=how):
                 kind, name = "account", accounts.NAMES[account]
                 await self._change_account(name, how, planned.for_s)
@@ -178,6 +189,14 @@
         span = history.FaultSpan(kind, name, how, began_s, loop.time())
         self.history.fault_spans.append(span)
 
+    async def _write_burst(self, versions: int, routes: int) -> None:
+        """Writes large configurations; the last one moves a route."""
+        self._further_routes = routes
+        for _ in range(versions - 1):
+            self._write_configuration()
+            await asyncio.sleep(BURST_GAP_S)
+        self.configure()
+
     async def _change_account(self, name: str, how: str, for_s: float) -> None:
         """Changes an account's keys, or floods the limited account."""
         if self.accounts is None:
--- a/src/azureramp_standins/soak/mutants.py
+++ b/src/azureramp_standins/soak/mutants.py
@@ -20,7 +20,7 @@
     searchers,
     shared_limits,
 )
-from azureramp.platform import command, decoding, headers, program
+from azureramp.platform import command, decoding, headers, program, store
 from azureramp.policy import (
     allowances,
     identity,
@@ -79,6 +79,13 @@
     patch(entry_applier.EntryApplier, "_take_configuration", take_first)
 
 
+def repeat_unusable_reads() -> None:
+    """Takes answers of the store that can't be used for an outage."""
+    patch(
+        store, "_to_read_kind", lambda answered: errors.Kind.STORE_UNAVAILABLE
+    )
+
+
 def stop_at_once() -> None:
     """Exits at SIGTERM without waiting for running requests."""
 
@@ -279,6 +286,7 @@
     "take_any_answer": (take_any_answer, "whole"),
     "name_the_dead": (name_the_dead, "named"),
     "refuse_known_routes": (refuse_known_routes, "allowed"),
+    "repeat_unusable_reads": (repeat_unusable_reads, "configured"),
     "pass_keys_on": (pass_keys_on, "told"),
     "tell_wrong_account": (tell_wrong_account, "told"),
     "accept_any_key": (accept_any_key, "held"),
--- a/src/azureramp_standins/soak/plan.py
+++ b/src/azureramp_standins/soak/plan.py
@@ -97,6 +97,21 @@
     how: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ConfigurationBurst:
+    """Large configurations in quick succession.
+
+    Attributes:
+        versions: The number of versions.
+        routes: The number of further routes in each.
+        how: `burst`.
+    """
+
+    versions: int
+    routes: int
+    how: str = "burst"
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class AccountAction:
     """An operator's change of an account's keys, or a flood of its callers.
@@ -118,6 +133,7 @@
     | StoreFault
     | SearcherFault
     | OperatorAction
+    | ConfigurationBurst
     | AccountAction
 )
 
@@ -164,6 +180,23 @@
 DEPARTURE_GAP_S = 3.0
 """Mean time between two departures with a relay fault, in seconds."""
 
+FIRST_SEED_WITH_BURSTS = 3000
+"""Seeds from there on have bursts of configurations and no departures."""
+
+BURST_GAP_S = 4.0
+"""Mean time between two bursts, in seconds."""
+
+MIN_BURST_VERSIONS = 8
+MAX_BURST_VERSIONS = 25
+MIN_BURST_ROUTES = 300
+MAX_BURST_ROUTES = 1900
+CUT_CHANCE = 0.5
+"""Probability that a VM's link to the store fails around a burst."""
+
+CUT_FAULTS = ("up", "down", "narrow")
+MAX_CUT_LEAD_S = 1.0
+"""Longest time from a link's fault to the burst, in seconds."""
+
 RELAY_FAULT_CHANCE = 0.7
 MAX_RELAY_FAULT_S = 1.5
 MAX_DEPARTURE_DELAY_S = 2.5
@@ -245,14 +278,15 @@
 
     Args:
         seed: The run's seed; equal seeds give equal plans, and none before
-            `FIRST_SEED_WITH_DEPARTURES`.
+            `FIRST_SEED_WITH_DEPARTURES` or from `FIRST_SEED_WITH_BURSTS` on.
         seconds: The time after the run's start in which faults may begin.
         searchers: The number of searchers that may leave.
     """
     rng = random.Random(f"departures/{seed}")
     planned: list[ScheduledFault] = []
     at_s = FIRST_FAULT_S
-    while seed >= FIRST_SEED_WITH_DEPARTURES and at_s < seconds:
+    seeds = range(FIRST_SEED_WITH_DEPARTURES, FIRST_SEED_WITH_BURSTS)
+    while seed in seeds and at_s < seconds:
         if rng.random() < RELAY_FAULT_CHANCE:
             for_s = rng.uniform(0.0, MAX_RELAY_FAULT_S)
             fault = RelayFault(rng.choice(RELAY_FAULTS))
@@ -270,6 +304,36 @@
     return tuple(planned)
 
 
+def draw_bursts(
+    seed: int, seconds: float, vms: int
+) -> tuple[ScheduledFault, ...]:
+    """Draws bursts of configurations beside VMs cut off from the store.
+
+    Args:
+        seed: The run's seed; equal seeds give equal plans, and none before
+            `FIRST_SEED_WITH_BURSTS`.
+        seconds: The time after the run's start in which faults may begin.
+        vms: The number of daemons.
+    """
+    rng = random.Random(f"bursts/{seed}")
+    planned: list[ScheduledFault] = []
+    at_s = FIRST_FAULT_S
+    while seed >= FIRST_SEED_WITH_BURSTS and at_s < seconds:
+        for vm in range(vms):
+            if rng.random() < CUT_CHANCE:
+                cut_s = at_s - rng.uniform(0.0, MAX_CUT_LEAD_S)
+                for_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
+                cut = LinkFault("store", vm, rng.choice(CUT_FAULTS))
+                planned.append(ScheduledFault(cut_s, for_s, cut))
+        burst = ConfigurationBurst(
+            rng.randint(MIN_BURST_VERSIONS, MAX_BURST_VERSIONS),
+            rng.randint(MIN_BURST_ROUTES, MAX_BURST_ROUTES),
+        )
+        planned.append(ScheduledFault(at_s, 0.0, burst))
+        at_s += rng.expovariate(1 / BURST_GAP_S)
+    return tuple(planned)
+
+
 def has_accounts(seed: int) -> bool:
     """Returns True if a seed's deployment declares client accounts."""
     if seed < FIRST_SEED_WITH_ACCOUNTS:
--- a/src/azureramp_standins/soak/program.py
+++ b/src/azureramp_standins/soak/program.py
@@ -79,6 +79,7 @@
         faults += plan.draw_departures(
             seed, seconds, run_harness.count_steady_searchers()
         )
+        faults += plan.draw_bursts(seed, seconds, vms)
         faults += plan.draw_account_faults(
             seed,
             seconds,
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -66,7 +66,24 @@
     }
 
 
-@pytest.mark.parametrize("seed", [13, 17, 1042, 2002])
+def test_bursts_change_no_plan_of_seeds_without_them() -> None:
+    """Guards against recorded seeds that no longer bring their faults about."""
+    assert not any(plan.draw_bursts(n, 20.0, 4) for n in range(3000))
+    first = plan.draw_bursts(3000, 20.0, 4)
+    assert first == plan.draw_bursts(3000, 20.0, 4)
+    assert plan.draw_departures(3000, 20.0, 10) == ()
+    faults = [
+        each.fault
+        for seed in range(3000, 3010)
+        for each in plan.draw_bursts(seed, 20.0, 4)
+    ]
+    assert {type(each) for each in faults} == {
+        plan.ConfigurationBurst,
+        plan.LinkFault,
+    }
+
+
+@pytest.mark.parametrize("seed", [13, 17, 1042, 2002, 3001])
 def test_invariants_without_time_bounds_hold_under_faults(
     seed: int, tmp_path: pathlib.Path
 ) -> None:
@@ -75,9 +92,10 @@
     Seed 13 once aborted a request on a connection that a stopping VM had
     just accepted. Seed 1042 revokes and rotates keys of client accounts, and
     cuts a VM from the others. In seed 2002 searchers leave while relays are
-    lost and single calls to the store fail. Invariants with time bounds are
-    checked by `scripts/soak` only, since load on the test machine alone can
-    violate them.
+    lost and single calls to the store fail. In seed 3001 large configurations
+    come in quick succession while VMs are cut off from the store. Invariants
+    with time bounds are checked by `scripts/soak` only, since load on the test
+    machine alone can violate them.
     """
     recorded = asyncio.run(program.run_seed(seed, SECONDS, VMS, tmp_path))
     assert len(recorded.requests) > 100
