--- a/tests/forwarding/test_configuration_bursts.py
+++ b/tests/forwarding/test_configuration_bursts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import logbook
 import pytest
 
 from azureramp.controllers.forwarding import feed
@@ -183,3 +184,25 @@
         check_in_force(scene)
 
     scenes.run(scenario)
+
+
+def test_unusable_answer_is_logged_with_its_revision_and_size() -> None:
+    """Guards against logs that call a large answer an unreachable store."""
+    with logbook.TestHandler() as handler:
+
+        async def scenario(scene: deployment.Deployment) -> None:
+            add_routes(scene, LARGE_ROUTES)
+            await write_burst(scene, 8)
+            await deployment.wait_for_updates(MAX_APPLY_S)
+
+        scenes.run(scenario)
+    lines = [
+        record.message
+        for record in handler.records
+        if "can't use the store's answer" in record.message
+    ]
+    assert lines
+    assert all("after revision" in line for line in lines)
+    assert all("bytes or more" in line for line in lines)
+    messages = [record.message for record in handler.records]
+    assert not any("the store is unreachable" in each for each in messages)
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -303,3 +303,19 @@
     rows = "\n".join(explain_command.format_explanation(explanation))
     assert "revision 815 from 10.0.0.9:80, received 120 ms before" in rows
     assert "i-7 was gone on vm-1 6.000 s before, by revision 812" in rows
+
+
+def test_unusable_answer_of_the_store_is_named_with_its_size() -> None:
+    """Guards against logs that call a large answer an unreachable store."""
+    unusable = (
+        "can't use the store's answer to a watch after revision 7: the response"
+        " body is too large: 9000000 bytes or more, at most 4000000 are"
+        " accepted; reading all entries"
+    )
+    explanation = explain(
+        write(1, "vm-0", "feed", "receiving changes from store"),
+        write(2, "vm-0", "feed", unusable),
+        write_request(3, "vm-0", "mine", "shed", "s i-7 0: 2 503 not run"),
+    )
+    messages = [line.message for line in explanation.vm_state_lines]
+    assert unusable in messages
