Show that searchers that close unused connections are never called again

Claimed: if no request comes to a service for longer than its searchers keep idle connections, it is refused at all VMs until the searchers restart, where ColdPerS gives each VM less than one call a second.

--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -276,6 +276,7 @@
     *,
     version: int = 1,
     max_connections: int = 110,
+    cold_per_s: float = 0.0,
     **extra: Any,
 ) -> dict[str, Any]:
     """Makes a configuration with the defaults of a small deployment."""
@@ -299,7 +300,7 @@
                 "HealthPath": "/health",
                 "MaxConnections": max_connections,
                 "ColdStartS": 3.0,
-                "ColdPerS": 0.0,
+                "ColdPerS": cold_per_s,
             }
             for name in services
         ],
--- a/review/lib/searchers.py
+++ b/review/lib/searchers.py
@@ -63,8 +63,22 @@
         slots: int = 3,
         queue: int = 12,
         drops: bool = True,
+        idle_s: float | None = None,
     ) -> None:
-        """Makes a searcher that is not started yet."""
+        """Makes a searcher that is not started yet.
+
+        Args:
+            service: Its service.
+            address: The `IP:port` that it listens on.
+            zone: Its availability zone.
+            store: Where it announces itself.
+            slots: How many requests it runs at once.
+            queue: How many wait besides.
+            drops: True to drop a request when its connection closes.
+            idle_s: Time after which an idle connection is closed, in seconds;
+                None for none.
+        """
+        self._idle_s = idle_s
         self.id = ""
         self.service = service
         self.address = address
@@ -162,7 +176,12 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         """Serves one request; returns False at the connection's end."""
-        head = await reader.readuntil(b"\r\n\r\n")
+        try:
+            async with asyncio.timeout(self._idle_s):
+                head = await reader.readuntil(b"\r\n\r\n")
+        except TimeoutError:
+            writer.close()
+            return False
         first, *fields = head.decode("latin-1").split("\r\n")[:-2]
         headers = {
             name.strip().lower(): value.strip()
@@ -243,6 +262,8 @@
             "Azureramp-Server-Load": load,
             "Content-Length": str(len(body)),
         }
+        if self._idle_s is not None:
+            fields["Keep-Alive"] = f"timeout={self._idle_s:.0f}"
         head = f"HTTP/1.1 {status} X\r\n" + "".join(
             f"{name}: {value}\r\n" for name, value in fields.items()
         )
