Give each run of a review's case a loopback address of its own

Claimed: runs at the same time don't share ports. One of five runs of review/4/run.sh beside four others couldn't run (the address was in use).

--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -16,7 +18,6 @@
 import time
 from typing import Any
 
-from azureramp_standins import processes
 from azureramp_standins.fleet import store
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -24,6 +25,10 @@
 """The command of both roles in `deploy/system.toml`."""
 
 HOST = "pupu76.example"
+IP = "127.{}.{}.{}".format(*(random.randrange(2, 250) for _ in range(3)))
+"""The loopback address of a run, so that several runs don't share ports."""
+
+_ports = itertools.count(10_000)
 CONTACT_S = 4.0
 GRACE_S = 6.0
 DRAIN_S = 3.0
@@ -34,7 +39,7 @@
 Role = "{role}"
 MachineClass = "frontend"
 Serves = [{serves}]
-Ip = "127.0.0.1"
+Ip = "{ip}"
 Zone = "{zone}"
 Region = "scot-central"
 InternalPorts = [7380, 7395]
@@ -199,14 +204,11 @@
             descriptors: The file descriptors of each process.
             vm_store_address: Where the VMs reach the store, if through a proxy.
         """
-        ports = iter(processes.find_ports(5 * vms + 4))
-        self.store_address = f"127.0.0.1:{next(ports)}"
+        self.store_address = find_address()
         self.store = store.Store(self.store_address)
         self.vms: list[Vm] = []
         vm_store_address = vm_store_address or self.store_address
-        listen = [
-            [f"127.0.0.1:{next(ports)}" for _ in range(3)] for _ in range(vms)
-        ]
+        listen = [[find_address() for _ in range(3)] for _ in range(vms)]
         seeds = ", ".join(f'"{each[2]}"' for each in listen[:3])
         common = {
             "seeds": seeds,
@@ -215,6 +217,7 @@
             "memory_mb": memory_mb,
             "descriptors": descriptors,
             "bootstrap": "true",
+            "ip": IP,
         }
         for number, (front, ready, control) in enumerate(listen):
             settings = SETTINGS.format(
@@ -227,9 +230,9 @@
                 **common,
             )
             self.vms.append(
-                Vm(f"frontend-{number}", settings, front, ready, next(ports))
+                Vm(f"frontend-{number}", settings, front, ready, find_port())
             )
-        self.directory_address = f"127.0.0.1:{next(ports)}"
+        self.directory_address = find_address()
         self.directory = Vm(
             "directory",
             SETTINGS.format(
@@ -242,7 +245,7 @@
             ),
             "",
             "",
-            next(ports),
+            find_port(),
         )
 
     async def start(self, configuration: dict[str, Any]) -> None:
@@ -265,9 +268,22 @@
         await self.store.server.stop(0.0)
 
 
+def find_port() -> int:
+    """Returns a free port of the run's address."""
+    for port in _ports:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((IP, port))
+            except OSError:
+                continue
+            return port
+    raise RuntimeError("no port is free")
+
+
 def find_address() -> str:
     """Returns a free `IP:port` on loopback."""
-    return f"127.0.0.1:{processes.find_ports(1)[0]}"
+    return f"{IP}:{find_port()}"
 
 
 def make_configuration(
@@ -338,13 +354,3 @@
     path.write_text("\n".join(lines) + "\n", "utf-8")
     sys.stdout.write("\n".join(lines[-12:]) + "\n")
     return 1 if broken else 0
-
-
-def has_loopback() -> bool:
-    """Returns True if a server can listen on loopback."""
-    with socket.socket() as sock:
-        try:
-            sock.bind(("127.0.0.1", 0))
-        except OSError:
-            return False
-    return True
