--- a/review/4/case.py
+++ b/review/4/case.py
@@ -89,7 +89,7 @@
         for task in tasks:
             task.cancel()
         await deployed.stop()
-    return judge(quiet, steady, from_s, until_s, f"{up} {running}")
+    return judge(quiet, steady, from_s, until_s, f"{up} {running}", found)
 
 
 def judge(
@@ -98,6 +98,7 @@
     from_s: float,
     until_s: float,
     up: str,
+    found: list[searchers.Searcher],
 ) -> int:
     """Checks the rule and writes the record."""
     counts = [
@@ -113,11 +114,6 @@
     share = counts[0]["200"] / max(1, counts[0].total())
     of_all = served / max(1, asked)
     lines = [f"trouble: {TROUBLE}"]
-    lines += [
-        f"{each.sent_s - from_s:6.2f} s {each.id} at {each.address}:"
-        f" {each.status or each.error}"
-        for each in quiet
-    ]
     lines += [
         f"searchers and VMs that run: {up} (of 8 and {VMS})",
         f"requests to the service that was quiet: {counts[0]}",
@@ -126,7 +122,9 @@
         f" {STARVED_SHARE:g} of the latter breaks the rule",
     ]
     broken = share < STARVED_SHARE * of_all
-    return deployment.finish(FOLDER / "record.txt", lines, broken)
+    return deployment.finish(
+        FOLDER / "record.txt", lines, broken, quiet + steady, found
+    )
 
 
 if __name__ == "__main__":
--- a/review/lib/clients.py
+++ b/review/lib/clients.py
@@ -15,6 +15,7 @@
 
     Attributes:
         id: The attempt's id.
+        target: The method and the target.
         sent_s: When it was sent.
         ended_s: When it ended.
         status: The status; 0 if the connection ended without an answer.
@@ -25,6 +26,7 @@
     """
 
     id: str
+    target: str
     sent_s: float
     ended_s: float
     status: int
@@ -70,7 +72,16 @@
         """
         request_id = request_id or make_id()
         sent_s = time.monotonic()
-        failed = Answer(request_id, sent_s, 0.0, 0, {}, b"", self.address)
+        failed = Answer(
+            request_id,
+            f"{method} {target}",
+            sent_s,
+            0.0,
+            0,
+            {},
+            b"",
+            self.address,
+        )
         try:
             async with asyncio.timeout((leave_ms or deadline_ms) / 1000):
                 reader, writer = await self._open()
@@ -91,7 +102,9 @@
             if fields.get("connection", "").lower() == "close":
                 self.close()
             return Answer(
-                request_id, sent_s, time.monotonic(), status, fields, data,
+                request_id,
+                failed.target,
+                sent_s, time.monotonic(), status, fields, data,
                 self.address,
             )  # fmt: skip
         failed.ended_s = time.monotonic()
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -16,9 +16,11 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterable
 from typing import Any
 
 from azureramp_standins.fleet import store
+from lib import clients, searchers
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 COMMAND = ("python3", "-S", "src/azurerampd_platform.py")
@@ -348,9 +350,38 @@
         writer.close()
 
 
-def finish(path: pathlib.Path, lines: list[str], broken: bool) -> int:
-    """Writes the record and returns the exit code."""
-    lines.append(f"result: {'BROKEN' if broken else 'held'}")
-    path.write_text("\n".join(lines) + "\n", "utf-8")
+def finish(
+    path: pathlib.Path,
+    lines: list[str],
+    broken: bool,
+    answers: Iterable[clients.Answer] = (),
+    found: Iterable[searchers.Searcher] = (),
+) -> int:
+    """Writes the record and returns the exit code.
+
+    Args:
+        path: The record's file.
+        lines: What the case saw, and what it was judged by.
+        broken: True if the rule was broken.
+        answers: What each client attempt was sent and ended with.
+        found: The searchers, with what they ran.
+    """
+    lines = [*lines, f"result: {'BROKEN' if broken else 'held'}"]
+    sent = sorted(answers, key=lambda each: each.sent_s)
+    runs = [run for each in found for run in each.runs]
+    runs.sort(key=lambda each: each.began_s)
+    zero_s = min((each.sent_s for each in sent), default=0.0)
+    details = [
+        f"{each.sent_s - zero_s:8.3f} s sent {each.id} {each.target} to"
+        f" {each.address}; at {each.ended_s - zero_s:.3f} s"
+        f" {each.status or each.error}"
+        for each in sent
+    ]
+    details += [
+        f"{each.began_s - zero_s:8.3f} s run of {each.id} {each.target} at"
+        f" {each.searcher}; at {each.ended_s - zero_s:.3f} s {each.end}"
+        for each in runs
+    ]
+    path.write_text("\n".join([*details, "", *lines]) + "\n", "utf-8")
     sys.stdout.write("\n".join(lines[-12:]) + "\n")
     return 1 if broken else 0
--- a/review/lib/poison.py
+++ b/review/lib/poison.py
@@ -211,9 +211,17 @@
             failed or any(each.status != 200 for each in self._poison)
         ):
             lines.append("requests failed without trouble")
-            deployment.finish(path, lines, False)
+            deployment.finish(
+                path, lines, False, self._poison + self._others, self._searchers
+            )
             return 2
-        return deployment.finish(path, lines, len(late) > MAX_RETRIES)
+        return deployment.finish(
+            path,
+            lines,
+            len(late) > MAX_RETRIES,
+            self._poison + self._others,
+            self._searchers,
+        )
 
 
 async def run(case: Case) -> int:
