--- a/review/lib/poison.py
+++ b/review/lib/poison.py
@@ -24,6 +24,11 @@
 PAUSE_S = 2.0
 """Time between two attempts of the client that has the request."""
 
+SPAN_ATTEMPTS = 2
+SPAN_GAP_S = 3.0
+"""A client that leaves does so for this number of attempts, within the 5.5 s of
+`give_up`, and again after a gap, in seconds."""
+
 POISON_ATTEMPTS = 18
 MAX_RETRIES = 3
 """The rule's limit."""
@@ -161,6 +166,8 @@
             )
             self._poison.append(answer)
             await asyncio.sleep(PAUSE_S)
+            if self._case.leave_ms and number % SPAN_ATTEMPTS == 1:
+                await asyncio.sleep(SPAN_GAP_S)
 
     def _judge(self) -> int:
         """Checks the rule and writes the record."""
